--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Thin wrapper over CMake; the targets are the commands that README.md names.
+BUILD ?= build
+JOBS ?= 8
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
+PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy python3 curl pkg-config \
+	libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libssl-dev libzmq3-dev cppzmq-dev \
+	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin
+
+.PHONY: all deps build check demo lint format proto clean
+
+all: build
+
+# Installs what is missing; does nothing when every package is there, so that no root is needed then.
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { \
+	  run=""; [ "$$(id -u)" = 0 ] || run=sudo; \
+	  $$run apt-get update -qq && $$run env DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES); }
+
+$(BUILD)/CMakeCache.txt:
+	cmake -S . -B $(BUILD) -G Ninja
+
+build: deps $(BUILD)/CMakeCache.txt
+	cmake --build $(BUILD) -j $(JOBS)
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	python3 testsuite/demo/run.py --bin $(BUILD)/bin
+
+format:
+	clang-format -i $(SOURCES)
+
+lint: deps $(BUILD)/CMakeCache.txt
+	clang-format --dry-run --Werror $(SOURCES)
+	printf '%s\n' $(filter %.cpp,$(SOURCES)) | xargs -P $(JOBS) -n 1 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+
+# Regenerates the committed protobuf code.
+proto:
+	protoc --proto_path=src/libwire --cpp_out=src/libwire src/libwire/wisteriayard.proto
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,10 @@
+# Libraries from the distribution's packages; `make deps` installs them.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS program_options unit_test_framework)
+find_package(OpenSSL REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
--- /dev/null
+++ b/src/include/wisteriayard/units.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "wisteriayard/strong.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace wisteriayard {
+
+/// Tokens of prompt or output.
+using Tokens = StrongNumber<struct TokensTag, std::int64_t>;
+using Bytes = StrongNumber<struct BytesTag, std::int64_t>;
+/// Modification revision of the key-value store; grows with each write.
+using Revision = StrongNumber<struct RevisionTag, std::int64_t>;
+/// Fencing token of a lease holder.
+using Epoch = StrongNumber<struct EpochTag, std::int64_t>;
+/// Engine priority; a lower number is served first.
+using Priority = StrongNumber<struct PriorityTag, std::int32_t>;
+
+using Duration = std::chrono::microseconds;
+
+/// Clock tag of the control core. It has no now(): the present time is always an argument.
+struct ControlClock {
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<ControlClock, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using TimePoint = ControlClock::time_point;
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/libnet/http_client.cpp
@@ -0,0 +1,154 @@
+#include "http_client.h"
+
+#include "address.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+
+namespace wisteriayard {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 16 * 1024;
+
+/// An error after the request may have reached the server.
+Error exchangeError(const boost::system::error_code& error, const char* what)
+{
+    Errc code = error == beast::error::timeout ? Errc::Timeout : Errc::Protocol;
+    return Error { code, std::string(what) + ": " + error.message() };
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(
+    boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server, Bytes maxBody)
+    : m_executor(std::move(executor))
+    , m_server(std::move(server))
+    , m_maxBody(maxBody)
+{
+}
+
+awaitable<Status> HttpConnection::connect(Duration timeout)
+{
+    close();
+    m_stream = std::make_unique<beast::tcp_stream>(m_executor);
+    m_buffer.clear();
+    boost::system::error_code error;
+    m_stream->expires_after(timeout);
+    co_await m_stream->async_connect(m_server, redirect_error(use_awaitable, error));
+    if (error) {
+        close();
+        co_return fail(Errc::Unavailable, "cannot connect to " + formatAddress(m_server) + ": " + error.message());
+    }
+    m_stream->socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
+    co_return boost::outcome_v2::success();
+}
+
+awaitable<Status> HttpConnection::send(HttpRequest& request, Duration timeout)
+{
+    if (!isOpen()) {
+        auto connected = co_await connect(timeout);
+        if (!connected)
+            co_return connected.error();
+    }
+    request.set(http::field::host, formatAddress(m_server));
+    request.prepare_payload();
+    boost::system::error_code error;
+    m_stream->expires_after(timeout);
+    co_await http::async_write(*m_stream, request, redirect_error(use_awaitable, error));
+    if (error) {
+        close();
+        co_return exchangeError(error, "cannot send request");
+    }
+    co_return boost::outcome_v2::success();
+}
+
+awaitable<Result<HttpResponse>> HttpConnection::exchange(HttpRequest request, Duration timeout)
+{
+    auto sent = co_await send(request, timeout);
+    if (!sent)
+        co_return sent.error();
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(static_cast<std::uint64_t>(m_maxBody.value()));
+    boost::system::error_code error;
+    co_await http::async_read(*m_stream, m_buffer, parser, redirect_error(use_awaitable, error));
+    if (error) {
+        close();
+        co_return exchangeError(error, "cannot read response");
+    }
+    if (!parser.get().keep_alive())
+        close();
+    co_return parser.release();
+}
+
+awaitable<Result<HttpResponse>> HttpConnection::start(HttpRequest request, Duration timeout)
+{
+    auto sent = co_await send(request, timeout);
+    if (!sent)
+        co_return sent.error();
+    m_parser = std::make_unique<Parser>();
+    m_parser->body_limit(boost::none);
+    boost::system::error_code error;
+    co_await http::async_read_header(*m_stream, m_buffer, *m_parser, redirect_error(use_awaitable, error));
+    if (error) {
+        close();
+        co_return exchangeError(error, "cannot read response head");
+    }
+    HttpResponse head;
+    head.base() = m_parser->get().base();
+    co_return head;
+}
+
+awaitable<Result<std::string>> HttpConnection::readSome(Duration timeout)
+{
+    std::string data(readChunkBytes, '\0');
+    while (m_parser && !m_parser->is_done()) {
+        auto& body = m_parser->get().body();
+        body.data = data.data();
+        body.size = data.size();
+        boost::system::error_code error;
+        m_stream->expires_after(timeout);
+        co_await http::async_read_some(*m_stream, m_buffer, *m_parser, redirect_error(use_awaitable, error));
+        if (error && error != http::error::need_buffer) {
+            close();
+            co_return exchangeError(error, "cannot read response body");
+        }
+        std::size_t received = data.size() - body.size;
+        if (received > 0) {
+            data.resize(received);
+            co_return data;
+        }
+    }
+    if (m_parser && !m_parser->get().keep_alive())
+        close();
+    m_parser.reset();
+    co_return std::string();
+}
+
+void HttpConnection::close()
+{
+    if (m_stream) {
+        boost::system::error_code ignored;
+        m_stream->socket().close(ignored);
+    }
+}
+
+HttpRequest makeHttpRequest(http::verb method, std::string_view target, std::string body, std::string_view type)
+{
+    constexpr int httpVersion11 = 11;
+    HttpRequest request(method, target, httpVersion11);
+    request.keep_alive(true);
+    if (!body.empty())
+        request.set(http::field::content_type, type);
+    request.body() = std::move(body);
+    return request;
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/libnet/net_test.cpp
@@ -0,0 +1,81 @@
+#define BOOST_TEST_MODULE net
+#include "address.h"
+#include "base64.h"
+#include "hash.h"
+#include "http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace wisteriayard;
+namespace http = boost::beast::http;
+
+namespace {
+
+const std::string base64Cases[] = { "", "a", "ab", "abc", std::string("\0\xff\n", 3) };
+const std::string badBase64[] = { "a", "====a", "@@@@" };
+const std::string badAddresses[] = { "", "127.0.0.1", "127.0.0.1:", ":80", "127.0.0.1:65536", "localhost:80", "127.0.0.1:80x" };
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(base64_round_trip, boost::unit_test::data::make(base64Cases))
+{
+    BOOST_TEST(base64Decode(base64Encode(sample)).value() == sample);
+}
+
+BOOST_DATA_TEST_CASE(base64_rejects, boost::unit_test::data::make(badBase64))
+{
+    BOOST_TEST(!base64Decode(sample));
+}
+
+BOOST_DATA_TEST_CASE(address_rejects, boost::unit_test::data::make(badAddresses))
+{
+    BOOST_TEST(!parseAddress(sample));
+}
+
+BOOST_AUTO_TEST_CASE(address_round_trip)
+{
+    for (const char* text : { "127.0.0.1:80", "[::1]:65535" })
+        BOOST_TEST(formatAddress(parseAddress(text).value()) == text);
+}
+
+BOOST_AUTO_TEST_CASE(sha256_known_answer)
+{
+    BOOST_TEST(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+// Guards against streams that lose their end or their parts between server and client.
+BOOST_AUTO_TEST_CASE(streams_a_response)
+{
+    boost::asio::io_context io;
+    auto handler = [](HttpRequest, HttpStreamWriter& writer) -> boost::asio::awaitable<HandlerResult> {
+        constexpr Duration timeout = std::chrono::seconds(60);
+        co_await writer.begin({}, "text/event-stream", timeout);
+        for (int i = 0; i < 5; ++i)
+            co_await writer.write("part" + std::to_string(i), timeout);
+        co_await writer.end(timeout);
+        co_return StreamWritten {};
+    };
+    auto server = std::make_shared<HttpServer>(io, HttpServerLimits {}, handler);
+    BOOST_REQUIRE(server->listen(parseAddress("127.0.0.1:0").value()));
+    std::string received;
+    auto client = [&]() -> boost::asio::awaitable<void> {
+        constexpr Duration timeout = std::chrono::seconds(60);
+        HttpConnection connection(io.get_executor(), server->localAddress(), Bytes(1024));
+        auto head = co_await connection.start(makeHttpRequest(http::verb::get, "/"), timeout);
+        BOOST_TEST(bool(head));
+        while (true) {
+            auto part = co_await connection.readSome(timeout);
+            BOOST_REQUIRE(part);
+            if (part.value().empty())
+                break;
+            received += part.value();
+        }
+        io.stop();
+    };
+    boost::asio::co_spawn(io, client, boost::asio::detached);
+    io.run();
+    BOOST_TEST(received == "part0part1part2part3part4");
+}
--- /dev/null
+++ b/src/libwire/wire_socket.cpp
@@ -0,0 +1,144 @@
+#include "wire_socket.h"
+
+#include <boost/asio/post.hpp>
+
+namespace wisteriayard {
+
+namespace {
+
+/// Envelopes queued for one peer before sends fail; bounds memory when a peer stops reading.
+constexpr int highWaterMark = 20000;
+/// Largest message that is taken in, in bytes: a request body of 8 MiB and its frame.
+constexpr std::int64_t maxMessageBytes = 9 * 1024 * 1024;
+/// ZeroMQ's own heartbeat finds connections that went silent and replaces them, in milliseconds.
+constexpr int heartbeatInterval = 1000;
+constexpr int heartbeatTimeout = 2000;
+constexpr int reconnectInterval = 50;
+constexpr int reconnectIntervalMax = 500;
+
+} // namespace
+
+WireSocket::WireSocket(boost::asio::io_context& io, zmq::context_t& context, Kind kind, Handler handler)
+    : m_kind(kind)
+    , m_socket(context, kind == Kind::Router ? zmq::socket_type::router : zmq::socket_type::dealer)
+    , m_descriptor(io)
+    , m_handler(std::move(handler))
+{
+    m_socket.set(zmq::sockopt::linger, 0);
+    m_socket.set(zmq::sockopt::sndhwm, highWaterMark);
+    m_socket.set(zmq::sockopt::rcvhwm, highWaterMark);
+    m_socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
+    m_socket.set(zmq::sockopt::heartbeat_ivl, heartbeatInterval);
+    m_socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeout);
+    m_socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
+    m_socket.set(zmq::sockopt::reconnect_ivl_max, reconnectIntervalMax);
+    if (kind == Kind::Router)
+        m_socket.set(zmq::sockopt::router_mandatory, true);
+    m_descriptor.assign(m_socket.get(zmq::sockopt::fd));
+    scheduleReceive();
+}
+
+WireSocket::~WireSocket()
+{
+    *m_alive = false;
+    // The descriptor belongs to ZeroMQ, which closes it.
+    m_descriptor.release();
+}
+
+Status WireSocket::bind(const std::string& address)
+{
+    try {
+        m_socket.bind("tcp://" + address);
+    } catch (const zmq::error_t& error) {
+        return fail(Errc::Unavailable, "cannot listen on " + address + ": " + error.what());
+    }
+    return boost::outcome_v2::success();
+}
+
+std::string WireSocket::boundAddress() const
+{
+    constexpr std::size_t schemeLength = sizeof("tcp://") - 1;
+    return m_socket.get(zmq::sockopt::last_endpoint).substr(schemeLength);
+}
+
+Status WireSocket::connect(const std::string& address)
+{
+    try {
+        m_socket.connect("tcp://" + address);
+    } catch (const zmq::error_t& error) {
+        return fail(Errc::InvalidArgument, "cannot connect to " + address + ": " + error.what());
+    }
+    return boost::outcome_v2::success();
+}
+
+bool WireSocket::send(const std::string& peer, const wire::Envelope& envelope)
+{
+    zmq::message_t body(envelope.ByteSizeLong());
+    envelope.SerializeWithCachedSizesToArray(static_cast<std::uint8_t*>(body.data()));
+    bool sent = false;
+    try {
+        if (m_kind == Kind::Router
+            && !m_socket.send(zmq::buffer(peer), zmq::send_flags::sndmore | zmq::send_flags::dontwait))
+            return false;
+        sent = m_socket.send(body, zmq::send_flags::dontwait).has_value();
+    } catch (const zmq::error_t&) {
+        sent = false; // EHOSTUNREACH: the router's peer is gone
+    }
+    // ZMQ_FD is edge-triggered and a send may consume the edge, so look for input after each send.
+    if (!m_receivePosted) {
+        m_receivePosted = true;
+        boost::asio::post(m_descriptor.get_executor(), [this, alive = m_alive] {
+            if (!*alive)
+                return;
+            m_receivePosted = false;
+            receiveAll();
+        });
+    }
+    return sent;
+}
+
+void WireSocket::scheduleReceive()
+{
+    m_descriptor.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+        [this, alive = m_alive](const boost::system::error_code& error) {
+            if (error || !*alive)
+                return;
+            receiveAll();
+            if (*alive)
+                scheduleReceive();
+        });
+}
+
+void WireSocket::receiveAll()
+{
+    auto alive = m_alive;
+    while (*alive && (m_socket.get(zmq::sockopt::events) & ZMQ_POLLIN)) {
+        zmq::message_t first;
+        if (!m_socket.recv(first, zmq::recv_flags::dontwait))
+            return;
+        receiveOne(std::move(first));
+    }
+}
+
+void WireSocket::receiveOne(zmq::message_t first)
+{
+    std::string peer;
+    zmq::message_t body = std::move(first);
+    if (m_kind == Kind::Router) {
+        peer = body.to_string();
+        if (!body.more() || !m_socket.recv(body, zmq::recv_flags::dontwait))
+            return;
+    }
+    bool surplus = body.more();
+    while (surplus) {
+        zmq::message_t ignored;
+        if (!m_socket.recv(ignored, zmq::recv_flags::dontwait))
+            return;
+        surplus = ignored.more();
+    }
+    wire::Envelope envelope;
+    if (envelope.ParseFromArray(body.data(), static_cast<int>(body.size())))
+        m_handler(peer, envelope);
+}
+
+} // namespace wisteriayard
