--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -24,3 +24,5 @@
 
 # Warnings are errors in our own code; library headers are system headers.
 add_compile_options(-Wall -Wextra -Werror)
+# g++ 12 reports Asio's coroutine frame allocation as mismatched although both sides are its own.
+add_compile_options(-Wno-mismatched-new-delete)
--- a/src/include/wisteriayard/error.h
+++ b/src/include/wisteriayard/error.h
@@ -33,8 +33,7 @@
 };
 
 /// A value or an Error. Reading the wrong side ends the process: it is a broken invariant.
-template <typename T>
-using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+template <typename T> using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
 
 /// Makes a failed result.
 /// @param code kind of the error
--- a/src/include/wisteriayard/strong.h
+++ b/src/include/wisteriayard/strong.h
@@ -9,8 +9,7 @@
 namespace wisteriayard {
 
 /// A string that is of one kind only; kinds do not convert into each other.
-template <typename Tag>
-class StrongString {
+template <typename Tag> class StrongString {
 public:
     StrongString() = default;
     explicit StrongString(std::string value)
@@ -29,8 +28,7 @@
 };
 
 /// A number with one unit; units do not convert into each other.
-template <typename Tag, typename Rep>
-class StrongNumber {
+template <typename Tag, typename Rep> class StrongNumber {
 public:
     using rep = Rep;
 
@@ -69,16 +67,14 @@
 
 } // namespace wisteriayard
 
-template <typename Tag>
-struct std::hash<wisteriayard::StrongString<Tag>> {
+template <typename Tag> struct std::hash<wisteriayard::StrongString<Tag>> {
     size_t operator()(const wisteriayard::StrongString<Tag>& id) const noexcept
     {
         return std::hash<std::string> {}(id.value());
     }
 };
 
-template <typename Tag, typename Rep>
-struct std::hash<wisteriayard::StrongNumber<Tag, Rep>> {
+template <typename Tag, typename Rep> struct std::hash<wisteriayard::StrongNumber<Tag, Rep>> {
     size_t operator()(const wisteriayard::StrongNumber<Tag, Rep>& number) const noexcept
     {
         return std::hash<Rep> {}(number.value());
--- a/src/include/wisteriayard/view.h
+++ b/src/include/wisteriayard/view.h
@@ -37,8 +37,7 @@
 };
 
 /// The update changed nothing: an older or equal revision, or a key of another kind.
-struct NoChange {
-};
+struct NoChange { };
 
 /// What an update of the view changed.
 using ViewChange = std::variant<NoChange, ContractChanged, KeyWithdrawn>;
--- a/src/libnet/clock.cpp
+++ b/src/libnet/clock.cpp
@@ -8,8 +8,8 @@
 {
     timespec now {};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return TimePoint(std::chrono::seconds(now.tv_sec)
-        + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(now.tv_nsec)));
+    return TimePoint(
+        std::chrono::seconds(now.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 std::int64_t wallClockMilliseconds()
--- a/src/libnet/hash.cpp
+++ b/src/libnet/hash.cpp
@@ -11,17 +11,17 @@
 
 namespace {
 
-std::string toHex(const unsigned char* data, std::size_t size)
-{
-    constexpr char digits[] = "0123456789abcdef";
-    std::string text;
-    text.reserve(size * 2);
-    for (std::size_t i = 0; i < size; ++i) {
-        text.push_back(digits[data[i] >> 4]);
-        text.push_back(digits[data[i] & 15]);
+    std::string toHex(const unsigned char* data, std::size_t size)
+    {
+        constexpr char digits[] = "0123456789abcdef";
+        std::string text;
+        text.reserve(size * 2);
+        for (std::size_t i = 0; i < size; ++i) {
+            text.push_back(digits[data[i] >> 4]);
+            text.push_back(digits[data[i] & 15]);
+        }
+        return text;
     }
-    return text;
-}
 
 } // namespace
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -16,14 +16,14 @@
 
 namespace {
 
-constexpr std::size_t readChunkBytes = 16 * 1024;
+    constexpr std::size_t readChunkBytes = 16 * 1024;
 
-/// An error after the request may have reached the server.
-Error exchangeError(const boost::system::error_code& error, const char* what)
-{
-    Errc code = error == beast::error::timeout ? Errc::Timeout : Errc::Protocol;
-    return Error { code, std::string(what) + ": " + error.message() };
-}
+    /// An error after the request may have reached the server.
+    Error exchangeError(const boost::system::error_code& error, const char* what)
+    {
+        Errc code = error == beast::error::timeout ? Errc::Timeout : Errc::Protocol;
+        return Error { code, std::string(what) + ": " + error.message() };
+    }
 
 } // namespace
 
--- a/src/libnet/http_client.h
+++ b/src/libnet/http_client.h
@@ -56,7 +56,7 @@
 /// Makes a request with a body.
 /// @param method HTTP method
 /// @param target path and query
-HttpRequest makeHttpRequest(
-    boost::beast::http::verb method, std::string_view target, std::string body = {}, std::string_view type = "application/json");
+HttpRequest makeHttpRequest(boost::beast::http::verb method, std::string_view target, std::string body = {},
+    std::string_view type = "application/json");
 
 } // namespace wisteriayard
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -22,26 +22,26 @@
 
 namespace {
 
-/// Pause after a failed accept, so that a lack of descriptors does not spin the loop.
-constexpr Duration acceptRetry = std::chrono::milliseconds(20);
-constexpr Duration writeTimeout = std::chrono::seconds(30);
-
-std::string errorBody(std::string_view message)
-{
-    return R"({"error":{"message":")" + std::string(message)
-        + R"(","type":"invalid_request_error","code":"bad_request","outcome":"not_run"}})";
-}
+    /// Pause after a failed accept, so that a lack of descriptors does not spin the loop.
+    constexpr Duration acceptRetry = std::chrono::milliseconds(20);
+    constexpr Duration writeTimeout = std::chrono::seconds(30);
+
+    std::string errorBody(std::string_view message)
+    {
+        return R"({"error":{"message":")" + std::string(message)
+            + R"(","type":"invalid_request_error","code":"bad_request","outcome":"not_run"}})";
+    }
 
-/// The response to a request that could not be parsed.
-HttpResponse parseErrorResponse(const boost::system::error_code& error)
-{
-    if (error == http::error::body_limit)
-        return makeHttpResponse(http::status::payload_too_large, errorBody("request body is too large"));
-    if (error == http::error::header_limit)
-        return makeHttpResponse(
-            http::status::request_header_fields_too_large, errorBody("request header is too large"));
-    return makeHttpResponse(http::status::bad_request, errorBody("malformed request: " + error.message()));
-}
+    /// The response to a request that could not be parsed.
+    HttpResponse parseErrorResponse(const boost::system::error_code& error)
+    {
+        if (error == http::error::body_limit)
+            return makeHttpResponse(http::status::payload_too_large, errorBody("request body is too large"));
+        if (error == http::error::header_limit)
+            return makeHttpResponse(
+                http::status::request_header_fields_too_large, errorBody("request header is too large"));
+        return makeHttpResponse(http::status::bad_request, errorBody("malformed request: " + error.message()));
+    }
 
 } // namespace
 
@@ -71,10 +71,7 @@
     co_return co_await writeRaw(chunk, timeout);
 }
 
-awaitable<Status> HttpStreamWriter::end(Duration timeout)
-{
-    co_return co_await writeRaw("0\r\n\r\n", timeout);
-}
+awaitable<Status> HttpStreamWriter::end(Duration timeout) { co_return co_await writeRaw("0\r\n\r\n", timeout); }
 
 awaitable<Status> HttpStreamWriter::writeRaw(std::string_view data, Duration timeout)
 {
@@ -100,6 +97,9 @@
     m_acceptor.open(address.protocol(), error);
     if (!error)
         m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    if (!error && m_limits.sharePort)
+        m_acceptor.set_option(ReusePort(true), error);
     if (!error)
         m_acceptor.bind(address, error);
     if (!error)
@@ -197,7 +197,7 @@
     response.prepare_payload();
     stream.expires_after(writeTimeout);
     co_await http::async_write(stream, response, redirect_error(use_awaitable, error));
-    co_return !error&& response.keep_alive();
+    co_return !error && response.keep_alive();
 }
 
 HttpResponse makeHttpResponse(http::status status, std::string body, std::string_view type)
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <string>
@@ -53,6 +54,8 @@
     /// Time for a whole request to arrive, and for an idle connection to stay open.
     Duration readTimeout = std::chrono::seconds(30);
     int maxConnections = 10'000;
+    /// Several servers of the process listen on the same port.
+    bool sharePort = false;
 };
 
 /// Accepts connections and serves HTTP/1.1 until the loop ends. Connections run on the acceptor's loop.
@@ -68,6 +71,7 @@
     /// Stops accepting; each open connection ends after the request that it is serving.
     void drain();
 
+    /// Open connections. Any thread.
     int connections() const { return m_connections; }
 
 private:
@@ -79,7 +83,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpServerLimits m_limits;
     HttpHandler m_handler;
-    int m_connections = 0;
+    std::atomic<int> m_connections = 0;
     bool m_draining = false;
     /// Connections that wait for a request, which drain() closes.
     std::map<boost::beast::tcp_stream*, bool> m_streams;
--- a/src/libstore/store_client.cpp
+++ b/src/libstore/store_client.cpp
@@ -9,15 +9,14 @@
 
 namespace {
 
-/// Values are up to 1 MB; a range of many keys may be larger.
-constexpr Bytes maxResponse { 64 * 1024 * 1024 };
-constexpr std::size_t maxWatchLine = 16 * 1024 * 1024;
-constexpr std::size_t maxIdle = 4;
+    /// Values are up to 1 MB; a range of many keys may be larger.
+    constexpr Bytes maxResponse { 64 * 1024 * 1024 };
+    constexpr std::size_t maxWatchLine = 16 * 1024 * 1024;
+    constexpr std::size_t maxIdle = 4;
 
 } // namespace
 
-StoreClient::StoreClient(
-    boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server, Duration timeout)
+StoreClient::StoreClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server, Duration timeout)
     : m_executor(std::move(executor))
     , m_server(std::move(server))
     , m_timeout(timeout)
--- a/src/libstore/store_json.cpp
+++ b/src/libstore/store_json.cpp
@@ -10,133 +10,130 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-Error formError(const std::string& what)
-{
-    return Error { Errc::Protocol, "store: " + what };
-}
+    Error formError(const std::string& what) { return Error { Errc::Protocol, "store: " + what }; }
 
-Result<Json> parseObject(std::string_view text)
-{
-    Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object())
-        return formError("response is not a JSON object");
-    return json;
-}
+    Result<Json> parseObject(std::string_view text)
+    {
+        Json json = Json::parse(text, nullptr, false);
+        if (!json.is_object())
+            return formError("response is not a JSON object");
+        return json;
+    }
 
-/// The gateway writes 64-bit numbers as strings and leaves out zeros.
-Result<std::int64_t> readInteger(const Json& object, const char* name)
-{
-    auto it = object.find(name);
-    if (it == object.end())
-        return std::int64_t(0);
-    if (it->is_number_integer())
-        return it->get<std::int64_t>();
-    if (!it->is_string())
-        return formError(std::string(name) + " is not a number");
-    const auto& text = it->get_ref<const std::string&>();
-    std::int64_t value = 0;
-    auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
-        return formError(std::string(name) + " is not a number: " + text.substr(0, 32));
-    return value;
-}
+    /// The gateway writes 64-bit numbers as strings and leaves out zeros.
+    Result<std::int64_t> readInteger(const Json& object, const char* name)
+    {
+        auto it = object.find(name);
+        if (it == object.end())
+            return std::int64_t(0);
+        if (it->is_number_integer())
+            return it->get<std::int64_t>();
+        if (!it->is_string())
+            return formError(std::string(name) + " is not a number");
+        const auto& text = it->get_ref<const std::string&>();
+        std::int64_t value = 0;
+        auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+            return formError(std::string(name) + " is not a number: " + text.substr(0, 32));
+        return value;
+    }
 
-Result<std::string> readBytes(const Json& object, const char* name)
-{
-    auto it = object.find(name);
-    if (it == object.end())
-        return std::string();
-    if (!it->is_string())
-        return formError(std::string(name) + " is not a string");
-    return base64Decode(it->get_ref<const std::string&>());
-}
+    Result<std::string> readBytes(const Json& object, const char* name)
+    {
+        auto it = object.find(name);
+        if (it == object.end())
+            return std::string();
+        if (!it->is_string())
+            return formError(std::string(name) + " is not a string");
+        return base64Decode(it->get_ref<const std::string&>());
+    }
 
-Result<StoreItem> readItem(const Json& json)
-{
-    if (!json.is_object())
-        return formError("item is not an object");
-    StoreItem item;
-    BOOST_OUTCOME_TRY(item.key, readBytes(json, "key"));
-    BOOST_OUTCOME_TRY(item.value, readBytes(json, "value"));
-    BOOST_OUTCOME_TRY(auto modified, readInteger(json, "mod_revision"));
-    BOOST_OUTCOME_TRY(auto created, readInteger(json, "create_revision"));
-    item.modRevision = Revision(modified);
-    item.createRevision = Revision(created);
-    return item;
-}
+    Result<StoreItem> readItem(const Json& json)
+    {
+        if (!json.is_object())
+            return formError("item is not an object");
+        StoreItem item;
+        BOOST_OUTCOME_TRY(item.key, readBytes(json, "key"));
+        BOOST_OUTCOME_TRY(item.value, readBytes(json, "value"));
+        BOOST_OUTCOME_TRY(auto modified, readInteger(json, "mod_revision"));
+        BOOST_OUTCOME_TRY(auto created, readInteger(json, "create_revision"));
+        item.modRevision = Revision(modified);
+        item.createRevision = Revision(created);
+        return item;
+    }
 
-Result<std::vector<StoreItem>> readItems(const Json& object, const char* name)
-{
-    std::vector<StoreItem> items;
-    auto it = object.find(name);
-    if (it == object.end())
+    Result<std::vector<StoreItem>> readItems(const Json& object, const char* name)
+    {
+        std::vector<StoreItem> items;
+        auto it = object.find(name);
+        if (it == object.end())
+            return items;
+        if (!it->is_array())
+            return formError(std::string(name) + " is not a list");
+        for (const Json& json : *it) {
+            BOOST_OUTCOME_TRY(auto item, readItem(json));
+            items.push_back(std::move(item));
+        }
         return items;
-    if (!it->is_array())
-        return formError(std::string(name) + " is not a list");
-    for (const Json& json : *it) {
-        BOOST_OUTCOME_TRY(auto item, readItem(json));
-        items.push_back(std::move(item));
     }
-    return items;
-}
 
-Result<Revision> readHeaderRevision(const Json& object)
-{
-    auto header = object.find("header");
-    if (header == object.end() || !header->is_object())
-        return formError("response has no header");
-    BOOST_OUTCOME_TRY(auto revision, readInteger(*header, "revision"));
-    return Revision(revision);
-}
+    Result<Revision> readHeaderRevision(const Json& object)
+    {
+        auto header = object.find("header");
+        if (header == object.end() || !header->is_object())
+            return formError("response has no header");
+        BOOST_OUTCOME_TRY(auto revision, readInteger(*header, "revision"));
+        return Revision(revision);
+    }
 
-Json compareJson(const Compare& compare)
-{
-    struct Visitor {
-        Json operator()(const CompareModRevision& c) const
-        {
-            return { { "key", base64Encode(c.key) }, { "target", "MOD" }, { "result", "EQUAL" },
-                { "mod_revision", std::to_string(c.revision.value()) } };
-        }
-        Json operator()(const CompareCreateRevision& c) const
-        {
-            return { { "key", base64Encode(c.key) }, { "target", "CREATE" }, { "result", "EQUAL" },
-                { "create_revision", std::to_string(c.revision.value()) } };
-        }
-    };
-    return std::visit(Visitor {}, compare);
-}
+    Json compareJson(const Compare& compare)
+    {
+        struct Visitor {
+            Json operator()(const CompareModRevision& c) const
+            {
+                return { { "key", base64Encode(c.key) }, { "target", "MOD" }, { "result", "EQUAL" },
+                    { "mod_revision", std::to_string(c.revision.value()) } };
+            }
+            Json operator()(const CompareCreateRevision& c) const
+            {
+                return { { "key", base64Encode(c.key) }, { "target", "CREATE" }, { "result", "EQUAL" },
+                    { "create_revision", std::to_string(c.revision.value()) } };
+            }
+        };
+        return std::visit(Visitor {}, compare);
+    }
 
-Json operationJson(const StoreOperation& operation)
-{
-    struct Visitor {
-        Json operator()(const PutOperation& put) const
-        {
-            Json request = { { "key", base64Encode(put.key) }, { "value", base64Encode(put.value) } };
-            if (put.lease != LeaseId())
-                request["lease"] = std::to_string(put.lease.value());
-            return { { "request_put", request } };
-        }
-        Json operator()(const DeleteOperation& deletion) const
-        {
-            return { { "request_delete_range", { { "key", base64Encode(deletion.key) } } } };
-        }
-        Json operator()(const ReadOperation& read) const
-        {
-            return { { "request_range", { { "key", base64Encode(read.key) } } } };
-        }
-    };
-    return std::visit(Visitor {}, operation);
-}
+    Json operationJson(const StoreOperation& operation)
+    {
+        struct Visitor {
+            Json operator()(const PutOperation& put) const
+            {
+                Json request = { { "key", base64Encode(put.key) }, { "value", base64Encode(put.value) } };
+                if (put.lease != LeaseId())
+                    request["lease"] = std::to_string(put.lease.value());
+                return { { "request_put", request } };
+            }
+            Json operator()(const DeleteOperation& deletion) const
+            {
+                return { { "request_delete_range", { { "key", base64Encode(deletion.key) } } } };
+            }
+            Json operator()(const ReadOperation& read) const
+            {
+                return { { "request_range", { { "key", base64Encode(read.key) } } } };
+            }
+        };
+        return std::visit(Visitor {}, operation);
+    }
 
-Json operationsJson(const std::vector<StoreOperation>& operations)
-{
-    Json list = Json::array();
-    for (const StoreOperation& operation : operations)
-        list.push_back(operationJson(operation));
-    return list;
-}
+    Json operationsJson(const std::vector<StoreOperation>& operations)
+    {
+        Json list = Json::array();
+        for (const StoreOperation& operation : operations)
+            list.push_back(operationJson(operation));
+        return list;
+    }
 
 } // namespace
 
@@ -174,10 +171,7 @@
     return Json({ { "TTL", std::to_string(seconds) } }).dump();
 }
 
-std::string leaseJson(LeaseId lease)
-{
-    return Json({ { "ID", std::to_string(lease.value()) } }).dump();
-}
+std::string leaseJson(LeaseId lease) { return Json({ { "ID", std::to_string(lease.value()) } }).dump(); }
 
 std::string watchRequestJson(std::string_view key, std::string_view rangeEnd, Revision start)
 {
--- a/src/libwire/wire_socket.cpp
+++ b/src/libwire/wire_socket.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-/// Envelopes queued for one peer before sends fail; bounds memory when a peer stops reading.
-constexpr int highWaterMark = 20000;
-/// Largest message that is taken in, in bytes: a request body of 8 MiB and its frame.
-constexpr std::int64_t maxMessageBytes = 9 * 1024 * 1024;
-/// ZeroMQ's own heartbeat finds connections that went silent and replaces them, in milliseconds.
-constexpr int heartbeatInterval = 1000;
-constexpr int heartbeatTimeout = 2000;
-constexpr int reconnectInterval = 50;
-constexpr int reconnectIntervalMax = 500;
+    /// Envelopes queued for one peer before sends fail; bounds memory when a peer stops reading.
+    constexpr int highWaterMark = 20000;
+    /// Largest message that is taken in, in bytes: a request body of 8 MiB and its frame.
+    constexpr std::int64_t maxMessageBytes = 9 * 1024 * 1024;
+    /// ZeroMQ's own heartbeat finds connections that went silent and replaces them, in milliseconds.
+    constexpr int heartbeatInterval = 1000;
+    constexpr int heartbeatTimeout = 2000;
+    constexpr int reconnectInterval = 50;
+    constexpr int reconnectIntervalMax = 500;
 
 } // namespace
 
--- a/src/libwisteriayard/scheduler.cpp
+++ b/src/libwisteriayard/scheduler.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Requests that one entry keeps waiting; more are refused, lowest tier first.
-constexpr std::size_t maxQueued = 4096;
-constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
+    /// Requests that one entry keeps waiting; more are refused, lowest tier first.
+    constexpr std::size_t maxQueued = 4096;
+    constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
 
 } // namespace
 
--- a/src/libwisteriayard/view.cpp
+++ b/src/libwisteriayard/view.cpp
@@ -6,25 +6,22 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-bool startsWith(std::string_view text, std::string_view prefix)
-{
-    return text.substr(0, prefix.size()) == prefix;
-}
+    bool startsWith(std::string_view text, std::string_view prefix) { return text.substr(0, prefix.size()) == prefix; }
 
-Result<KeyRecord> parseKeyRecord(std::string_view text)
-{
-    Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("account") || !json["account"].is_string())
-        return fail(Errc::InvalidArgument, "key record: expected an object with the string \"account\"");
-    KeyRecord record;
-    record.account = AccountId(json["account"].get<std::string>());
-    // A record whose mark can't be read counts as withdrawn: a wrong refusal does less harm than a wrong admission.
-    auto withdrawn = json.find("withdrawn");
-    record.withdrawn = withdrawn != json.end() && !(withdrawn->is_boolean() && !withdrawn->get<bool>());
-    return record;
-}
+    Result<KeyRecord> parseKeyRecord(std::string_view text)
+    {
+        Json json = Json::parse(text, nullptr, false);
+        if (!json.is_object() || !json.contains("account") || !json["account"].is_string())
+            return fail(Errc::InvalidArgument, "key record: expected an object with the string \"account\"");
+        KeyRecord record;
+        record.account = AccountId(json["account"].get<std::string>());
+        // A record whose mark can't be read counts as withdrawn: a wrong refusal does less harm than a wrong admission.
+        auto withdrawn = json.find("withdrawn");
+        record.withdrawn = withdrawn != json.end() && !(withdrawn->is_boolean() && !withdrawn->get<bool>());
+        return record;
+    }
 
 } // namespace
 
--- /dev/null
+++ b/src/wisteriayardd/admin_server.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "http_server.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wisteriayard {
+
+/// What the admin port shows; each function is called on the loop of the server.
+struct AdminSources {
+    std::function<bool()> ready;
+    std::function<std::string()> metrics;
+    /// State of the process as JSON for `wisteriayardctl status`.
+    std::function<std::string()> status;
+};
+
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/status` on the admin port.
+std::shared_ptr<HttpServer> makeAdminServer(boost::asio::io_context& io, AdminSources sources);
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/agent.cpp
@@ -0,0 +1,372 @@
+#include "agent.h"
+
+#include "address.h"
+#include "admin_server.h"
+#include "clock.h"
+#include "engine_client.h"
+#include "event_log.h"
+#include "hash.h"
+#include "wire_socket.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <map>
+#include <set>
+
+namespace wisteriayard {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    /// Requests that wait at the agent, in multiples of the endpoint's slots; more are rejected.
+    constexpr std::size_t queueFactor = 2;
+    constexpr Duration engineSilence = std::chrono::seconds(30);
+    constexpr Duration serviceTimeout = std::chrono::seconds(10);
+    constexpr Bytes maxServiceAnswer { 8 * 1024 * 1024 };
+    /// An entry pings while it waits for answers; its work ends when it is silent for longer than this.
+    constexpr Duration entrySilence = std::chrono::seconds(3);
+    constexpr Duration sweepInterval = std::chrono::milliseconds(200);
+
+    /// A request at this agent.
+    struct Job {
+        std::string peer;
+        wire::Submit submit;
+        std::uint64_t order = 0;
+        std::unique_ptr<HttpConnection> connection;
+        std::uint64_t chunks = 0;
+        bool started = false;
+        bool cancelled = false;
+    };
+
+    /// Identity of an attempt: request ids are unique over all entries.
+    std::string jobKey(const std::string& requestId, std::uint32_t attempt)
+    {
+        return requestId + "/" + std::to_string(attempt);
+    }
+
+    /// The process beside one endpoint.
+    class Agent {
+    public:
+        Agent(const AgentSettings& settings, std::shared_ptr<EventLog> log)
+            : m_settings(settings)
+            , m_log(std::move(log))
+            , m_signals(m_io, SIGINT, SIGTERM)
+            , m_socket(m_io, m_zmq, WireSocket::Kind::Router,
+                  [this](const std::string& peer, const wire::Envelope& envelope) { received(peer, envelope); })
+        {
+            m_incarnation = std::stoull(randomHex(7), nullptr, 16) | 1;
+        }
+
+        Status start()
+        {
+            BOOST_OUTCOME_TRY(m_socket.bind(formatAddress(m_settings.listen)));
+            m_admin = makeAdminServer(
+                m_io, { [this] { return !m_leaving; }, [] { return std::string(); }, [this] { return statusJson(); } });
+            return m_admin->listen(m_settings.common.admin);
+        }
+
+        void run()
+        {
+            m_log->write(Event::ProcessStarted,
+                { { "role", "agent" }, { "endpoint", m_settings.endpoint.value() },
+                    { "listen", formatAddress(m_settings.listen) } });
+            boost::asio::co_spawn(
+                m_io, [this] { return shutDownOnSignal(); }, boost::asio::detached);
+            boost::asio::co_spawn(
+                m_io, [this] { return sweepForever(); }, boost::asio::detached);
+            m_io.run();
+            m_log->write(Event::ProcessStopped, nlohmann::json::object());
+        }
+
+    private:
+        void received(const std::string& peer, const wire::Envelope& envelope)
+        {
+            m_lastHeard[peer] = bootTimeNow();
+            switch (envelope.message_case()) {
+            case wire::Envelope::kSubmit:
+                submitted(peer, envelope.submit());
+                break;
+            case wire::Envelope::kCancel:
+                cancelled(jobKey(envelope.cancel().request_id(), envelope.cancel().attempt()));
+                break;
+            case wire::Envelope::kPing:
+                sendLoad(peer, envelope.ping().sequence());
+                break;
+            default:
+                break; // a message that only entries take in
+            }
+        }
+
+        void submitted(const std::string& peer, const wire::Submit& submit)
+        {
+            std::string key = jobKey(submit.request_id(), submit.attempt());
+            if (m_jobs.count(key))
+                return; // delivered twice
+            std::size_t capacity = static_cast<std::size_t>(m_settings.slots) * (1 + queueFactor);
+            if (m_leaving || m_jobs.size() >= capacity) {
+                wire::Envelope reply;
+                reply.mutable_rejected()->set_request_id(submit.request_id());
+                reply.mutable_rejected()->set_attempt(submit.attempt());
+                reply.mutable_rejected()->set_reason(m_leaving ? "leaving" : "busy");
+                m_socket.send(peer, reply);
+                return;
+            }
+            auto job = std::make_shared<Job>();
+            job->peer = peer;
+            job->submit = submit;
+            job->order = m_nextOrder++;
+            m_jobs[key] = job;
+            startWaiting();
+        }
+
+        void cancelled(const std::string& key)
+        {
+            auto it = m_jobs.find(key);
+            if (it == m_jobs.end())
+                return;
+            std::shared_ptr<Job> job = it->second;
+            // A call that must not run twice is let finish: its outcome is worth knowing.
+            if (job->started && job->submit.at_most_once())
+                return;
+            job->cancelled = true;
+            if (!job->started) {
+                m_jobs.erase(it);
+                return;
+            }
+            if (job->connection)
+                job->connection->close();
+        }
+
+        void startWaiting()
+        {
+            while (m_running < m_settings.slots) {
+                std::shared_ptr<Job> next;
+                for (const auto& [key, job] : m_jobs) {
+                    if (job->started)
+                        continue;
+                    auto rank = [](const Job& each) { return std::pair(each.submit.priority(), each.order); };
+                    if (!next || rank(*job) < rank(*next))
+                        next = job;
+                }
+                if (!next)
+                    return;
+                next->started = true;
+                ++m_running;
+                boost::asio::co_spawn(
+                    m_io, [this, next] { return runJob(next); }, boost::asio::detached);
+            }
+        }
+
+        boost::asio::awaitable<void> runJob(std::shared_ptr<Job> job)
+        {
+            wire::Envelope accepted;
+            accepted.mutable_accepted()->set_request_id(job->submit.request_id());
+            accepted.mutable_accepted()->set_attempt(job->submit.attempt());
+            m_socket.send(job->peer, accepted);
+            job->connection
+                = std::make_unique<HttpConnection>(m_io.get_executor(), m_settings.endpointAddress, maxServiceAnswer);
+            if (job->submit.kind() == wire::CHAT)
+                co_await runChatJob(*job);
+            else
+                co_await runServiceJob(*job);
+            --m_running;
+            m_jobs.erase(jobKey(job->submit.request_id(), job->submit.attempt()));
+            startWaiting();
+        }
+
+        boost::asio::awaitable<void> runChatJob(Job& job)
+        {
+            auto body = engineRequestBody(job.submit.body(), Priority(job.submit.priority()), job.submit.resume_text());
+            if (!body) {
+                sendFailed(job, wire::NOT_RUN, body.error().message);
+                co_return;
+            }
+            TimePoint started = bootTimeNow();
+            TokenUsage usage;
+            std::string finishReason = "stop";
+            auto handler = [&](const EngineEvent& event) {
+                if (!event.text.empty())
+                    sendChunk(job, event.text);
+                if (event.usage)
+                    usage = *event.usage;
+                if (!event.finishReason.empty())
+                    finishReason = event.finishReason;
+            };
+            auto status = co_await runChat(*job.connection, std::move(body.value()), engineSilence, handler);
+            if (!status) {
+                bool reached = status.error().code != Errc::Unavailable;
+                sendFailed(job, reached ? wire::UNKNOWN : wire::NOT_RUN, status.error().message);
+                co_return;
+            }
+            wire::Envelope envelope;
+            auto* finished = envelope.mutable_finished();
+            finished->set_prompt_tokens(static_cast<std::uint64_t>(usage.prompt.value()));
+            finished->set_cached_tokens(static_cast<std::uint64_t>(usage.cached.value()));
+            finished->set_output_tokens(static_cast<std::uint64_t>(usage.output.value()));
+            finished->set_finish_reason(finishReason);
+            sendFinished(job, envelope, started);
+        }
+
+        boost::asio::awaitable<void> runServiceJob(Job& job)
+        {
+            TimePoint started = bootTimeNow();
+            auto method = http::string_to_verb(job.submit.method());
+            auto request = makeHttpRequest(method, job.submit.path(), job.submit.body(), job.submit.content_type());
+            if (!job.submit.idempotency_key().empty())
+                request.set("Idempotency-Key", job.submit.idempotency_key());
+            auto response = co_await job.connection->exchange(std::move(request), serviceTimeout);
+            if (!response) {
+                bool reached = response.error().code != Errc::Unavailable;
+                sendFailed(job, reached ? wire::UNKNOWN : wire::NOT_RUN, response.error().message);
+                co_return;
+            }
+            wire::Envelope envelope;
+            auto* finished = envelope.mutable_finished();
+            finished->set_http_status(response.value().result_int());
+            finished->set_content_type(std::string(response.value()[http::field::content_type]));
+            finished->set_body(response.value().body());
+            sendFinished(job, envelope, started);
+        }
+
+        void sendChunk(Job& job, const std::string& text)
+        {
+            wire::Envelope envelope;
+            auto* chunk = envelope.mutable_chunk();
+            chunk->set_request_id(job.submit.request_id());
+            chunk->set_attempt(job.submit.attempt());
+            chunk->set_sequence(job.chunks++);
+            chunk->set_tokens(1);
+            chunk->set_text(text);
+            // An entry that can't be reached misses a chunk and finds the gap; working on is of no use.
+            if (!m_socket.send(job.peer, envelope) && job.connection)
+                job.connection->close();
+        }
+
+        void sendFinished(const Job& job, wire::Envelope& envelope, TimePoint started)
+        {
+            auto* finished = envelope.mutable_finished();
+            finished->set_request_id(job.submit.request_id());
+            finished->set_attempt(job.submit.attempt());
+            finished->set_chunks(job.chunks);
+            finished->set_endpoint_us(static_cast<std::uint64_t>((bootTimeNow() - started).count()));
+            m_socket.send(job.peer, envelope);
+        }
+
+        void sendFailed(const Job& job, wire::Outcome outcome, const std::string& reason)
+        {
+            wire::Envelope envelope;
+            auto* failed = envelope.mutable_failed();
+            failed->set_request_id(job.submit.request_id());
+            failed->set_attempt(job.submit.attempt());
+            failed->set_outcome(outcome);
+            failed->set_reason(reason);
+            m_socket.send(job.peer, envelope);
+        }
+
+        void sendLoad(const std::string& peer, std::uint64_t sequence)
+        {
+            wire::Envelope envelope;
+            auto* load = envelope.mutable_load();
+            load->set_sequence(sequence);
+            load->set_incarnation(m_incarnation);
+            load->set_running(static_cast<std::uint32_t>(m_running));
+            load->set_queued(static_cast<std::uint32_t>(m_jobs.size()) - static_cast<std::uint32_t>(m_running));
+            load->set_leaving(m_leaving);
+            load->set_slots(static_cast<std::uint32_t>(m_settings.slots));
+            m_socket.send(peer, envelope);
+        }
+
+        boost::asio::awaitable<void> sweepForever()
+        {
+            boost::asio::steady_timer timer(m_io);
+            while (true) {
+                timer.expires_after(sweepInterval);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+                sweep(bootTimeNow());
+            }
+        }
+
+        /// Ends the work of entries that went silent.
+        void sweep(TimePoint now)
+        {
+            std::set<std::string> silent;
+            for (const auto& [peer, heard] : m_lastHeard) {
+                if (now - heard > entrySilence)
+                    silent.insert(peer);
+            }
+            std::vector<std::string> orphans;
+            for (const auto& [key, job] : m_jobs) {
+                if (silent.count(job->peer))
+                    orphans.push_back(key);
+            }
+            for (const std::string& key : orphans)
+                cancelled(key);
+            for (const std::string& peer : silent)
+                m_lastHeard.erase(peer);
+        }
+
+        boost::asio::awaitable<void> shutDownOnSignal()
+        {
+            int signal = co_await m_signals.async_wait(boost::asio::use_awaitable);
+            m_log->write(Event::ProcessStopping, { { "signal", signal }, { "jobs", m_jobs.size() } });
+            m_leaving = true;
+            TimePoint deadline = bootTimeNow() + m_settings.common.drainDelay + m_settings.common.drainTimeout;
+            TimePoint earliest = bootTimeNow() + m_settings.common.drainDelay;
+            boost::asio::steady_timer timer(m_io);
+            while (bootTimeNow() < earliest || (!m_jobs.empty() && bootTimeNow() < deadline)) {
+                timer.expires_after(sweepInterval);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            m_io.stop();
+        }
+
+        std::string statusJson() const
+        {
+            nlohmann::json status
+                = { { "instance", m_settings.common.instance.value() }, { "zone", m_settings.common.zone.value() },
+                      { "role", "agent" }, { "endpoint", m_settings.endpoint.value() }, { "ready", !m_leaving },
+                      { "running", m_running }, { "jobs", m_jobs.size() } };
+            return status.dump();
+        }
+
+        AgentSettings m_settings;
+        std::shared_ptr<EventLog> m_log;
+        zmq::context_t m_zmq { 1 };
+        boost::asio::io_context m_io { 1 };
+        boost::asio::signal_set m_signals;
+        WireSocket m_socket;
+        std::shared_ptr<HttpServer> m_admin;
+        std::uint64_t m_incarnation = 0;
+        std::map<std::string, std::shared_ptr<Job>> m_jobs;
+        std::map<std::string, TimePoint> m_lastHeard;
+        std::uint64_t m_nextOrder = 0;
+        int m_running = 0;
+        bool m_leaving = false;
+    };
+
+} // namespace
+
+int runAgent(const AgentSettings& settings)
+{
+    auto log = EventLog::open(settings.common.logFile, settings.common.instance.value());
+    if (!log) {
+        std::cerr << "wisteriayardd: " << log.error().message << '\n';
+        return 1;
+    }
+    Agent agent(settings, log.value());
+    if (auto started = agent.start(); !started) {
+        std::cerr << "wisteriayardd: " << started.error().message << '\n';
+        return 1;
+    }
+    agent.run();
+    return 0;
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/agent_links.cpp
@@ -0,0 +1,211 @@
+#include "agent_links.h"
+
+#include "clock.h"
+
+#include <boost/asio/post.hpp>
+
+namespace wisteriayard {
+
+namespace {
+
+    constexpr Duration pingInterval = std::chrono::milliseconds(500);
+    /// A link with work or a watch that is silent for this long is replaced.
+    constexpr Duration silenceLimit = std::chrono::seconds(2);
+    constexpr Duration tickInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+AgentLinks::AgentLinks(boost::asio::io_context& io, zmq::context_t& context, LoadHandler onLoad, LostHandler onLost)
+    : m_io(io)
+    , m_context(context)
+    , m_onLoad(std::move(onLoad))
+    , m_onLost(std::move(onLost))
+    , m_timer(io)
+{
+    scheduleTick();
+}
+
+AgentLinks::~AgentLinks() { *m_alive = false; }
+
+AgentLinks::Link& AgentLinks::link(const EndpointId& endpoint, const std::string& address)
+{
+    Link& link = m_links[endpoint];
+    if (!link.socket || link.address != address) {
+        link.endpoint = endpoint;
+        link.address = address;
+        openSocket(link);
+    }
+    return link;
+}
+
+void AgentLinks::openSocket(Link& link)
+{
+    auto handler = [this, endpoint = link.endpoint](
+                       const std::string&, const wire::Envelope& envelope) { received(endpoint, envelope); };
+    link.socket = std::make_unique<WireSocket>(m_io, m_context, WireSocket::Kind::Dealer, handler);
+    link.lastHeard = bootTimeNow();
+    if (!link.socket->connect(link.address))
+        link.silent = true;
+}
+
+bool AgentLinks::submit(const EndpointId& endpoint, const std::string& address, const wire::Submit& submit,
+    std::shared_ptr<Exchange> exchange)
+{
+    Link& target = link(endpoint, address);
+    // Silence counts from the first attempt: an idle link is not pinged.
+    if (target.attempts == 0 && !target.watched)
+        target.lastHeard = bootTimeNow();
+    wire::Envelope envelope;
+    *envelope.mutable_submit() = submit;
+    if (!target.socket->send("", envelope))
+        return false;
+    ++target.attempts;
+    m_attempts[submit.request_id()] = { std::move(exchange), submit.attempt(), endpoint };
+    return true;
+}
+
+void AgentLinks::end(const RequestId& request, bool cancelAtAgent)
+{
+    auto it = m_attempts.find(request.value());
+    if (it == m_attempts.end())
+        return;
+    auto linked = m_links.find(it->second.endpoint);
+    if (linked != m_links.end()) {
+        --linked->second.attempts;
+        if (cancelAtAgent) {
+            wire::Envelope envelope;
+            envelope.mutable_cancel()->set_request_id(request.value());
+            envelope.mutable_cancel()->set_attempt(it->second.number);
+            linked->second.socket->send("", envelope);
+        }
+    }
+    m_attempts.erase(it);
+}
+
+void AgentLinks::watch(const EndpointId& endpoint, const std::string& address)
+{
+    Link& target = link(endpoint, address);
+    target.watched = true;
+    target.retired = false;
+    ping(target, bootTimeNow());
+}
+
+void AgentLinks::retire(const EndpointId& endpoint)
+{
+    auto it = m_links.find(endpoint);
+    if (it != m_links.end())
+        it->second.retired = true;
+}
+
+void AgentLinks::ping(Link& link, TimePoint now)
+{
+    link.lastPing = now;
+    wire::Envelope envelope;
+    envelope.mutable_ping()->set_sequence(++link.pingSequence);
+    link.socket->send("", envelope);
+}
+
+void AgentLinks::received(const EndpointId& endpoint, const wire::Envelope& envelope)
+{
+    auto it = m_links.find(endpoint);
+    if (it == m_links.end())
+        return;
+    it->second.lastHeard = bootTimeNow();
+    it->second.silent = false;
+    switch (envelope.message_case()) {
+    case wire::Envelope::kLoad:
+        receivedLoad(it->second, envelope.load());
+        break;
+    case wire::Envelope::kAccepted:
+        deliver(envelope.accepted());
+        break;
+    case wire::Envelope::kRejected:
+        deliver(envelope.rejected());
+        break;
+    case wire::Envelope::kChunk:
+        deliver(envelope.chunk());
+        break;
+    case wire::Envelope::kFinished:
+        deliver(envelope.finished());
+        break;
+    case wire::Envelope::kFailed:
+        deliver(envelope.failed());
+        break;
+    default:
+        break; // a message that only agents take in
+    }
+}
+
+void AgentLinks::receivedLoad(Link& link, const wire::Load& load)
+{
+    bool restarted = link.incarnation != 0 && link.incarnation != load.incarnation();
+    link.incarnation = load.incarnation();
+    EndpointLoad report;
+    report.running = static_cast<int>(load.running());
+    report.queued = static_cast<int>(load.queued());
+    report.tokensPerSecond = load.tokens_per_second();
+    report.leaving = load.leaving();
+    report.takenAt = bootTimeNow();
+    EndpointId endpoint = link.endpoint;
+    if (restarted) {
+        // The new process knows nothing of attempts that the old one took.
+        loseAttempts(endpoint);
+        m_onLost(endpoint);
+    }
+    m_onLoad(endpoint, report);
+}
+
+template <typename Message> void AgentLinks::deliver(const Message& message)
+{
+    auto it = m_attempts.find(message.request_id());
+    // An answer to an earlier attempt, or to a request that has ended, belongs to nobody.
+    if (it == m_attempts.end() || it->second.number != message.attempt())
+        return;
+    it->second.exchange->push(message);
+}
+
+void AgentLinks::loseAttempts(const EndpointId& endpoint)
+{
+    for (auto it = m_attempts.begin(); it != m_attempts.end();) {
+        bool lost = it->second.endpoint == endpoint;
+        if (lost)
+            it->second.exchange->push(AgentLost {});
+        it = lost ? m_attempts.erase(it) : std::next(it);
+    }
+    auto linked = m_links.find(endpoint);
+    if (linked != m_links.end())
+        linked->second.attempts = 0;
+}
+
+void AgentLinks::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this, alive = m_alive](const boost::system::error_code& error) {
+        if (error || !*alive)
+            return;
+        tick(bootTimeNow());
+        scheduleTick();
+    });
+}
+
+void AgentLinks::tick(TimePoint now)
+{
+    for (auto it = m_links.begin(); it != m_links.end();)
+        it = it->second.retired && it->second.attempts == 0 ? m_links.erase(it) : std::next(it);
+    for (auto& [endpoint, link] : m_links) {
+        if (!link.watched && link.attempts == 0)
+            continue;
+        if (now - link.lastHeard > silenceLimit) {
+            // A connection may be silent for good although a new one would work.
+            openSocket(link);
+            loseAttempts(endpoint);
+            if (!link.silent)
+                m_onLost(endpoint);
+            link.silent = true;
+        }
+        if (now - link.lastPing >= pingInterval)
+            ping(link, now);
+    }
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/api_error.cpp
@@ -0,0 +1,27 @@
+#include "api_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriayard {
+
+std::string apiErrorJson(const ApiError& error, const RequestId& request)
+{
+    nlohmann::json body = { { "message", error.message }, { "type", error.type }, { "code", error.code },
+        { "outcome", error.outcome == RunOutcome::NotRun ? "not_run" : "unknown" }, { "request_id", request.value() } };
+    return nlohmann::json({ { "error", body } }).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+HttpResponse apiErrorResponse(const ApiError& error, const RequestId& request)
+{
+    HttpResponse response = makeHttpResponse(error.status, apiErrorJson(error, request));
+    response.set("x-request-id", request.value());
+    if (error.retryAfter) {
+        auto seconds = std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count();
+        response.set(boost::beast::http::field::retry_after, std::to_string(seconds));
+    }
+    if (error.status == boost::beast::http::status::unauthorized)
+        response.set(boost::beast::http::field::www_authenticate, "Bearer");
+    return response;
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -0,0 +1,378 @@
+#include "caller_handler.h"
+
+#include "clock.h"
+#include "hash.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace wisteriayard {
+
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+
+namespace {
+
+    constexpr std::size_t requestIdBytes = 12;
+    constexpr std::size_t maxKeyLength = 256;
+    constexpr std::size_t maxIdempotencyKeyLength = 255;
+    constexpr Duration callerWriteTimeout = std::chrono::seconds(30);
+    /// Bound on waiting for any event of a request; a queue or a stream is never silent for so long.
+    constexpr Duration eventTimeout = std::chrono::minutes(10);
+    constexpr std::string_view servicesPrefix = "/services/";
+
+    /// Takes the caller's key out of the request.
+    /// @return the key's hash, or Unauthorized
+    Result<KeyHash> takeKey(HttpRequest& request)
+    {
+        if (request.count(http::field::authorization) != 1)
+            return fail(Errc::Unauthorized, "expected exactly one Authorization header with a bearer key");
+        std::string_view value = request[http::field::authorization];
+        constexpr std::string_view scheme = "Bearer ";
+        bool bearer = boost::beast::iequals(value.substr(0, scheme.size()), scheme);
+        if (!bearer || value.size() == scheme.size() || value.size() > scheme.size() + maxKeyLength)
+            return fail(Errc::Unauthorized, "expected \"Authorization: Bearer <key>\"");
+        KeyHash hash(sha256Hex(value.substr(scheme.size())));
+        request.erase(http::field::authorization);
+        return hash;
+    }
+
+    ApiError badRequest(std::string message)
+    {
+        return { http::status::bad_request, "invalid_request_error", "bad_request", std::move(message),
+            RunOutcome::NotRun, std::nullopt };
+    }
+
+    ApiError unauthorized(std::string message)
+    {
+        return { http::status::unauthorized, "authentication_error", "invalid_api_key", std::move(message),
+            RunOutcome::NotRun, std::nullopt };
+    }
+
+    std::string modelsBody(const std::vector<TargetId>& models)
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const TargetId& model : models)
+            list.push_back({ { "id", model.value() }, { "object", "model" }, { "owned_by", "wisteriayard" } });
+        return nlohmann::json({ { "object", "list" }, { "data", list } }).dump();
+    }
+
+    TokenUsage usageOf(const wire::Finished& finished, Tokens resumed)
+    {
+        TokenUsage usage;
+        usage.prompt = Tokens(static_cast<std::int64_t>(finished.prompt_tokens()));
+        usage.cached = Tokens(static_cast<std::int64_t>(finished.cached_tokens()));
+        usage.output = Tokens(static_cast<std::int64_t>(finished.output_tokens())) + resumed;
+        return usage;
+    }
+
+} // namespace
+
+struct CallerHandler::Call {
+    RequestId id;
+    std::shared_ptr<Exchange> exchange;
+    HttpStreamWriter* writer = nullptr;
+    TimePoint arrived {};
+    std::int64_t created = 0;
+    /// Chats only.
+    std::optional<ChatRequest> chat;
+    wire::Submit submit;
+    std::optional<Admitted> admitted;
+    /// An attempt is at an agent.
+    bool attemptOpen = false;
+    std::uint64_t nextChunk = 0;
+    /// Delivered or collected so far, over all attempts.
+    std::string text;
+    Tokens tokens { 0 };
+    /// Tokens of earlier attempts.
+    Tokens resumed { 0 };
+};
+
+CallerHandler::CallerHandler(boost::asio::io_context& io, std::shared_ptr<EntryControl> control,
+    std::shared_ptr<AgentLinks> links, std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log)
+    : m_io(io)
+    , m_control(std::move(control))
+    , m_links(std::move(links))
+    , m_metrics(std::move(metrics))
+    , m_log(std::move(log))
+{
+}
+
+awaitable<HandlerResult> CallerHandler::handle(HttpRequest request, HttpStreamWriter& writer)
+{
+    RequestId id(randomHex(requestIdBytes));
+    auto key = takeKey(request);
+    if (!key)
+        co_return apiErrorResponse(unauthorized(key.error().message), id);
+    std::string_view target = request.target();
+    if (target == "/v1/models" && request.method() == http::verb::get)
+        co_return co_await listModels(id, key.value());
+    if (target == "/v1/chat/completions" && request.method() == http::verb::post)
+        co_return co_await chat(id, key.value(), request, writer);
+    if (target.substr(0, servicesPrefix.size()) == servicesPrefix)
+        co_return co_await service(id, key.value(), request, writer);
+    ApiError error = badRequest(
+        "no such path or method: " + std::string(request.method_string()) + " " + std::string(target.substr(0, 200)));
+    error.status = http::status::not_found;
+    error.code = "not_found";
+    co_return apiErrorResponse(error, id);
+}
+
+awaitable<HandlerResult> CallerHandler::listModels(RequestId id, KeyHash key)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, std::chrono::seconds(5));
+    auto models = std::make_shared<Result<std::vector<TargetId>>>(fail(Errc::Timeout, "no answer"));
+    m_control->listModels(key, [this, timer, models](Result<std::vector<TargetId>> result) {
+        boost::asio::post(m_io, [timer, models, result = std::move(result)] {
+            *models = result;
+            timer->cancel();
+        });
+    });
+    boost::system::error_code ignored;
+    co_await timer->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    if (!*models)
+        co_return apiErrorResponse(unauthorized(models->error().message), id);
+    HttpResponse response = makeHttpResponse(http::status::ok, modelsBody(models->value()));
+    response.set("x-request-id", id.value());
+    co_return response;
+}
+
+awaitable<HandlerResult> CallerHandler::chat(
+    RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer)
+{
+    auto parsed = parseChatRequest(request.body());
+    if (!parsed)
+        co_return apiErrorResponse(badRequest(parsed.error().message), id);
+    Call call;
+    call.id = id;
+    call.writer = &writer;
+    call.chat = parsed.value();
+    call.submit.set_kind(wire::CHAT);
+    call.submit.set_body(request.body());
+    call.exchange = std::make_shared<Exchange>(m_io, id);
+    ArrivedRequest arrived;
+    arrived.key = key;
+    arrived.shape = { call.chat->model, "POST", "", call.chat->maxTokens };
+    arrived.promptTokens = call.chat->promptTokens;
+    arrived.prefixHash = call.chat->prefixHash;
+    arrived.id = id;
+    arrived.exchange = call.exchange;
+    m_control->submit(std::move(arrived));
+    co_return co_await run(call);
+}
+
+awaitable<HandlerResult> CallerHandler::service(
+    RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer)
+{
+    std::string_view rest = request.target();
+    rest.remove_prefix(servicesPrefix.size());
+    std::size_t slash = std::min(rest.find('/'), rest.size());
+    std::string name(rest.substr(0, slash));
+    std::string path = slash == rest.size() ? "/" : std::string(rest.substr(slash));
+    std::string_view idempotencyKey = request["Idempotency-Key"];
+    if (request.count("Idempotency-Key") > 1 || idempotencyKey.size() > maxIdempotencyKeyLength)
+        co_return apiErrorResponse(badRequest("expected at most one Idempotency-Key of up to 255 characters"), id);
+    Call call;
+    call.id = id;
+    call.writer = &writer;
+    call.submit.set_kind(wire::SERVICE);
+    call.submit.set_method(std::string(request.method_string()));
+    call.submit.set_path(path);
+    call.submit.set_body(request.body());
+    call.submit.set_content_type(std::string(request[http::field::content_type]));
+    call.submit.set_idempotency_key(std::string(idempotencyKey));
+    call.exchange = std::make_shared<Exchange>(m_io, id);
+    ArrivedRequest arrived;
+    arrived.id = id;
+    arrived.key = key;
+    arrived.shape = { TargetId(name), std::string(request.method_string()), path, std::nullopt };
+    arrived.exchange = call.exchange;
+    m_control->submit(std::move(arrived));
+    co_return co_await run(call);
+}
+
+awaitable<HandlerResult> CallerHandler::run(Call& call)
+{
+    call.arrived = bootTimeNow();
+    call.created = wallClockMilliseconds() / 1000;
+    while (true) {
+        ExchangeEvent event = co_await call.exchange->next(eventTimeout);
+        auto result = co_await on(call, event);
+        if (result)
+            co_return std::move(*result);
+    }
+}
+
+awaitable<std::optional<HandlerResult>> CallerHandler::on(Call& call, const ExchangeEvent& event)
+{
+    std::optional<ApiError> error;
+    if (auto* admitted = std::get_if<Admitted>(&event)) {
+        startAttempt(call, *admitted);
+    } else if (auto* refused = std::get_if<Refused>(&event)) {
+        call.attemptOpen = false;
+        error = refused->error;
+    } else if (auto* chunk = std::get_if<wire::Chunk>(&event)) {
+        if (chunk->sequence() != call.nextChunk) {
+            error = attemptFailed(call, "chunk " + std::to_string(call.nextChunk) + " is missing", false);
+        } else {
+            auto delivered = co_await deliver(call, *chunk);
+            if (!delivered) {
+                // The caller is gone.
+                m_links->end(call.id, true);
+                m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+                ended(call, "caller_gone");
+                co_return HandlerResult(StreamWritten { false });
+            }
+        }
+    } else if (auto* finished = std::get_if<wire::Finished>(&event)) {
+        if (finished->chunks() == call.nextChunk)
+            co_return co_await finish(call, *finished);
+        error = attemptFailed(call, "answer is truncated", false);
+    } else if (auto* rejected = std::get_if<wire::Rejected>(&event)) {
+        error = attemptFailed(call, rejected->reason(), true);
+    } else if (auto* failed = std::get_if<wire::Failed>(&event)) {
+        error = attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
+    } else if (std::holds_alternative<AgentLost>(event)) {
+        error = attemptFailed(call, "the agent does not answer", false);
+    } else if (std::holds_alternative<KeyRevoked>(event)) {
+        error = unauthorized("the key was withdrawn");
+        error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
+        m_links->end(call.id, true);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+    } else if (std::holds_alternative<TimedOut>(event)) {
+        error = ApiError { http::status::gateway_timeout, "api_error", "timeout", "no answer in time",
+            call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun, std::nullopt };
+        m_links->end(call.id, true);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+    }
+    if (!error)
+        co_return std::nullopt;
+    co_return co_await failCall(call, std::move(*error));
+}
+
+void CallerHandler::startAttempt(Call& call, const Admitted& admitted)
+{
+    call.admitted = admitted;
+    call.nextChunk = 0;
+    call.resumed = call.tokens;
+    call.submit.set_request_id(call.id.value());
+    call.submit.set_attempt(admitted.attempt);
+    call.submit.set_account(admitted.account.value());
+    call.submit.set_request_class(admitted.requestClass.value());
+    call.submit.set_priority(static_cast<std::int32_t>(admitted.tier) * 1000 + admitted.priority.value());
+    call.submit.set_tier(static_cast<std::uint32_t>(admitted.tier));
+    call.submit.set_at_most_once(admitted.atMostOnce);
+    call.submit.set_resume_text(call.text);
+    call.submit.set_resume_tokens(static_cast<std::uint64_t>(call.tokens.value()));
+    call.attemptOpen = true;
+    if (!m_links->submit(admitted.endpoint, admitted.agentAddress, call.submit, call.exchange)) {
+        wire::Rejected rejected;
+        rejected.set_reason("agent can't be reached");
+        call.exchange->push(rejected);
+    }
+}
+
+std::optional<ApiError> CallerHandler::attemptFailed(Call& call, const std::string& reason, bool neverRan)
+{
+    m_links->end(call.id, true);
+    call.attemptOpen = false;
+    m_log->write(Event::AttemptFailed,
+        { { "request", call.id.value() }, { "attempt", call.admitted->attempt },
+            { "endpoint", call.admitted->endpoint.value() }, { "reason", reason }, { "never_ran", neverRan } });
+    bool repeatable = neverRan || !call.admitted->atMostOnce;
+    m_control->attemptEnded(call.id, repeatable ? AttemptEnd::PlaceAgain : AttemptEnd::GivenUp);
+    if (repeatable)
+        return std::nullopt;
+    return ApiError { http::status::bad_gateway, "api_error", "outcome_unknown",
+        "the call may have run; it is not repeated: " + reason, RunOutcome::Unknown, std::nullopt };
+}
+
+awaitable<Status> CallerHandler::deliver(Call& call, const wire::Chunk& chunk)
+{
+    if (call.tokens == Tokens(0))
+        m_metrics->firstToken(call.admitted->account, call.admitted->requestClass, bootTimeNow() - call.arrived);
+    ++call.nextChunk;
+    call.text += chunk.text();
+    call.tokens += Tokens(chunk.tokens());
+    if (!call.chat || !call.chat->stream)
+        co_return boost::outcome_v2::success();
+    if (!call.writer->begun()) {
+        std::map<std::string, std::string> headers { { "x-request-id", call.id.value() } };
+        auto begun = co_await call.writer->begin(headers, "text/event-stream", callerWriteTimeout);
+        if (!begun)
+            co_return begun.error();
+    }
+    std::string event = chunkEvent(call.id, call.chat->model, call.created, chunk.text());
+    co_return co_await call.writer->write(event, callerWriteTimeout);
+}
+
+awaitable<HandlerResult> CallerHandler::finish(Call& call, const wire::Finished& finished)
+{
+    m_links->end(call.id, false);
+    m_control->attemptEnded(call.id, AttemptEnd::Finished);
+    ended(call, "finished");
+    if (!call.chat) {
+        auto status = static_cast<http::status>(finished.http_status());
+        HttpResponse response = makeHttpResponse(status, finished.body(), finished.content_type());
+        response.set("x-request-id", call.id.value());
+        co_return response;
+    }
+    TokenUsage usage = usageOf(finished, call.resumed);
+    if (!call.chat->stream) {
+        HttpResponse response = makeHttpResponse(http::status::ok,
+            completionBody(call.id, call.chat->model, call.created, call.text, finished.finish_reason(), usage));
+        response.set("x-request-id", call.id.value());
+        co_return response;
+    }
+    std::optional<TokenUsage> shown;
+    if (call.chat->includeUsage)
+        shown = usage;
+    std::string events = finalEvents(call.id, call.chat->model, call.created, finished.finish_reason(), shown);
+    if (!call.writer->begun()) {
+        std::map<std::string, std::string> headers { { "x-request-id", call.id.value() } };
+        auto begun = co_await call.writer->begin(headers, "text/event-stream", callerWriteTimeout);
+        if (!begun)
+            co_return StreamWritten { false };
+    }
+    auto status = co_await call.writer->write(events, callerWriteTimeout);
+    if (status)
+        status = co_await call.writer->end(callerWriteTimeout);
+    co_return StreamWritten { bool(status) };
+}
+
+awaitable<HandlerResult> CallerHandler::failCall(Call& call, ApiError error)
+{
+    ended(call, error.code);
+    m_log->write(Event::RequestFailed,
+        { { "request", call.id.value() }, { "code", error.code },
+            { "outcome", error.outcome == RunOutcome::NotRun ? "not_run" : "unknown" } });
+    if (!call.writer->begun())
+        co_return apiErrorResponse(error, call.id);
+    // The status line has gone out: the error is the last event, and the body stays without its end.
+    std::string event = "data: " + apiErrorJson(error, call.id) + "\n\n";
+    [[maybe_unused]] auto written = co_await call.writer->write(event, callerWriteTimeout);
+    co_return StreamWritten { false };
+}
+
+void CallerHandler::ended(const Call& call, const std::string& outcome)
+{
+    if (!call.admitted)
+        return;
+    const AccountId& account = call.admitted->account;
+    const ClassId& requestClass = call.admitted->requestClass;
+    Duration total = bootTimeNow() - call.arrived;
+    m_metrics->requestEnded(account, requestClass, outcome);
+    m_metrics->outputTokens(account, requestClass, call.tokens);
+    if (outcome != "finished")
+        return;
+    m_metrics->totalTime(account, requestClass, total);
+    m_log->write(Event::RequestFinished,
+        { { "request", call.id.value() }, { "account", account.value() }, { "class", requestClass.value() },
+            { "endpoint", call.admitted->endpoint.value() }, { "output_tokens", call.tokens.value() },
+            { "total_us", total.count() } });
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/caller_handler.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "agent_links.h"
+#include "chat_api.h"
+#include "entry_control.h"
+#include "http_server.h"
+#include "metrics.h"
+
+#include <memory>
+
+namespace wisteriayard {
+
+/// Serves callers' requests on one traffic thread.
+class CallerHandler {
+public:
+    CallerHandler(boost::asio::io_context& io, std::shared_ptr<EntryControl> control, std::shared_ptr<AgentLinks> links,
+        std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log);
+
+    /// Handles one request.
+    boost::asio::awaitable<HandlerResult> handle(HttpRequest request, HttpStreamWriter& writer);
+
+private:
+    /// A request on its way, over all attempts.
+    struct Call;
+
+    boost::asio::awaitable<HandlerResult> listModels(RequestId id, KeyHash key);
+    boost::asio::awaitable<HandlerResult> chat(
+        RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer);
+    boost::asio::awaitable<HandlerResult> service(
+        RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer);
+    boost::asio::awaitable<HandlerResult> run(Call& call);
+    boost::asio::awaitable<std::optional<HandlerResult>> on(Call& call, const ExchangeEvent& event);
+    boost::asio::awaitable<Status> deliver(Call& call, const wire::Chunk& chunk);
+    boost::asio::awaitable<HandlerResult> finish(Call& call, const wire::Finished& finished);
+    boost::asio::awaitable<HandlerResult> failCall(Call& call, ApiError error);
+    void startAttempt(Call& call, const Admitted& admitted);
+    std::optional<ApiError> attemptFailed(Call& call, const std::string& reason, bool neverRan);
+    void ended(const Call& call, const std::string& outcome);
+
+    boost::asio::io_context& m_io;
+    std::shared_ptr<EntryControl> m_control;
+    std::shared_ptr<AgentLinks> m_links;
+    std::shared_ptr<Metrics> m_metrics;
+    std::shared_ptr<EventLog> m_log;
+};
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/entry.cpp
@@ -0,0 +1,170 @@
+#include "entry.h"
+
+#include "address.h"
+#include "admin_server.h"
+#include "agent_links.h"
+#include "caller_handler.h"
+#include "clock.h"
+#include "entry_control.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace wisteriayard {
+
+namespace {
+
+    constexpr Duration drainPoll = std::chrono::milliseconds(20);
+
+    /// One traffic thread: its loop, its connections to agents and its listener.
+    struct TrafficThread {
+        boost::asio::io_context io { 1 };
+        std::shared_ptr<AgentLinks> links;
+        std::shared_ptr<CallerHandler> handler;
+        std::shared_ptr<HttpServer> server;
+        std::thread thread;
+    };
+
+    /// An entry instance with its threads.
+    class Entry {
+    public:
+        Entry(const EntrySettings& settings, std::shared_ptr<EventLog> log)
+            : m_settings(settings)
+            , m_log(std::move(log))
+            , m_signals(m_controlIo, SIGINT, SIGTERM)
+        {
+        }
+
+        Status start()
+        {
+            EntryControl::EndpointHandlers handlers;
+            handlers.added = [this](const EndpointId& id, const std::string& address) { endpointAdded(id, address); };
+            handlers.removed = [this](const EndpointId& id) { endpointRemoved(id); };
+            m_control = std::make_shared<EntryControl>(m_controlIo, m_settings, m_log, std::move(handlers));
+            for (int i = 0; i < m_settings.trafficThreads; ++i) {
+                BOOST_OUTCOME_TRY(addTrafficThread());
+            }
+            m_admin = makeAdminServer(m_controlIo,
+                { [this] { return m_control->ready(); }, [this] { return m_metrics->text(); },
+                    [this] { return m_control->statusJson(bootTimeNow()); } });
+            BOOST_OUTCOME_TRY(m_admin->listen(m_settings.common.admin));
+            m_control->start();
+            return boost::outcome_v2::success();
+        }
+
+        void run()
+        {
+            m_log->write(Event::ProcessStarted,
+                { { "role", "entry" }, { "listen", formatAddress(m_settings.listen) },
+                    { "admin", formatAddress(m_settings.common.admin) } });
+            for (auto& traffic : m_traffic)
+                traffic->thread = std::thread([&traffic] { traffic->io.run(); });
+            boost::asio::co_spawn(
+                m_controlIo, [this] { return shutDownOnSignal(); }, boost::asio::detached);
+            m_controlIo.run();
+            for (auto& traffic : m_traffic) {
+                traffic->io.stop();
+                traffic->thread.join();
+            }
+            m_log->write(Event::ProcessStopped, nlohmann::json::object());
+        }
+
+    private:
+        Status addTrafficThread()
+        {
+            auto traffic = std::make_unique<TrafficThread>();
+            traffic->links = std::make_shared<AgentLinks>(
+                traffic->io, m_zmq,
+                [this](const EndpointId& id, const EndpointLoad& load) { m_control->endpointReported(id, load); },
+                [this](const EndpointId& id) { m_control->agentLost(id); });
+            traffic->handler
+                = std::make_shared<CallerHandler>(traffic->io, m_control, traffic->links, m_metrics, m_log);
+            HttpServerLimits limits;
+            limits.maxBody = m_settings.maxBody;
+            limits.readTimeout = m_settings.readTimeout;
+            limits.maxConnections = m_settings.maxConnections / m_settings.trafficThreads + 1;
+            limits.sharePort = true;
+            auto handler = [callers = traffic->handler](HttpRequest request, HttpStreamWriter& writer) {
+                return callers->handle(std::move(request), writer);
+            };
+            traffic->server = std::make_shared<HttpServer>(traffic->io, limits, handler);
+            BOOST_OUTCOME_TRY(traffic->server->listen(m_settings.listen));
+            m_traffic.push_back(std::move(traffic));
+            return boost::outcome_v2::success();
+        }
+
+        void endpointAdded(const EndpointId& id, const std::string& address)
+        {
+            // One thread watches the load of each endpoint; the others connect when they have work for it.
+            auto& first = *m_traffic.front();
+            boost::asio::post(first.io, [links = first.links, id, address] { links->watch(id, address); });
+        }
+
+        void endpointRemoved(const EndpointId& id)
+        {
+            for (auto& traffic : m_traffic)
+                boost::asio::post(traffic->io, [links = traffic->links, id] { links->retire(id); });
+        }
+
+        boost::asio::awaitable<void> shutDownOnSignal()
+        {
+            int signal = co_await m_signals.async_wait(boost::asio::use_awaitable);
+            m_log->write(Event::ProcessStopping, { { "signal", signal } });
+            m_control->stopBeingReady();
+            boost::asio::steady_timer timer(m_controlIo, m_settings.common.drainDelay);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            for (auto& traffic : m_traffic)
+                boost::asio::post(traffic->io, [server = traffic->server] { server->drain(); });
+            TimePoint deadline = bootTimeNow() + m_settings.common.drainTimeout;
+            while (openConnections() > 0 && bootTimeNow() < deadline) {
+                timer.expires_after(drainPoll);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            m_controlIo.stop();
+        }
+
+        int openConnections() const
+        {
+            int open = 0;
+            for (const auto& traffic : m_traffic)
+                open += traffic->server->connections();
+            return open;
+        }
+
+        EntrySettings m_settings;
+        std::shared_ptr<EventLog> m_log;
+        std::shared_ptr<Metrics> m_metrics = std::make_shared<Metrics>();
+        zmq::context_t m_zmq { 1 };
+        boost::asio::io_context m_controlIo { 1 };
+        boost::asio::signal_set m_signals;
+        std::shared_ptr<EntryControl> m_control;
+        std::vector<std::unique_ptr<TrafficThread>> m_traffic;
+        std::shared_ptr<HttpServer> m_admin;
+    };
+
+} // namespace
+
+int runEntry(const EntrySettings& settings)
+{
+    auto log = EventLog::open(settings.common.logFile, settings.common.instance.value());
+    if (!log) {
+        std::cerr << "wisteriayardd: " << log.error().message << '\n';
+        return 1;
+    }
+    Entry entry(settings, log.value());
+    if (auto started = entry.start(); !started) {
+        std::cerr << "wisteriayardd: " << started.error().message << '\n';
+        return 1;
+    }
+    entry.run();
+    return 0;
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/metrics.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "wisteriayard/ids.h"
+#include "wisteriayard/units.h"
+
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace prometheus {
+class Counter;
+class Histogram;
+} // namespace prometheus
+
+namespace wisteriayard {
+
+/// Metrics of an entry; may be used by all threads. Accounts and classes come from contracts, so label sets
+/// are bounded by them.
+class Metrics {
+public:
+    Metrics();
+
+    void requestEnded(const AccountId& account, const ClassId& requestClass, const std::string& outcome);
+    void firstToken(const AccountId& account, const ClassId& requestClass, Duration time);
+    void totalTime(const AccountId& account, const ClassId& requestClass, Duration time);
+    void outputTokens(const AccountId& account, const ClassId& requestClass, Tokens tokens);
+
+    /// All metrics in the Prometheus text format.
+    std::string text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Counter>& m_tokens;
+    prometheus::Family<prometheus::Histogram>& m_firstToken;
+    prometheus::Family<prometheus::Histogram>& m_total;
+};
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/settings.cpp
@@ -0,0 +1,208 @@
+#include "settings.h"
+
+#include "address.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace wisteriayard {
+
+namespace po = boost::program_options;
+
+namespace {
+
+    constexpr const char* environmentPrefix = "WISTERIAYARD_";
+
+    po::options_description describeOptions()
+    {
+        po::options_description options("wisteriayardd --role entry|agent [options]\n"
+                                        "Each option can also be set as an environment variable: --drain-delay-ms is "
+                                        "WISTERIAYARD_DRAIN_DELAY_MS. A flag goes before the environment");
+        auto add = options.add_options();
+        add("help", "show this text");
+        add("version", "show the version");
+        add("role", po::value<std::string>(), "entry or agent");
+        add("instance", po::value<std::string>(), "id of this instance");
+        add("zone", po::value<std::string>(), "availability zone of this instance");
+        add("region", po::value<std::string>(), "region of this instance");
+        add("listen", po::value<std::string>(), "IP:port for callers (entry) or for entries (agent)");
+        add("admin", po::value<std::string>(), "IP:port for health, readiness and metrics");
+        add("store", po::value<std::string>(), "IP:port of the key-value store");
+        add("platform", po::value<std::string>(), "IP:port of the platform's instance list");
+        add("log-file", po::value<std::string>()->default_value(""), "log file; standard output if empty");
+        add("store-timeout-ms", po::value<std::int64_t>()->default_value(2000), "longest store call, 10 to 60000");
+        add("drain-delay-ms", po::value<std::int64_t>()->default_value(5000),
+            "time between failing readiness and closing the listener, 0 to 600000");
+        add("drain-timeout-ms", po::value<std::int64_t>()->default_value(60000),
+            "longest time for running requests at shutdown, 0 to 3600000");
+        add("traffic-threads", po::value<std::int64_t>()->default_value(2), "entry: traffic threads, 1 to 64");
+        add("max-connections", po::value<std::int64_t>()->default_value(10000),
+            "entry: callers' connections, 1 to 1000000");
+        add("max-body-bytes", po::value<std::int64_t>()->default_value(8 * 1024 * 1024),
+            "entry: largest request body, 1024 to 8388608");
+        add("read-timeout-ms", po::value<std::int64_t>()->default_value(30000),
+            "entry: time for a request to arrive, 10 to 600000");
+        add("endpoint", po::value<std::string>(), "agent: id of the endpoint beside it");
+        add("endpoint-kind", po::value<std::string>()->default_value("engine"), "agent: engine or service");
+        add("endpoint-address", po::value<std::string>(), "agent: IP:port of the endpoint");
+        add("target", po::value<std::string>(), "agent: model or service that the endpoint serves");
+        add("slots", po::value<std::int64_t>()->default_value(8), "agent: requests at once, 1 to 10000");
+        return options;
+    }
+
+    std::string optionOfVariable(std::string name)
+    {
+        std::string prefix = environmentPrefix;
+        if (name.rfind(prefix, 0) != 0)
+            return {};
+        name.erase(0, prefix.size());
+        std::transform(name.begin(), name.end(), name.begin(),
+            [](unsigned char c) { return c == '_' ? '-' : static_cast<char>(std::tolower(c)); });
+        return name;
+    }
+
+    /// Reads typed values and keeps the first error.
+    class OptionReader {
+    public:
+        explicit OptionReader(const po::variables_map& variables)
+            : m_variables(variables)
+        {
+        }
+
+        std::string text(const char* name)
+        {
+            if (!m_variables.count(name) || m_variables[name].as<std::string>().empty()) {
+                report(std::string("--") + name + " is missing");
+                return {};
+            }
+            return m_variables[name].as<std::string>();
+        }
+
+        boost::asio::ip::tcp::endpoint address(const char* name)
+        {
+            auto parsed = parseAddress(text(name));
+            if (!parsed) {
+                report(std::string("--") + name + ": " + parsed.error().message);
+                return {};
+            }
+            return parsed.value();
+        }
+
+        std::int64_t integer(const char* name, std::int64_t min, std::int64_t max)
+        {
+            auto value = m_variables[name].as<std::int64_t>();
+            if (value < min || value > max)
+                report(std::string("--") + name + ": " + std::to_string(value) + " is not allowed; expected "
+                    + std::to_string(min) + " to " + std::to_string(max));
+            return value;
+        }
+
+        Duration milliseconds(const char* name, std::int64_t min, std::int64_t max)
+        {
+            return std::chrono::milliseconds(integer(name, min, max));
+        }
+
+        void report(std::string message)
+        {
+            if (m_error.empty())
+                m_error = std::move(message);
+        }
+
+        const std::string& error() const { return m_error; }
+
+    private:
+        const po::variables_map& m_variables;
+        std::string m_error;
+    };
+
+    CommonSettings readCommon(OptionReader& reader, const po::variables_map& variables)
+    {
+        CommonSettings common;
+        common.instance = InstanceId(reader.text("instance"));
+        common.zone = ZoneId(reader.text("zone"));
+        common.region = RegionId(reader.text("region"));
+        common.store = reader.address("store");
+        common.platform = reader.address("platform");
+        common.admin = reader.address("admin");
+        common.logFile = variables["log-file"].as<std::string>();
+        common.storeTimeout = reader.milliseconds("store-timeout-ms", 10, 60'000);
+        common.drainDelay = reader.milliseconds("drain-delay-ms", 0, 600'000);
+        common.drainTimeout = reader.milliseconds("drain-timeout-ms", 0, 3'600'000);
+        return common;
+    }
+
+    EntrySettings readEntry(OptionReader& reader, const po::variables_map& variables)
+    {
+        EntrySettings entry;
+        entry.common = readCommon(reader, variables);
+        entry.listen = reader.address("listen");
+        entry.trafficThreads = static_cast<int>(reader.integer("traffic-threads", 1, 64));
+        entry.maxConnections = static_cast<int>(reader.integer("max-connections", 1, 1'000'000));
+        entry.maxBody = Bytes(reader.integer("max-body-bytes", 1024, 8 * 1024 * 1024));
+        entry.readTimeout = reader.milliseconds("read-timeout-ms", 10, 600'000);
+        return entry;
+    }
+
+    AgentSettings readAgent(OptionReader& reader, const po::variables_map& variables)
+    {
+        AgentSettings agent;
+        agent.common = readCommon(reader, variables);
+        agent.listen = reader.address("listen");
+        agent.endpoint = EndpointId(reader.text("endpoint"));
+        agent.target = TargetId(reader.text("target"));
+        agent.endpointAddress = reader.address("endpoint-address");
+        agent.slots = static_cast<int>(reader.integer("slots", 1, 10'000));
+        std::string kind = reader.text("endpoint-kind");
+        if (kind != "engine" && kind != "service")
+            reader.report("--endpoint-kind: \"" + kind + "\" is not allowed; expected engine or service");
+        agent.kind = kind == "service" ? EndpointKind::Service : EndpointKind::Engine;
+        return agent;
+    }
+
+    Result<Settings> readRole(const po::variables_map& variables)
+    {
+        OptionReader reader(variables);
+        std::string role = reader.text("role");
+        Settings settings;
+        if (role == "entry")
+            settings = readEntry(reader, variables);
+        else if (role == "agent")
+            settings = readAgent(reader, variables);
+        else
+            reader.report("--role: \"" + role + "\" is not allowed; expected entry or agent");
+        if (!reader.error().empty())
+            return fail(Errc::InvalidArgument, reader.error());
+        return settings;
+    }
+
+} // namespace
+
+Result<Settings> parseSettings(int argc, const char* const* argv)
+{
+    po::options_description options = describeOptions();
+    po::variables_map variables;
+    try {
+        po::store(po::parse_command_line(argc, argv, options), variables);
+        // Variables of the environment that no option has are other programs' business.
+        auto known = [&](const std::string& variable) {
+            std::string name = optionOfVariable(variable);
+            return !name.empty() && options.find_nothrow(name, false) ? name : std::string();
+        };
+        po::store(po::parse_environment(options, known), variables);
+        po::notify(variables);
+    } catch (const po::error& error) {
+        return fail(Errc::InvalidArgument, error.what());
+    }
+    if (variables.count("help")) {
+        std::ostringstream text;
+        text << options;
+        return Settings(ShowText { text.str() });
+    }
+    if (variables.count("version"))
+        return Settings(ShowText { "wisteriayardd " WISTERIAYARD_VERSION "\n" });
+    return readRole(variables);
+}
+
+} // namespace wisteriayard
