--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy python3 curl pkg-config \
 	libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libssl-dev libzmq3-dev cppzmq-dev \
-	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin
+	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin python3-httpx
 
-.PHONY: all deps build check demo lint model format proto clean
+.PHONY: all deps build check sanitize demo lint model format proto clean
 
 all: build
 
@@ -27,6 +27,15 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Runs the unit tests under sanitizers, each in a build folder of its own.
+sanitize: deps
+	@for kind in address,undefined thread; do \
+	  folder=$(BUILD)-$${kind%%,*}; \
+	  cmake -S . -B $$folder -G Ninja -DWISTERIAYARD_SANITIZE=$$kind >/dev/null && \
+	  cmake --build $$folder -j $(JOBS) && \
+	  ctest --test-dir $$folder --output-on-failure -j 4 -E '^case_' || exit 1; \
+	done
+
 demo: build
 	python3 testsuite/demo/run.py --bin $(BUILD)/bin
 
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -73,6 +73,22 @@
 
 awaitable<Status> HttpStreamWriter::end(Duration timeout) { co_return co_await writeRaw("0\r\n\r\n", timeout); }
 
+void HttpStreamWriter::onPeerClose(std::function<void()> handler)
+{
+    using boost::asio::ip::tcp;
+    auto& socket = m_stream.socket();
+    socket.async_wait(
+        tcp::socket::wait_read, [&socket, handler = std::move(handler)](const boost::system::error_code& error) {
+            if (error)
+                return; // the connection ended with the request
+            char byte = 0;
+            boost::system::error_code peekError;
+            std::size_t size = socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+            if (peekError || size == 0)
+                handler();
+        });
+}
+
 awaitable<Status> HttpStreamWriter::writeRaw(std::string_view data, Duration timeout)
 {
     boost::system::error_code error;
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -30,6 +30,10 @@
 
     bool begun() const { return m_begun; }
 
+    /// Calls a function once if the peer closes its side while the request is served. A peer that has sent
+    /// further requests is not watched.
+    void onPeerClose(std::function<void()> handler);
+
 private:
     boost::asio::awaitable<Status> writeRaw(std::string_view data, Duration timeout);
 
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -198,6 +198,11 @@
 {
     call.arrived = bootTimeNow();
     call.created = wallClockMilliseconds() / 1000;
+    // Work for a caller that has gone is wasted: a stream finds out when it writes, the rest here.
+    call.writer->onPeerClose([exchange = std::weak_ptr<Exchange>(call.exchange)] {
+        if (auto open = exchange.lock())
+            open->push(CallerGone {});
+    });
     while (true) {
         ExchangeEvent event = co_await call.exchange->next(eventTimeout);
         auto result = co_await on(call, event);
@@ -219,13 +224,8 @@
             error = attemptFailed(call, "chunk " + std::to_string(call.nextChunk) + " is missing", false);
         } else {
             auto delivered = co_await deliver(call, *chunk);
-            if (!delivered) {
-                // The caller is gone.
-                m_links->end(call.id, true);
-                m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
-                ended(call, "caller_gone");
-                co_return HandlerResult(StreamWritten { false });
-            }
+            if (!delivered)
+                co_return callerGone(call);
         }
     } else if (auto* finished = std::get_if<wire::Finished>(&event)) {
         if (finished->chunks() == call.nextChunk)
@@ -237,6 +237,8 @@
         error = attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
     } else if (std::holds_alternative<AgentLost>(event)) {
         error = attemptFailed(call, "the agent does not answer", false);
+    } else if (std::holds_alternative<CallerGone>(event)) {
+        co_return callerGone(call);
     } else if (std::holds_alternative<KeyRevoked>(event)) {
         error = unauthorized("the key was withdrawn");
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
@@ -253,6 +255,14 @@
     co_return co_await failCall(call, std::move(*error));
 }
 
+HandlerResult CallerHandler::callerGone(const Call& call)
+{
+    m_links->end(call.id, true);
+    m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+    ended(call, "caller_gone");
+    return StreamWritten { false };
+}
+
 void CallerHandler::startAttempt(Call& call, const Admitted& admitted)
 {
     call.admitted = admitted;
--- a/src/wisteriayardd/caller_handler.h
+++ b/src/wisteriayardd/caller_handler.h
@@ -33,6 +33,7 @@
     boost::asio::awaitable<Status> deliver(Call& call, const wire::Chunk& chunk);
     boost::asio::awaitable<HandlerResult> finish(Call& call, const wire::Finished& finished);
     boost::asio::awaitable<HandlerResult> failCall(Call& call, ApiError error);
+    HandlerResult callerGone(const Call& call);
     void startAttempt(Call& call, const Admitted& admitted);
     std::optional<ApiError> attemptFailed(Call& call, const std::string& reason, bool neverRan);
     void ended(const Call& call, const std::string& outcome);
--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -41,11 +41,15 @@
 /// The agent of the running attempt is gone or silent.
 struct AgentLost { };
 
+/// The caller closed its connection.
+struct CallerGone {
+};
+
 /// No event came in time.
 struct TimedOut { };
 
 /// What may happen to a request while its caller waits.
-using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, TimedOut, wire::Accepted, wire::Rejected,
+using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, CallerGone, TimedOut, wire::Accepted, wire::Rejected,
     wire::Chunk, wire::Finished, wire::Failed>;
 
 /// Mailbox of one request: other threads post events, the request's coroutine takes them in order.
