Keep the at-most-once log of a partition

A call that bills a shopper or publishes an invoice template runs twice if its caller retries through another entry after a lost answer.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 # Regenerates the committed protobuf code.
 proto:
 	protoc --proto_path=src/libwire --cpp_out=src/libwire/generated src/libwire/wisteriayard.proto
+	protoc --proto_path=src/libwisteriayard --cpp_out=src/libwisteriayard/generated src/libwisteriayard/once.proto
 
 clean:
 	rm -rf $(BUILD)
