--- a/src/libwisteriayard/once.cpp
+++ b/src/libwisteriayard/once.cpp
@@ -244,7 +244,7 @@
             Entry& entry = m_entries.at(key);
             bool present = !stored
                 || std::any_of(stored.value().calls().begin(), stored.value().calls().end(),
-                    [&](const record::OnceCall& each) { return each.key() == key.value(); });
+                    [wanted = key.value()](const record::OnceCall& each) { return each.key() == wanted; });
             if (entry.phase != Phase::Writing || entry.abandoned || !present)
                 continue;
             entry.abandoned = true;
