Run at-most-once calls through the partition's owner

A caller that retried a charge through another entry after a lost answer had it run twice: agents knew nothing of each other's calls. Agents of a service now own partitions of the log by compare-and-swap on the partition's record, write the intents of all waiting calls in one write, and send a call only after the store confirmed its intent. Entries send such a call to the owner that agents have named; a dead owner is taken over from, a leaving one is waited for. A refusal after attempts that never ran says not_run now.

--- a/src/include/wisteriayard/once.h
+++ b/src/include/wisteriayard/once.h
@@ -150,6 +150,8 @@
     /// @param value the stored value now
     Decisions fenced(std::string_view value);
 
+    /// Value that claims the partition, before the first write.
+    std::string claimed() const;
     /// Value that gives up ownership. Only without open calls.
     std::string released() const;
 
--- a/src/libwisteriayard/once.cpp
+++ b/src/libwisteriayard/once.cpp
@@ -260,6 +260,8 @@
     return decisions;
 }
 
+std::string OnceLog::claimed() const { return encode(m_owner); }
+
 std::string OnceLog::released() const { return encode({ m_owner.epoch, EndpointId(), 0 }); }
 
 std::size_t OnceLog::openCalls() const { return m_open.size(); }
--- a/src/wisteriayardd/agent.cpp
+++ b/src/wisteriayardd/agent.cpp
@@ -6,6 +6,7 @@
 #include "engine_client.h"
 #include "event_log.h"
 #include "hash.h"
+#include "once_keeper.h"
 #include "wire_socket.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -43,6 +44,10 @@
         std::uint64_t chunks = 0;
         bool started = false;
         bool cancelled = false;
+        /// Waits for its intent to be stored.
+        bool waitsForIntent = false;
+        /// Calls that may run at most once.
+        std::optional<OncePermit> permit;
     };
 
     /// Identity of an attempt: request ids are unique over all entries.
@@ -62,6 +67,7 @@
                   [this](const std::string& peer, const wire::Envelope& envelope) { received(peer, envelope); })
         {
             m_incarnation = std::stoull(randomHex(7), nullptr, 16) | 1;
+            m_once = std::make_unique<OnceKeeper>(m_io, m_settings, m_log, m_incarnation);
         }
 
         Status start()
@@ -123,17 +129,59 @@
             job->submit = submit;
             job->order = m_nextOrder++;
             m_jobs[key] = job;
+            if (submit.at_most_once() && submit.kind() == wire::SERVICE) {
+                job->waitsForIntent = true;
+                boost::asio::co_spawn(
+                    m_io, [this, job] { return admitOnce(job); }, boost::asio::detached);
+                return;
+            }
             startWaiting();
         }
 
+        /// Lets a call wait for a slot when its intent is stored, or answers it.
+        boost::asio::awaitable<void> admitOnce(std::shared_ptr<Job> job)
+        {
+            OnceVerdict verdict = co_await m_once->admit(job->submit);
+            job->waitsForIntent = false;
+            if (auto* permit = std::get_if<OncePermit>(&verdict)) {
+                job->permit = *permit;
+                startWaiting();
+                co_return;
+            }
+            wire::Envelope reply;
+            if (auto* finished = std::get_if<wire::Finished>(&verdict))
+                *reply.mutable_finished() = *finished;
+            if (auto* rejected = std::get_if<wire::Rejected>(&verdict))
+                *reply.mutable_rejected() = *rejected;
+            if (auto* failed = std::get_if<wire::Failed>(&verdict))
+                *reply.mutable_failed() = *failed;
+            sendReply(*job, reply);
+            m_jobs.erase(jobKey(job->submit.request_id(), job->submit.attempt()));
+        }
+
+        void sendReply(const Job& job, wire::Envelope& envelope)
+        {
+            auto address = [&](auto* message) {
+                message->set_request_id(job.submit.request_id());
+                message->set_attempt(job.submit.attempt());
+            };
+            if (envelope.has_finished())
+                address(envelope.mutable_finished());
+            if (envelope.has_rejected())
+                address(envelope.mutable_rejected());
+            if (envelope.has_failed())
+                address(envelope.mutable_failed());
+            m_socket.send(job.peer, envelope);
+        }
+
         void cancelled(const std::string& key)
         {
             auto it = m_jobs.find(key);
             if (it == m_jobs.end())
                 return;
             std::shared_ptr<Job> job = it->second;
-            // A call that must not run twice is let finish: its outcome is worth knowing.
-            if (job->started && job->submit.at_most_once())
+            // A call that must not run twice is let finish: its outcome is worth knowing, and its intent may be stored.
+            if (job->submit.at_most_once())
                 return;
             job->cancelled = true;
             if (!job->started) {
@@ -149,7 +197,7 @@
             while (m_running < m_settings.slots) {
                 std::shared_ptr<Job> next;
                 for (const auto& [key, job] : m_jobs) {
-                    if (job->started)
+                    if (job->started || job->waitsForIntent)
                         continue;
                     auto rank = [](const Job& each) { return std::pair(each.submit.priority(), each.order); };
                     if (!next || rank(*job) < rank(*next))
@@ -224,7 +272,10 @@
             auto response = co_await job.connection->exchange(std::move(request), serviceTimeout);
             if (!response) {
                 bool reached = response.error().code != Errc::Unavailable;
-                sendFailed(job, reached ? wire::UNKNOWN : wire::NOT_RUN, response.error().message);
+                wire::Outcome outcome = reached ? wire::UNKNOWN : wire::NOT_RUN;
+                if (job.permit)
+                    m_once->failed(*job.permit, outcome);
+                sendFailed(job, outcome, response.error().message);
                 co_return;
             }
             wire::Envelope envelope;
@@ -232,6 +283,8 @@
             finished->set_http_status(response.value().result_int());
             finished->set_content_type(std::string(response.value()[http::field::content_type]));
             finished->set_body(response.value().body());
+            if (job.permit)
+                m_once->finished(*job.permit, *finished);
             sendFinished(job, envelope, started);
         }
 
@@ -317,10 +370,12 @@
             int signal = co_await m_signals.async_wait(boost::asio::use_awaitable);
             m_log->write(Event::ProcessStopping, { { "signal", signal }, { "jobs", m_jobs.size() } });
             m_leaving = true;
+            boost::asio::co_spawn(
+                m_io, [this] { return m_once->leave(); }, boost::asio::detached);
             TimePoint deadline = bootTimeNow() + m_settings.common.drainDelay + m_settings.common.drainTimeout;
             TimePoint earliest = bootTimeNow() + m_settings.common.drainDelay;
             boost::asio::steady_timer timer(m_io);
-            while (bootTimeNow() < earliest || (!m_jobs.empty() && bootTimeNow() < deadline)) {
+            while (bootTimeNow() < earliest || ((!m_jobs.empty() || m_once->held() > 0) && bootTimeNow() < deadline)) {
                 timer.expires_after(sweepInterval);
                 co_await timer.async_wait(boost::asio::use_awaitable);
             }
@@ -332,7 +387,7 @@
             nlohmann::json status
                 = { { "instance", m_settings.common.instance.value() }, { "zone", m_settings.common.zone.value() },
                       { "role", "agent" }, { "endpoint", m_settings.endpoint.value() }, { "ready", !m_leaving },
-                      { "running", m_running }, { "jobs", m_jobs.size() } };
+                      { "running", m_running }, { "jobs", m_jobs.size() }, { "once_partitions", m_once->held() } };
             return status.dump();
         }
 
@@ -343,6 +398,7 @@
         boost::asio::signal_set m_signals;
         WireSocket m_socket;
         std::shared_ptr<HttpServer> m_admin;
+        std::unique_ptr<OnceKeeper> m_once;
         std::uint64_t m_incarnation = 0;
         std::map<std::string, std::shared_ptr<Job>> m_jobs;
         std::map<std::string, TimePoint> m_lastHeard;
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -190,6 +190,7 @@
     arrived.key = key;
     arrived.shape = { TargetId(name), std::string(request.method_string()), path, std::nullopt };
     arrived.exchange = call.exchange;
+    arrived.idempotencyKey = std::string(idempotencyKey);
     m_control->submit(std::move(arrived));
     co_return co_await run(call);
 }
@@ -232,9 +233,12 @@
             co_return co_await finish(call, *finished);
         error = attemptFailed(call, "answer is truncated", false);
     } else if (auto* rejected = std::get_if<wire::Rejected>(&event)) {
+        if (call.admitted->atMostOnce)
+            m_control->onceRejected(call.id, *rejected);
         error = attemptFailed(call, rejected->reason(), true);
     } else if (auto* failed = std::get_if<wire::Failed>(&event)) {
-        error = attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
+        error = failed->http_status() ? finalFailure(call, *failed)
+                                      : attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
     } else if (std::holds_alternative<AgentLost>(event)) {
         error = attemptFailed(call, "the agent does not answer", false);
     } else if (std::holds_alternative<CallerGone>(event)) {
@@ -275,6 +279,7 @@
     call.submit.set_priority(static_cast<std::int32_t>(admitted.tier) * 1000 + admitted.priority.value());
     call.submit.set_tier(static_cast<std::uint32_t>(admitted.tier));
     call.submit.set_at_most_once(admitted.atMostOnce);
+    call.submit.set_once_mode(admitted.onceMode);
     call.submit.set_resume_text(call.text);
     call.submit.set_resume_tokens(static_cast<std::uint64_t>(call.tokens.value()));
     call.attemptOpen = true;
@@ -285,6 +290,20 @@
     }
 }
 
+ApiError CallerHandler::finalFailure(const Call& call, const wire::Failed& failed)
+{
+    m_links->end(call.id, false);
+    m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+    auto status = static_cast<http::status>(failed.http_status());
+    bool callersFault = status == http::status::conflict || status == http::status::unprocessable_entity;
+    ApiError error { status, callersFault ? "invalid_request_error" : "overloaded_error", failed.code(),
+        failed.reason(), failed.outcome() == wire::NOT_RUN ? RunOutcome::NotRun : RunOutcome::Unknown, std::nullopt };
+    bool retryHelps = status == http::status::service_unavailable || failed.code() == "call_running";
+    if (retryHelps)
+        error.retryAfter = std::chrono::seconds(1);
+    return error;
+}
+
 std::optional<ApiError> CallerHandler::attemptFailed(Call& call, const std::string& reason, bool neverRan)
 {
     m_links->end(call.id, true);
@@ -293,7 +312,8 @@
         { { "request", call.id.value() }, { "attempt", call.admitted->attempt },
             { "endpoint", call.admitted->endpoint.value() }, { "reason", reason }, { "never_ran", neverRan } });
     bool repeatable = neverRan || !call.admitted->atMostOnce;
-    m_control->attemptEnded(call.id, repeatable ? AttemptEnd::PlaceAgain : AttemptEnd::GivenUp);
+    AttemptEnd again = neverRan ? AttemptEnd::PlaceAgainNeverRan : AttemptEnd::PlaceAgain;
+    m_control->attemptEnded(call.id, repeatable ? again : AttemptEnd::GivenUp);
     if (repeatable)
         return std::nullopt;
     return ApiError { http::status::bad_gateway, "api_error", "outcome_unknown",
--- a/src/wisteriayardd/caller_handler.h
+++ b/src/wisteriayardd/caller_handler.h
@@ -35,6 +35,7 @@
     boost::asio::awaitable<HandlerResult> failCall(Call& call, ApiError error);
     HandlerResult callerGone(const Call& call);
     void startAttempt(Call& call, const Admitted& admitted);
+    ApiError finalFailure(const Call& call, const wire::Failed& failed);
     std::optional<ApiError> attemptFailed(Call& call, const std::string& reason, bool neverRan);
     void ended(const Call& call, const std::string& outcome);
 
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -1,6 +1,7 @@
 #include "entry_control.h"
 
 #include "clock.h"
+#include "once_hash.h"
 #include "store_json.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -64,6 +65,7 @@
     , m_handlers(std::move(handlers))
     , m_store(io.get_executor(), settings.common.store, settings.common.storeTimeout)
     , m_scheduler(settings.common.zone, settings.common.region)
+    , m_onceRouter(settings.once.partitions)
 {
 }
 
@@ -165,8 +167,10 @@
     TimePoint now = bootTimeNow();
     std::set<EndpointId> live;
     for (const ListedEndpoint& listed : list.endpoints) {
-        if (listed.leaving)
+        if (listed.leaving) {
+            m_onceRouter.leaving(listed.info.id, now);
             continue;
+        }
         live.insert(listed.info.id);
         auto known = m_endpoints.find(listed.info.id);
         if (known != m_endpoints.end() && known->second.listed.agentAddress == listed.agentAddress)
@@ -240,7 +244,7 @@
         return;
     }
     LiveRequest live { std::move(request), account.value(), *requestClass, contract->weight,
-        m_view.contractRevision(account.value()), 0 };
+        m_view.contractRevision(account.value()), 0, false, {} };
     RequestId id = live.arrived.id;
     m_requestsByKey[live.arrived.key].insert(id);
     auto inserted = m_requests.emplace(id, std::move(live)).first;
@@ -273,18 +277,22 @@
 void EntryControl::carryOut(const Dispatch& dispatch)
 {
     auto it = m_requests.find(dispatch.request);
-    auto endpoint = m_endpoints.find(dispatch.endpoint);
+    OnceRoute route { dispatch.endpoint };
+    if (it != m_requests.end())
+        route = onceRoute(it->second, dispatch.endpoint);
+    auto endpoint = m_endpoints.find(route.endpoint);
     if (it == m_requests.end() || endpoint == m_endpoints.end()) {
         carryOut(m_scheduler.finished(dispatch.request, bootTimeNow()));
         return;
     }
     LiveRequest& request = it->second;
-    Admitted admitted { dispatch.endpoint, endpoint->second.listed.agentAddress, ++request.attempts, request.account,
+    request.lastEndpoint = route.endpoint;
+    Admitted admitted { route.endpoint, endpoint->second.listed.agentAddress, ++request.attempts, request.account,
         request.requestClass.name, request.requestClass.tier, request.requestClass.priority,
-        request.requestClass.atMostOnce };
+        request.requestClass.atMostOnce, route.mode };
     m_log->write(Event::RequestAdmitted,
         { { "request", dispatch.request.value() }, { "account", request.account.value() },
-            { "class", request.requestClass.name.value() }, { "endpoint", dispatch.endpoint.value() },
+            { "class", request.requestClass.name.value() }, { "endpoint", route.endpoint.value() },
             { "attempt", admitted.attempt }, { "contract_revision", request.contractRevision.value() } });
     request.arrived.exchange->post(std::move(admitted));
 }
@@ -295,14 +303,45 @@
     if (it == m_requests.end())
         return;
     ApiError error = refusalError(refusal.reason, refusal.retryAfter);
-    // After a first attempt the request may have run in part.
-    if (it->second.attempts > 0 && it->second.requestClass.atMostOnce)
+    if (it->second.mayHaveRun)
         error.outcome = RunOutcome::Unknown;
     ArrivedRequest arrived = it->second.arrived;
     forgetRequest(refusal.request);
     refuse(arrived, std::move(error));
 }
 
+OnceRoute EntryControl::onceRoute(const LiveRequest& request, const EndpointId& dispatched) const
+{
+    // The scheduler has admitted the call; only the owner of its partition may run it.
+    std::vector<EndpointId> live;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        bool serves = endpoint.listed.info.target == request.arrived.shape.target
+            && endpoint.listed.kind == EndpointKind::Service;
+        if (serves && !endpoint.lost)
+            live.push_back(id);
+    }
+    if (!request.requestClass.atMostOnce || live.empty())
+        return { dispatched };
+    OnceKey key = onceKey(request.account, request.arrived.idempotencyKey, request.arrived.id);
+    return m_onceRouter.choose(request.arrived.shape.target, key, live, bootTimeNow());
+}
+
+void EntryControl::onceRejected(const RequestId& id, const wire::Rejected& rejected)
+{
+    boost::asio::post(m_io, [self = shared_from_this(), id, rejected] {
+        auto it = self->m_requests.find(id);
+        if (it == self->m_requests.end())
+            return;
+        const LiveRequest& request = it->second;
+        if (rejected.reason() == "leaving")
+            self->m_onceRouter.leaving(request.lastEndpoint, bootTimeNow());
+        if (rejected.owner().empty())
+            return;
+        OnceKey key = onceKey(request.account, request.arrived.idempotencyKey, id);
+        self->m_onceRouter.ownerNamed(request.arrived.shape.target, key, EndpointId(rejected.owner()));
+    });
+}
+
 void EntryControl::refuse(const ArrivedRequest& request, ApiError error)
 {
     m_log->write(Event::RequestRefused, { { "request", request.id.value() }, { "code", error.code } });
@@ -318,11 +357,13 @@
         auto it = self->m_requests.find(id);
         if (it == self->m_requests.end())
             return;
-        if (end == AttemptEnd::PlaceAgain && it->second.attempts < maxAttempts) {
+        bool again = end == AttemptEnd::PlaceAgain || end == AttemptEnd::PlaceAgainNeverRan;
+        it->second.mayHaveRun = it->second.mayHaveRun || end == AttemptEnd::PlaceAgain;
+        if (again && it->second.attempts < maxAttempts) {
             self->place(it->second);
             return;
         }
-        if (end == AttemptEnd::PlaceAgain)
+        if (again)
             self->carryOut(Refusal { id, RefusalReason::NoEndpoint, std::chrono::seconds(1) });
         else
             self->forgetRequest(id);
@@ -348,6 +389,10 @@
         if (it == self->m_endpoints.end())
             return;
         TimePoint now = bootTimeNow();
+        if (load.leaving)
+            self->m_onceRouter.leaving(endpoint, now);
+        else
+            self->m_onceRouter.serving(endpoint);
         if (it->second.lost) {
             it->second.lost = false;
             self->carryOut(self->m_scheduler.endpointAdded(it->second.listed.info, now));
@@ -360,6 +405,7 @@
 {
     boost::asio::post(m_io, [self = shared_from_this(), endpoint] {
         self->m_log->write(Event::AgentLost, { { "endpoint", endpoint.value() } });
+        self->m_onceRouter.gone(endpoint);
         auto it = self->m_endpoints.find(endpoint);
         if (it == self->m_endpoints.end() || it->second.lost)
             return;
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -3,6 +3,7 @@
 #include "event_log.h"
 #include "exchange.h"
 #include "instance_list.h"
+#include "once_router.h"
 #include "settings.h"
 #include "store_client.h"
 #include "wisteriayard/scheduler.h"
@@ -26,6 +27,8 @@
     RequestShape shape;
     Tokens promptTokens { 0 };
     std::uint64_t prefixHash = 0;
+    /// Services only; empty if there is none.
+    std::string idempotencyKey;
     std::shared_ptr<Exchange> exchange;
 };
 
@@ -33,8 +36,10 @@
 enum class AttemptEnd {
     /// The caller has its whole answer.
     Finished,
-    /// It failed; the request has to be placed again.
+    /// It failed and may have run in part; the request has to be placed again.
     PlaceAgain,
+    /// It never ran; the request has to be placed again.
+    PlaceAgainNeverRan,
     /// It failed or the caller left; the request ends.
     GivenUp,
 };
@@ -59,6 +64,8 @@
     void submit(ArrivedRequest request);
     /// Reports how an attempt ended.
     void attemptEnded(const RequestId& request, AttemptEnd end);
+    /// An agent rejected an at-most-once call and may have named the owner of its partition.
+    void onceRejected(const RequestId& request, const wire::Rejected& rejected);
     /// Takes in a load report.
     void endpointReported(const EndpointId& endpoint, const EndpointLoad& load);
     /// An agent is silent or restarted.
@@ -80,6 +87,9 @@
         double weight = 1.0;
         Revision contractRevision;
         std::uint32_t attempts = 0;
+        /// An attempt may have run, in part or as a whole.
+        bool mayHaveRun = false;
+        EndpointId lastEndpoint;
     };
     struct KnownEndpoint {
         ListedEndpoint listed;
@@ -97,6 +107,7 @@
     void place(const LiveRequest& request);
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
+    OnceRoute onceRoute(const LiveRequest& request, const EndpointId& dispatched) const;
     void carryOut(const Refusal& refusal);
     void refuse(const ArrivedRequest& request, ApiError error);
     void forgetRequest(const RequestId& id);
@@ -109,6 +120,7 @@
     StoreClient m_store;
     ConfigView m_view;
     Scheduler m_scheduler;
+    OnceRouter m_onceRouter;
     std::map<EndpointId, KnownEndpoint> m_endpoints;
     std::map<RequestId, LiveRequest> m_requests;
     std::map<KeyHash, std::set<RequestId>> m_requestsByKey;
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -45,6 +45,18 @@
         return "agent_lost";
     case Event::InstanceListUnavailable:
         return "instance_list_unavailable";
+    case Event::OncePartitionClaimed:
+        return "once_partition_claimed";
+    case Event::OncePartitionReleased:
+        return "once_partition_released";
+    case Event::OncePartitionLost:
+        return "once_partition_lost";
+    case Event::OnceWriteInDoubt:
+        return "once_write_in_doubt";
+    case Event::OnceStoreUnavailable:
+        return "once_store_unavailable";
+    case Event::OnceRecordUnusable:
+        return "once_record_unusable";
     }
     return "unknown";
 }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -34,6 +34,12 @@
     EndpointRemoved = 401,
     AgentLost = 402,
     InstanceListUnavailable = 403,
+    OncePartitionClaimed = 600,
+    OncePartitionReleased = 601,
+    OncePartitionLost = 602,
+    OnceWriteInDoubt = 603,
+    OnceStoreUnavailable = 604,
+    OnceRecordUnusable = 605,
 };
 
 /// Name of an event as in the catalogue.
--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -28,6 +28,7 @@
     Tier tier = Tier::Bulk;
     Priority priority { 0 };
     bool atMostOnce = false;
+    wire::OnceMode onceMode = wire::ONCE_REDIRECT;
 };
 
 /// The control thread refused the request.
@@ -42,15 +43,14 @@
 struct AgentLost { };
 
 /// The caller closed its connection.
-struct CallerGone {
-};
+struct CallerGone { };
 
 /// No event came in time.
 struct TimedOut { };
 
 /// What may happen to a request while its caller waits.
-using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, CallerGone, TimedOut, wire::Accepted, wire::Rejected,
-    wire::Chunk, wire::Finished, wire::Failed>;
+using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, CallerGone, TimedOut, wire::Accepted,
+    wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
 
 /// Mailbox of one request: other threads post events, the request's coroutine takes them in order.
 class Exchange : public std::enable_shared_from_this<Exchange> {
--- /dev/null
+++ b/src/wisteriayardd/once_partition.cpp
@@ -0,0 +1,262 @@
+#include "once_partition.h"
+
+#include "clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace wisteriayard {
+
+using boost::asio::awaitable;
+
+namespace {
+
+    constexpr Duration storeRetry = std::chrono::milliseconds(100);
+    constexpr Duration releasePoll = std::chrono::milliseconds(50);
+    /// How long a call waits for a leaving owner; longer waits are left to the caller.
+    constexpr Duration releaseWait = std::chrono::seconds(1);
+    /// Attempts of a claim against other agents that claim at the same time.
+    constexpr int claimAttempts = 5;
+
+    WallTime wallNow() { return WallTime(wallClockMilliseconds()); }
+
+} // namespace
+
+OncePartition::OncePartition(std::shared_ptr<OnceContext> context, std::string key)
+    : m_context(std::move(context))
+    , m_key(std::move(key))
+    , m_claimEnded(m_context->io)
+{
+}
+
+awaitable<void> OncePartition::sleepFor(Duration time)
+{
+    boost::asio::steady_timer timer(m_context->io, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+void OncePartition::note(Event event, const std::string& field, const std::string& value)
+{
+    nlohmann::json fields = { { "key", m_key }, { field, value } };
+    if (m_log)
+        fields["epoch"] = m_log->owner().epoch.value();
+    m_context->log->write(event, std::move(fields));
+}
+
+awaitable<OnceClaim> OncePartition::claim(OnceClaimMode mode)
+{
+    auto self = shared_from_this();
+    bool waited = m_claiming;
+    while (m_claiming) {
+        boost::system::error_code ignored;
+        co_await m_claimEnded.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    if (m_log)
+        co_return OnceClaim { OnceClaim::Kind::Owned, {} };
+    // Calls that waited for a claim share its failure, so that a store that hangs isn't asked once for each of them.
+    if (waited && m_lastClaim.kind == OnceClaim::Kind::StoreUnavailable)
+        co_return m_lastClaim;
+    m_claiming = true;
+    m_claimEnded.expires_at(boost::asio::steady_timer::time_point::max());
+    m_lastClaim = co_await claimNow(mode);
+    m_claiming = false;
+    m_claimEnded.cancel();
+    co_return m_lastClaim;
+}
+
+awaitable<OnceClaim> OncePartition::claimNow(OnceClaimMode mode)
+{
+    TimePoint deadline = bootTimeNow() + releaseWait;
+    for (int attempt = 0; attempt < claimAttempts;) {
+        auto item = co_await m_context->store.read(m_key);
+        bool absent = !item && item.error().code == Errc::NotFound;
+        if (!item && !absent) {
+            note(Event::OnceStoreUnavailable, "error", item.error().message);
+            co_return OnceClaim {};
+        }
+        std::string stored = absent ? std::string() : item.value().value;
+        m_revision = absent ? Revision(0) : item.value().modRevision;
+        auto former = OnceLog::ownerOf(stored);
+        if (!former) {
+            note(Event::OnceRecordUnusable, "error", former.error().message);
+            co_return OnceClaim {};
+        }
+        // A predecessor at the same endpoint is gone: two agents can't listen on one address.
+        bool free = former.value().endpoint.empty() || former.value().endpoint == m_context->endpoint;
+        if (!free && mode == OnceClaimMode::AwaitRelease && bootTimeNow() < deadline) {
+            co_await sleepFor(releasePoll);
+            continue;
+        }
+        if (!free && mode != OnceClaimMode::TakeOver)
+            co_return OnceClaim { OnceClaim::Kind::OtherOwner, former.value().endpoint };
+        OnceLimits limits;
+        limits.retention = m_context->settings.retention;
+        Epoch next = former.value().epoch + Epoch(1);
+        OnceLog log(OnceOwner { next, m_context->endpoint, m_context->incarnation }, limits);
+        if (auto loaded = log.load(stored); !loaded)
+            co_return OnceClaim {};
+        auto result = co_await m_context->store.transact(transaction(log.claimed()));
+        if (result && result.value().succeeded) {
+            m_revision = result.value().revision;
+            m_log = std::move(log);
+            note(Event::OncePartitionClaimed, "former_owner", former.value().endpoint.value());
+            co_return OnceClaim { OnceClaim::Kind::Owned, {} };
+        }
+        // After a lost answer or a lost race the record is read again.
+        if (!result && result.error().code == Errc::Unavailable)
+            co_return OnceClaim {};
+        ++attempt;
+    }
+    co_return OnceClaim {};
+}
+
+Transaction OncePartition::transaction(std::string value) const
+{
+    Transaction transaction;
+    transaction.compares.push_back(CompareModRevision { m_key, m_revision });
+    transaction.onSuccess.push_back(PutOperation { m_key, std::move(value), LeaseId() });
+    transaction.onFailure.push_back(ReadOperation { m_key });
+    return transaction;
+}
+
+awaitable<OnceDecision> OncePartition::submit(OnceCall call)
+{
+    auto self = shared_from_this();
+    if (!m_log)
+        co_return OnceRefuse { call.id, OnceRefusalReason::NotOwner };
+    auto decision = m_log->submit(call, wallNow());
+    if (decision)
+        co_return std::move(*decision);
+    auto waiter = std::make_shared<Waiter>(Waiter { boost::asio::steady_timer(m_context->io), std::nullopt });
+    waiter->wake.expires_at(boost::asio::steady_timer::time_point::max());
+    m_waiters[call.id] = waiter;
+    startWriting();
+    while (!waiter->decision) {
+        boost::system::error_code ignored;
+        co_await waiter->wake.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    co_return std::move(*waiter->decision);
+}
+
+void OncePartition::decide(const OnceLog::Decisions& decisions)
+{
+    for (const OnceDecision& decision : decisions) {
+        OnceCallId call = std::visit([](const auto& each) { return each.call; }, decision);
+        auto it = m_waiters.find(call);
+        if (it == m_waiters.end())
+            continue;
+        it->second->decision = decision;
+        it->second->wake.cancel();
+        m_waiters.erase(it);
+    }
+}
+
+void OncePartition::finished(OnceCallId call, OnceAnswer answer)
+{
+    if (!m_log)
+        return;
+    m_log->finished(call, std::move(answer));
+    startWriting();
+}
+
+void OncePartition::lost(OnceCallId call)
+{
+    if (m_log)
+        m_log->lost(call);
+}
+
+void OncePartition::cancelled(OnceCallId call)
+{
+    if (!m_log)
+        return;
+    m_log->cancelled(call);
+    startWriting();
+}
+
+void OncePartition::startWriting()
+{
+    if (m_writing || !m_log || !m_log->dirty())
+        return;
+    m_writing = true;
+    boost::asio::co_spawn(
+        m_context->io, [self = shared_from_this()] { return self->writeAll(); }, boost::asio::detached);
+}
+
+awaitable<void> OncePartition::writeAll()
+{
+    auto self = shared_from_this();
+    while (m_log && m_log->dirty()) {
+        Duration wait = m_lastWrite + m_context->settings.writeInterval - bootTimeNow();
+        if (wait > Duration(0))
+            co_await sleepFor(wait);
+        auto value = m_log->nextWrite(wallNow());
+        if (!value)
+            break;
+        m_lastWrite = bootTimeNow();
+        co_await write(std::move(*value));
+    }
+    m_writing = false;
+}
+
+awaitable<void> OncePartition::write(std::string value)
+{
+    bool inDoubt = false;
+    while (true) {
+        auto result = co_await m_context->store.transact(transaction(value));
+        if (settled(result, value, inDoubt))
+            co_return;
+        if (!result && result.error().code == Errc::Unavailable && !inDoubt) {
+            note(Event::OnceStoreUnavailable, "error", result.error().message);
+            decide(m_log->notWritten());
+            co_await sleepFor(storeRetry);
+            co_return;
+        }
+        if (!inDoubt) {
+            // The same write again settles it: the compare lets at most one of the two take effect.
+            inDoubt = true;
+            note(Event::OnceWriteInDoubt, "error", result.error().message);
+            decide(m_log->writeInDoubt());
+            continue;
+        }
+        decide(m_log->doubtLasts());
+        co_await sleepFor(storeRetry);
+    }
+}
+
+bool OncePartition::settled(const Result<TransactionResult>& result, const std::string& value, bool inDoubt)
+{
+    if (!result)
+        return false;
+    const auto& items = result.value().items;
+    bool landedEarlier = inDoubt && !items.empty() && items.front().value == value;
+    if (result.value().succeeded || landedEarlier) {
+        m_revision = landedEarlier ? items.front().modRevision : result.value().revision;
+        decide(m_log->written());
+        return true;
+    }
+    std::string stored = items.empty() ? std::string() : items.front().value;
+    auto owner = OnceLog::ownerOf(stored);
+    note(Event::OncePartitionLost, "owner", owner ? owner.value().endpoint.value() : std::string());
+    decide(m_log->fenced(stored));
+    m_log.reset();
+    return true;
+}
+
+awaitable<void> OncePartition::release()
+{
+    auto self = shared_from_this();
+    if (!m_log || m_claiming || m_writing || m_log->dirty() || m_log->openCalls() > 0)
+        co_return;
+    m_writing = true;
+    auto result = co_await m_context->store.transact(transaction(m_log->released()));
+    m_writing = false;
+    if (!result)
+        co_return; // the next call finds out whether it took effect
+    note(Event::OncePartitionReleased, "endpoint", m_context->endpoint.value());
+    m_log.reset();
+}
+
+} // namespace wisteriayard
--- a/src/wisteriayardd/settings.cpp
+++ b/src/wisteriayardd/settings.cpp
@@ -49,6 +49,12 @@
         add("endpoint-address", po::value<std::string>(), "agent: IP:port of the endpoint");
         add("target", po::value<std::string>(), "agent: model or service that the endpoint serves");
         add("slots", po::value<std::int64_t>()->default_value(8), "agent: requests at once, 1 to 10000");
+        add("once-partitions", po::value<std::int64_t>()->default_value(16),
+            "at-most-once partitions of a service, 1 to 4096; the first agent's value is kept in the store");
+        add("once-write-interval-ms", po::value<std::int64_t>()->default_value(100),
+            "agent: shortest time between writes of one partition, 1 to 10000");
+        add("once-retention-s", po::value<std::int64_t>()->default_value(86400),
+            "agent: how long keys of at-most-once calls are remembered, 60 to 2592000");
         return options;
     }
 
@@ -133,6 +139,15 @@
         return common;
     }
 
+    OnceSettings readOnce(OptionReader& reader)
+    {
+        OnceSettings once;
+        once.partitions = static_cast<std::uint32_t>(reader.integer("once-partitions", 1, 4096));
+        once.writeInterval = reader.milliseconds("once-write-interval-ms", 1, 10'000);
+        once.retention = std::chrono::seconds(reader.integer("once-retention-s", 60, 2'592'000));
+        return once;
+    }
+
     EntrySettings readEntry(OptionReader& reader, const po::variables_map& variables)
     {
         EntrySettings entry;
@@ -142,6 +157,7 @@
         entry.maxConnections = static_cast<int>(reader.integer("max-connections", 1, 1'000'000));
         entry.maxBody = Bytes(reader.integer("max-body-bytes", 1024, 8 * 1024 * 1024));
         entry.readTimeout = reader.milliseconds("read-timeout-ms", 10, 600'000);
+        entry.once = readOnce(reader);
         return entry;
     }
 
@@ -158,6 +174,7 @@
         if (kind != "engine" && kind != "service")
             reader.report("--endpoint-kind: \"" + kind + "\" is not allowed; expected engine or service");
         agent.kind = kind == "service" ? EndpointKind::Service : EndpointKind::Engine;
+        agent.once = readOnce(reader);
         return agent;
     }
 
--- a/src/wisteriayardd/settings.h
+++ b/src/wisteriayardd/settings.h
@@ -30,6 +30,14 @@
     Duration drainTimeout = std::chrono::seconds(60);
 };
 
+/// Settings of at-most-once calls; the number of partitions is the same at entries and agents.
+struct OnceSettings {
+    std::uint32_t partitions = 16;
+    /// Shortest time between two writes of one partition.
+    Duration writeInterval = std::chrono::milliseconds(100);
+    Duration retention = std::chrono::hours(24);
+};
+
 /// Settings of an entry instance.
 struct EntrySettings {
     CommonSettings common;
@@ -40,6 +48,7 @@
     Bytes maxBody { 8 * 1024 * 1024 };
     /// Time for a request to arrive, and for an idle connection to stay open.
     Duration readTimeout = std::chrono::seconds(30);
+    OnceSettings once;
 };
 
 /// What kind of endpoint an agent stands beside.
@@ -59,6 +68,7 @@
     boost::asio::ip::tcp::endpoint endpointAddress;
     /// Requests that the endpoint runs at once.
     int slots = 8;
+    OnceSettings once;
 };
 
 /// The command line only asked for help or the version; this is the text.
