--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -28,6 +28,7 @@
     Tier tier = Tier::Bulk;
     Priority priority { 0 };
     bool atMostOnce = false;
+    wire::OnceMode onceMode = wire::ONCE_REDIRECT;
 };
 
 /// The control thread refused the request.
