--- /dev/null
+++ b/src/libwisteriayard/limits_test.cpp
@@ -0,0 +1,210 @@
+#define BOOST_TEST_MODULE limits
+#include "wisteriayard/limits.h"
+
+#include "wisteriayard/rendezvous.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace wisteriayard;
+
+namespace {
+
+const AccountId account("a");
+const InstanceId home("home");
+constexpr TimePoint start { std::chrono::seconds(100) };
+const BudgetUse use { Tokens(100), 0.0 };
+
+AccountLimits limitsOf(double rate, std::int64_t slots)
+{
+    AccountLimits limits;
+    limits.requestsPerSecond = rate;
+    limits.concurrent = slots;
+    return limits;
+}
+
+/// A lease at `home` itself, with the grant of its first ask.
+struct Pair {
+    explicit Pair(const AccountLimits& limits)
+        : limits(limits)
+        , budget(home, start)
+        , lease(home)
+    {
+    }
+
+    int admitMany(int count, TimePoint now)
+    {
+        int admitted = 0;
+        for (int i = 0; i < count; ++i) {
+            auto decision = lease.admit(account, limits, use, true, now);
+            if (std::holds_alternative<BudgetPending>(decision)) {
+                exchange(now);
+                decision = lease.admit(account, limits, use, false, now);
+            }
+            admitted += std::holds_alternative<BudgetAdmitted>(decision);
+        }
+        return admitted;
+    }
+
+    void exchange(TimePoint now)
+    {
+        for (const auto& due : lease.dueAsks(now))
+            if (homeAnswers)
+                lease.granted(budget.ask(home, due.ask, limits, now), now);
+    }
+
+    AccountLimits limits;
+    BudgetHome budget;
+    BudgetLease lease;
+    bool homeAnswers = true;
+};
+
+} // namespace
+
+// Guards against a limit that is not kept when the demand is above it, and against one that starves.
+BOOST_AUTO_TEST_CASE(rate_is_used_and_kept)
+{
+    Pair pair(limitsOf(50, 1000));
+    int admitted = 0;
+    TimePoint now = start + std::chrono::seconds(10);
+    BOOST_TEST(std::holds_alternative<BudgetPending>(pair.lease.admit(account, pair.limits, use, true, now)));
+    for (int step = 0; step < 1000; ++step, now += std::chrono::milliseconds(10)) {
+        pair.exchange(now);
+        int now10ms = pair.admitMany(2, now);
+        admitted += now10ms;
+        for (int i = 0; i < now10ms; ++i)
+            pair.lease.release(account, use, use);
+    }
+    // 10 s at 50/s, and the burst of 50 and the 150 lent at once that the decision page derives.
+    BOOST_TEST(admitted <= 500 + 50 + 150);
+    BOOST_TEST(admitted >= 450);
+}
+
+// Guards against more requests at once than the contract allows, and against slots that are never given back.
+BOOST_AUTO_TEST_CASE(slots_are_kept_and_returned)
+{
+    Pair pair(limitsOf(1000, 7));
+    TimePoint now = start + std::chrono::seconds(10);
+    pair.lease.admit(account, pair.limits, use, true, now);
+    int running = 0;
+    for (int step = 0; step < 300; ++step, now += std::chrono::milliseconds(10)) {
+        pair.exchange(now);
+        running += pair.admitMany(3, now);
+        BOOST_TEST(running <= 7);
+    }
+    BOOST_TEST(running == 7);
+    pair.lease.release(account, use, use);
+    BOOST_TEST(pair.admitMany(3, now) == 1);
+}
+
+// Guards against a refusal without a time after which a retry is useful.
+BOOST_AUTO_TEST_CASE(refusal_states_when_credit_returns)
+{
+    Pair pair(limitsOf(0.1, 10));
+    TimePoint now = start + std::chrono::seconds(20);
+    pair.lease.admit(account, pair.limits, use, true, now);
+    pair.exchange(now);
+    BOOST_TEST(pair.admitMany(1, now) == 1);
+    auto decision = pair.lease.admit(account, pair.limits, use, true, now);
+    BOOST_REQUIRE(std::holds_alternative<BudgetRefused>(decision));
+    BOOST_TEST(std::get<BudgetRefused>(decision).retryAfter.count() >= 9'000'000);
+    BOOST_TEST(std::get<BudgetRefused>(decision).retryAfter.count() <= 20'000'000);
+}
+
+// Guards against a lease that outlives its period, and against an entry that stops without its home.
+BOOST_AUTO_TEST_CASE(lost_home_leaves_an_equal_share)
+{
+    Pair pair(limitsOf(40, 1000));
+    TimePoint now = start + std::chrono::seconds(10);
+    pair.lease.admit(account, pair.limits, use, true, now);
+    pair.exchange(now);
+    BOOST_TEST(pair.admitMany(1, now) == 1);
+    pair.lease.membersChanged({ home, InstanceId("b"), InstanceId("c"), InstanceId("d") });
+    pair.homeAnswers = false;
+    int admitted = 0;
+    TimePoint end = now + leasePeriod;
+    for (; now < end + std::chrono::seconds(10); now += std::chrono::milliseconds(10)) {
+        pair.exchange(now);
+        int count = pair.admitMany(1, now);
+        admitted += now < end ? 0 : count;
+    }
+    // A fourth of 40/s over 10 s, and the share of one period that fallback starts with.
+    BOOST_TEST(admitted <= 100 + 20);
+    BOOST_TEST(admitted >= 100);
+}
+
+// Guards against a late grant of a former ask that is counted as well as the present one.
+BOOST_AUTO_TEST_CASE(late_grant_is_dropped)
+{
+    Pair pair(limitsOf(10, 1000));
+    TimePoint now = start + std::chrono::seconds(10);
+    pair.lease.admit(account, pair.limits, use, true, now);
+    auto first = pair.lease.dueAsks(now);
+    BOOST_REQUIRE(first.size() == 1);
+    BudgetGrant late = pair.budget.ask(home, first[0].ask, pair.limits, now);
+    now += askTimeout;
+    pair.lease.admit(account, pair.limits, use, false, now);
+    BOOST_REQUIRE(pair.lease.dueAsks(now).size() == 1);
+    late.credits[0] = 1000;
+    pair.lease.granted(late, now);
+    BOOST_TEST(pair.admitMany(100, now) <= 20);
+}
+
+// Guards against a new home that lends at once what the former home may have lent already.
+BOOST_AUTO_TEST_CASE(new_home_starts_empty)
+{
+    BudgetHome budget(home, start);
+    TimePoint now = start + std::chrono::hours(1);
+    budget.membersChanged({ home, InstanceId("b") }, now);
+    BudgetAsk ask;
+    ask.account = account;
+    ask.wanted[0] = 100;
+    BOOST_TEST(budget.ask(home, ask, limitsOf(50, 10), now).credits[0] == 0.0);
+    now += std::chrono::milliseconds(100);
+    ask.sequence = 1;
+    BOOST_TEST(budget.ask(home, ask, limitsOf(50, 10), now).credits[0] <= 5.0);
+}
+
+// Guards against tokens used above the estimate that nobody pays back.
+BOOST_AUTO_TEST_CASE(tokens_are_reconciled)
+{
+    AccountLimits limits;
+    limits.tokensPerSecond = 1000;
+    Pair pair(limits);
+    TimePoint now = start + std::chrono::seconds(10);
+    pair.lease.admit(account, limits, use, true, now);
+    double real = 0;
+    for (int step = 0; step < 2000; ++step, now += std::chrono::milliseconds(10)) {
+        pair.exchange(now);
+        if (pair.admitMany(1, now) == 1) {
+            pair.lease.release(account, use, { Tokens(700), 0.0 });
+            real += 700;
+        }
+    }
+    // 20 s at 1000/s, the burst of 1000, the 3000 lent at once, and one request above the balance.
+    BOOST_TEST(real <= 20'000 + 1'000 + 3'000 + 700);
+    BOOST_TEST(real >= 18'000);
+}
+
+// Guards against processes that disagree on the order of equal lists.
+BOOST_AUTO_TEST_CASE(rendezvous_moves_only_what_must_move)
+{
+    std::vector<InstanceId> members;
+    for (int i = 0; i < 10; ++i)
+        members.emplace_back("entry-" + std::to_string(i));
+    std::vector<InstanceId> fewer(members.begin(), members.end() - 1);
+    std::vector<InstanceId> reversed(members.rbegin(), members.rend());
+    int moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        AccountId id("account-" + std::to_string(i));
+        InstanceId now = budgetHome(id, members);
+        BOOST_TEST(budgetHome(id, reversed) == now);
+        InstanceId later = budgetHome(id, fewer);
+        if (later != now) {
+            BOOST_TEST(now == members.back());
+            ++moved;
+        }
+    }
+    BOOST_TEST(moved > 50);
+    BOOST_TEST(moved < 200);
+}
