--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -337,7 +337,11 @@
         return;
     Account& account = it->second;
     --account.running;
-    account.askWanted = account.askWanted || account.contended;
+    if (account.contended) {
+        // The next ask gives the slot back at once instead of after one more period.
+        account.askWanted = true;
+        account.peakRunning = account.running;
+    }
     Credits reserved = asCredits(estimate);
     Credits real = asCredits(used);
     auto rates = creditRates(account.limits);
@@ -427,7 +431,8 @@
 {
     // Without use, what is left goes back once; after that the lease may end.
     bool holds = std::any_of(account.balance.begin(), account.balance.end(), [](double each) { return each != 0.0; });
-    return holds || account.used[requests] > 0 || (account.limits.concurrent && account.slots > 0);
+    return holds || account.used[requests] > 0
+        || (account.limits.concurrent && (account.slots > 0 || account.running > 0));
 }
 
 std::vector<BudgetLease::AddressedAsk> BudgetLease::dueAsks(TimePoint now)
--- a/src/libwisteriayard/limits_test.cpp
+++ b/src/libwisteriayard/limits_test.cpp
@@ -97,6 +97,23 @@
     BOOST_TEST(pair.admitMany(3, now) == 1);
 }
 
+// Guards against slots that the home lends again because an entry that was granted none stopped to renew while a
+// request still ran there: 42 of 40 ran at 300 entries.
+BOOST_AUTO_TEST_CASE(running_request_keeps_its_slot)
+{
+    Pair pair(limitsOf(1000, 1));
+    TimePoint now = start + std::chrono::seconds(10);
+    BOOST_TEST(pair.admitMany(1, now) == 1);
+    BudgetAsk other;
+    other.account = account;
+    other.wantedSlots = 1;
+    for (int step = 0; step < 500; ++step, now += std::chrono::milliseconds(20)) {
+        pair.exchange(now);
+        if (step % 50 == 0)
+            BOOST_TEST(pair.budget.ask(InstanceId("b"), other, pair.limits, now).slots == 0);
+    }
+}
+
 // Guards against a refusal without a time after which a retry is useful.
 BOOST_AUTO_TEST_CASE(refusal_states_when_credit_returns)
 {
