Add a policy benchmark in virtual time

The scheduler's decisions under load could not be measured. policy_bench drives the core and three baselines with the same arrivals against a model of engines with continuous batching, a limited prefix cache, lagging load reports and a metered cross-region link.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy python3 curl pkg-config \
 	libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libssl-dev libzmq3-dev cppzmq-dev \
-	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin
+	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin librapidcheck-dev \
+	gnuplot-nox
 
-.PHONY: all deps build check demo lint model format proto clean
+.PHONY: all deps build check bench demo lint model format proto clean
 
 all: build
 
@@ -27,6 +28,12 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Runs every policy scenario in virtual time; gnuplot draws the charts if it is there.
+bench: build
+	mkdir -p $(BUILD)/bench
+	$(BUILD)/bin/policy_bench --output $(BUILD)/bench/policy.json
+	@! command -v gnuplot >/dev/null || for script in $(BUILD)/bench/policy-*.gp; do gnuplot $$script; done
+
 demo: build
 	python3 testsuite/demo/run.py --bin $(BUILD)/bin
 
--- a/src/include/wisteriayard/scheduler.h
+++ b/src/include/wisteriayard/scheduler.h
@@ -8,12 +8,32 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 namespace wisteriayard {
 
+/// Why a request is submitted.
+enum class Placement {
+    First,
+    /// An earlier attempt was rejected and never ran.
+    NeverRan,
+    /// An earlier attempt failed; counts against the retry budget.
+    Retry,
+    /// An earlier attempt was preempted.
+    Preempted,
+};
+
+/// How an attempt ended.
+struct AttemptResult {
+    /// The whole answer was produced.
+    bool complete = false;
+    /// Output tokens over all attempts.
+    Tokens output { 0 };
+};
+
 /// What the scheduler needs to know of a request.
 struct RequestInfo {
     RequestId id;
@@ -27,8 +47,17 @@
     Tokens expectedOutput { 0 };
     /// Hash of the leading part of the prompt; equal prefixes profit from the same endpoint's cache.
     std::uint64_t prefixHash = 0;
+    /// Tokens of the prompt that prefixHash covers.
+    Tokens prefixTokens { 0 };
     /// Longest time before dispatch.
     Duration longestWait { 0 };
+    /// Latency targets of the class; an absent one never makes a request hopeless.
+    std::optional<Duration> firstTokenTarget;
+    std::optional<Duration> totalTarget;
+    /// Why the request is submitted.
+    Placement placement = Placement::First;
+    /// Output tokens that earlier attempts delivered.
+    Tokens delivered { 0 };
 };
 
 /// What the scheduler needs to know of an endpoint.
@@ -76,8 +105,14 @@
     Duration retryAfter { 0 };
 };
 
+/// Cancel the running request and submit it again with Placement::Preempted.
+struct Preempt {
+    RequestId request;
+    EndpointId endpoint;
+};
+
 /// A decision about a request that was submitted.
-using Decision = std::variant<Dispatch, Refusal>;
+using Decision = std::variant<Dispatch, Refusal, Preempt>;
 
 /// Admission, queueing and endpoint choice of one entry.
 ///
@@ -100,7 +135,10 @@
     /// Takes in a new request, or one that has to be placed again.
     Decisions submit(const RequestInfo& request, TimePoint now);
     /// A dispatched request left its endpoint, whatever the outcome.
-    Decisions finished(const RequestId& request, TimePoint now);
+    Decisions finished(const RequestId& request, const AttemptResult& result, TimePoint now);
+    /// Output of a running request arrived.
+    /// @param output tokens over all attempts
+    void progress(const RequestId& request, Tokens output, TimePoint now);
     /// A queued request is no longer wanted.
     Decisions cancelled(const RequestId& request, TimePoint now);
     /// Time passes: refuses what waited too long.
--- a/src/libwisteriayard/scheduler.cpp
+++ b/src/libwisteriayard/scheduler.cpp
@@ -83,7 +83,7 @@
     return decisions;
 }
 
-Scheduler::Decisions Scheduler::finished(const RequestId& request, TimePoint now)
+Scheduler::Decisions Scheduler::finished(const RequestId& request, const AttemptResult&, TimePoint now)
 {
     Decisions decisions;
     auto it = m_running.find(request);
@@ -119,6 +119,8 @@
     return decisions;
 }
 
+void Scheduler::progress(const RequestId&, Tokens, TimePoint) { }
+
 void Scheduler::dispatchWaiting(TimePoint, Decisions& decisions)
 {
     std::vector<std::size_t> order(m_queue.size());
--- a/src/libwisteriayard/scheduler_test.cpp
+++ b/src/libwisteriayard/scheduler_test.cpp
@@ -43,8 +43,8 @@
     BOOST_TEST(dispatchedTo(scheduler.submit(request("r1", Tier::Bulk), at(0))) == "r1@e1");
     BOOST_TEST(scheduler.submit(request("r2", Tier::Bulk), at(0)).empty());
     BOOST_TEST(scheduler.submit(request("r3", Tier::Top), at(0)).empty());
-    BOOST_TEST(dispatchedTo(scheduler.finished(RequestId("r1"), at(1))) == "r3@e1");
-    BOOST_TEST(dispatchedTo(scheduler.finished(RequestId("r3"), at(1))) == "r2@e1");
+    BOOST_TEST(dispatchedTo(scheduler.finished(RequestId("r1"), {}, at(1))) == "r3@e1");
+    BOOST_TEST(dispatchedTo(scheduler.finished(RequestId("r3"), {}, at(1))) == "r2@e1");
 }
 
 // Guards against work sent to an endpoint that said that it is leaving.
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -237,6 +237,12 @@
         error = attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
     } else if (std::holds_alternative<AgentLost>(event)) {
         error = attemptFailed(call, "the agent does not answer", false);
+    } else if (std::holds_alternative<Preempted>(event)) {
+        if (call.attemptOpen) {
+            m_links->end(call.id, true);
+            call.attemptOpen = false;
+            m_control->attemptEnded(call.id, AttemptEnd::Preempted);
+        }
     } else if (std::holds_alternative<KeyRevoked>(event)) {
         error = unauthorized("the key was withdrawn");
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -275,7 +275,7 @@
     auto it = m_requests.find(dispatch.request);
     auto endpoint = m_endpoints.find(dispatch.endpoint);
     if (it == m_requests.end() || endpoint == m_endpoints.end()) {
-        carryOut(m_scheduler.finished(dispatch.request, bootTimeNow()));
+        carryOut(m_scheduler.finished(dispatch.request, {}, bootTimeNow()));
         return;
     }
     LiveRequest& request = it->second;
@@ -303,6 +303,13 @@
     refuse(arrived, std::move(error));
 }
 
+void EntryControl::carryOut(const Preempt& preempt)
+{
+    auto it = m_requests.find(preempt.request);
+    if (it != m_requests.end())
+        it->second.arrived.exchange->post(Preempted {});
+}
+
 void EntryControl::refuse(const ArrivedRequest& request, ApiError error)
 {
     m_log->write(Event::RequestRefused, { { "request", request.id.value() }, { "code", error.code } });
@@ -314,15 +321,16 @@
     boost::asio::post(m_io, [self = shared_from_this(), id, end] {
         TimePoint now = bootTimeNow();
         self->carryOut(self->m_scheduler.cancelled(id, now));
-        self->carryOut(self->m_scheduler.finished(id, now));
+        self->carryOut(self->m_scheduler.finished(id, {}, now));
         auto it = self->m_requests.find(id);
         if (it == self->m_requests.end())
             return;
-        if (end == AttemptEnd::PlaceAgain && it->second.attempts < maxAttempts) {
+        bool again = end != AttemptEnd::Finished && end != AttemptEnd::GivenUp;
+        if (again && it->second.attempts < maxAttempts) {
             self->place(it->second);
             return;
         }
-        if (end == AttemptEnd::PlaceAgain)
+        if (again)
             self->carryOut(Refusal { id, RefusalReason::NoEndpoint, std::chrono::seconds(1) });
         else
             self->forgetRequest(id);
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -35,6 +35,10 @@
     Finished,
     /// It failed; the request has to be placed again.
     PlaceAgain,
+    /// It was rejected and never ran; the request has to be placed again.
+    NeverRan,
+    /// It was preempted; the request has to be placed again.
+    Preempted,
     /// It failed or the caller left; the request ends.
     GivenUp,
 };
@@ -98,6 +102,7 @@
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
     void carryOut(const Refusal& refusal);
+    void carryOut(const Preempt& preempt);
     void refuse(const ArrivedRequest& request, ApiError error);
     void forgetRequest(const RequestId& id);
     Result<AccountId> authenticate(const KeyHash& key) const;
--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -41,12 +41,15 @@
 /// The agent of the running attempt is gone or silent.
 struct AgentLost { };
 
+/// The attempt has to end in favour of a higher tier; the request goes on elsewhere or later.
+struct Preempted { };
+
 /// No event came in time.
 struct TimedOut { };
 
 /// What may happen to a request while its caller waits.
-using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, TimedOut, wire::Accepted, wire::Rejected,
-    wire::Chunk, wire::Finished, wire::Failed>;
+using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, Preempted, TimedOut, wire::Accepted,
+    wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
 
 /// Mailbox of one request: other threads post events, the request's coroutine takes them in order.
 class Exchange : public std::enable_shared_from_this<Exchange> {
