--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -243,6 +243,12 @@
         error = attemptFailed(call, "the agent does not answer", false);
     } else if (std::holds_alternative<CallerGone>(event)) {
         co_return callerGone(call);
+    } else if (std::holds_alternative<Preempted>(event)) {
+        if (call.attemptOpen) {
+            m_links->end(call.id, true);
+            call.attemptOpen = false;
+            m_control->attemptEnded(call.id, AttemptEnd::Preempted);
+        }
     } else if (std::holds_alternative<KeyRevoked>(event)) {
         error = unauthorized("the key was withdrawn");
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
@@ -312,7 +318,7 @@
         { { "request", call.id.value() }, { "attempt", call.admitted->attempt },
             { "endpoint", call.admitted->endpoint.value() }, { "reason", reason }, { "never_ran", neverRan } });
     bool repeatable = neverRan || !call.admitted->atMostOnce;
-    AttemptEnd again = neverRan ? AttemptEnd::PlaceAgainNeverRan : AttemptEnd::PlaceAgain;
+    AttemptEnd again = neverRan ? AttemptEnd::NeverRan : AttemptEnd::PlaceAgain;
     m_control->attemptEnded(call.id, repeatable ? again : AttemptEnd::GivenUp);
     if (repeatable)
         return std::nullopt;
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -282,7 +282,7 @@
         route = onceRoute(it->second, dispatch.endpoint);
     auto endpoint = m_endpoints.find(route.endpoint);
     if (it == m_requests.end() || endpoint == m_endpoints.end()) {
-        carryOut(m_scheduler.finished(dispatch.request, bootTimeNow()));
+        carryOut(m_scheduler.finished(dispatch.request, {}, bootTimeNow()));
         return;
     }
     LiveRequest& request = it->second;
@@ -342,6 +342,13 @@
     });
 }
 
+void EntryControl::carryOut(const Preempt& preempt)
+{
+    auto it = m_requests.find(preempt.request);
+    if (it != m_requests.end())
+        it->second.arrived.exchange->post(Preempted {});
+}
+
 void EntryControl::refuse(const ArrivedRequest& request, ApiError error)
 {
     m_log->write(Event::RequestRefused, { { "request", request.id.value() }, { "code", error.code } });
@@ -353,11 +360,11 @@
     boost::asio::post(m_io, [self = shared_from_this(), id, end] {
         TimePoint now = bootTimeNow();
         self->carryOut(self->m_scheduler.cancelled(id, now));
-        self->carryOut(self->m_scheduler.finished(id, now));
+        self->carryOut(self->m_scheduler.finished(id, {}, now));
         auto it = self->m_requests.find(id);
         if (it == self->m_requests.end())
             return;
-        bool again = end == AttemptEnd::PlaceAgain || end == AttemptEnd::PlaceAgainNeverRan;
+        bool again = end != AttemptEnd::Finished && end != AttemptEnd::GivenUp;
         it->second.mayHaveRun = it->second.mayHaveRun || end == AttemptEnd::PlaceAgain;
         if (again && it->second.attempts < maxAttempts) {
             self->place(it->second);
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -38,8 +38,10 @@
     Finished,
     /// It failed and may have run in part; the request has to be placed again.
     PlaceAgain,
-    /// It never ran; the request has to be placed again.
-    PlaceAgainNeverRan,
+    /// It was rejected and never ran; the request has to be placed again.
+    NeverRan,
+    /// It was preempted; the request has to be placed again.
+    Preempted,
     /// It failed or the caller left; the request ends.
     GivenUp,
 };
@@ -109,6 +111,7 @@
     void carryOut(const Dispatch& dispatch);
     OnceRoute onceRoute(const LiveRequest& request, const EndpointId& dispatched) const;
     void carryOut(const Refusal& refusal);
+    void carryOut(const Preempt& preempt);
     void refuse(const ArrivedRequest& request, ApiError error);
     void forgetRequest(const RequestId& id);
     Result<AccountId> authenticate(const KeyHash& key) const;
--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -45,12 +45,15 @@
 /// The caller closed its connection.
 struct CallerGone { };
 
+/// The attempt has to end in favour of a higher tier; the request goes on elsewhere or later.
+struct Preempted { };
+
 /// No event came in time.
 struct TimedOut { };
 
 /// What may happen to a request while its caller waits.
-using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, CallerGone, TimedOut, wire::Accepted,
-    wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
+using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, CallerGone, Preempted, TimedOut,
+    wire::Accepted, wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
 
 /// Mailbox of one request: other threads post events, the request's coroutine takes them in order.
 class Exchange : public std::enable_shared_from_this<Exchange> {
