Chain the decision log and act on a stale view

Cause: log lines had a sequence number only, so an edited or replaced line was not noticeable, and a decision did not name its inputs.

FreshnessWatch asks peers near the store from a view age of 4 s on and refuses at 5 s unless the store is down for all.

--- a/src/include/wisteriayard/view.h
+++ b/src/include/wisteriayard/view.h
@@ -64,6 +64,11 @@
     /// Revision of an account's contract, 0 if there is none.
     Revision contractRevision(const AccountId& account) const;
 
+    /// Revision of a key's record, 0 if there is none.
+    Revision keyRevision(const KeyHash& hash) const;
+
+    /// Revision of the newest contract or key that was taken in.
+    Revision newestChange() const { return m_newestChange; }
     /// Highest revision that the view is known to hold completely.
     Revision revision() const { return m_revision; }
     /// Time since the view was last confirmed.
@@ -85,6 +90,7 @@
     std::map<AccountId, VersionedContract> m_contracts;
     std::map<KeyHash, VersionedKey> m_keys;
     Revision m_revision {};
+    Revision m_newestChange {};
     TimePoint m_confirmedAt {};
 };
 
--- a/src/libwisteriayard/view.cpp
+++ b/src/libwisteriayard/view.cpp
@@ -43,6 +43,7 @@
         return ViewChange(NoChange {});
     if (value.empty()) {
         entry = { nullptr, revision };
+        m_newestChange = std::max(m_newestChange, revision);
         return ViewChange(ContractChanged { account, revision });
     }
     auto contract = parseContract(value);
@@ -52,6 +53,7 @@
         return fail(Errc::InvalidArgument,
             "contract of " + account.value() + " names the account " + contract.value().account.value());
     entry = { std::make_shared<const Contract>(std::move(contract.value())), revision };
+    m_newestChange = std::max(m_newestChange, revision);
     return ViewChange(ContractChanged { account, revision });
 }
 
@@ -70,11 +72,18 @@
         entry.record = record.value();
     }
     entry.revision = revision;
+    m_newestChange = std::max(m_newestChange, revision);
     if (entry.record.withdrawn && !wasWithdrawn)
         return ViewChange(KeyWithdrawn { hash });
     return ViewChange(NoChange {});
 }
 
+Revision ConfigView::keyRevision(const KeyHash& hash) const
+{
+    auto it = m_keys.find(hash);
+    return it == m_keys.end() ? Revision(0) : it->second.revision;
+}
+
 void ConfigView::confirmed(Revision revision, TimePoint now)
 {
     m_revision = std::max(m_revision, revision);
--- a/src/wisteriayardd/api_error.cpp
+++ b/src/wisteriayardd/api_error.cpp
@@ -24,4 +24,11 @@
     return response;
 }
 
+ApiError viewStaleError(RunOutcome outcome)
+{
+    constexpr Duration retryAfter = std::chrono::seconds(1);
+    return { boost::beast::http::status::service_unavailable, "overloaded_error", "view_stale",
+        "this instance has lost touch with the configuration", outcome, retryAfter };
+}
+
 } // namespace wisteriayard
--- a/src/wisteriayardd/api_error.h
+++ b/src/wisteriayardd/api_error.h
@@ -28,6 +28,9 @@
     std::optional<Duration> retryAfter;
 };
 
+/// The error of an entry whose view of contracts and keys is stale.
+ApiError viewStaleError(RunOutcome outcome);
+
 /// The error object as JSON.
 std::string apiErrorJson(const ApiError& error, const RequestId& request);
 
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -188,7 +188,9 @@
     ArrivedRequest arrived;
     arrived.id = id;
     arrived.key = key;
-    arrived.shape = { TargetId(name), std::string(request.method_string()), path, std::nullopt };
+    // The query takes no part in the classification, so it does not have to be logged.
+    arrived.shape
+        = { TargetId(name), std::string(request.method_string()), path.substr(0, path.find('?')), std::nullopt };
     arrived.exchange = call.exchange;
     m_control->submit(std::move(arrived));
     co_return co_await run(call);
@@ -242,6 +244,10 @@
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
         m_links->end(call.id, true);
         m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+    } else if (std::holds_alternative<ViewStale>(event)) {
+        error = viewStaleError(call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun);
+        m_links->end(call.id, true);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
     } else if (std::holds_alternative<TimedOut>(event)) {
         error = ApiError { http::status::gateway_timeout, "api_error", "timeout", "no answer in time",
             call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun, std::nullopt };
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -1,6 +1,7 @@
 #include "entry_control.h"
 
 #include "clock.h"
+#include "decision_log.h"
 #include "store_json.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,7 +14,6 @@
 namespace wisteriayard {
 
 namespace http = boost::beast::http;
-using Json = nlohmann::json;
 
 namespace {
 
@@ -64,6 +64,7 @@
     , m_handlers(std::move(handlers))
     , m_store(io.get_executor(), settings.common.store, settings.common.storeTimeout)
     , m_scheduler(settings.common.zone, settings.common.region)
+    , m_freshness(std::make_shared<FreshnessWatch>(io, settings, m_log, m_view, [this] { endAllStale(); }))
 {
 }
 
@@ -91,6 +92,7 @@
     while (true) {
         TimePoint asked = bootTimeNow();
         auto range = co_await m_store.range(first, end);
+        m_freshness->storeCalled(bool(range), bootTimeNow());
         if (!range) {
             m_log->write(Event::WatchEnded, { { "error", range.error().message } });
             co_await sleepFor(storeRetry);
@@ -99,16 +101,19 @@
         for (const StoreItem& item : range.value().items)
             applyItem(item);
         m_view.confirmed(range.value().revision, asked);
-        if (!m_ready)
+        if (!m_loaded)
             m_log->write(Event::ViewLoaded, { { "revision", range.value().revision.value() } });
-        m_ready = true;
+        m_loaded = true;
+        m_freshness->start();
         Revision next = range.value().revision + Revision(1);
         auto onBatch = [this](const WatchBatch& batch) {
             for (const StoreItem& item : batch.items)
                 applyItem(item);
             m_view.confirmed(batch.revision, bootTimeNow());
+            m_freshness->storeCalled(true, bootTimeNow());
         };
         Error ended = co_await m_store.watch(first, end, next, watchSilence, onBatch);
+        m_freshness->storeCalled(false, bootTimeNow());
         m_log->write(Event::WatchEnded, { { "error", ended.message } });
         co_await sleepFor(storeRetry);
     }
@@ -136,10 +141,28 @@
     m_log->write(Event::KeyWithdrawnInForce, { { "key_hash", key.value() }, { "open_requests", open } });
     if (it == m_requestsByKey.end())
         return;
-    for (const RequestId& id : it->second)
+    for (const RequestId& id : it->second) {
+        Json fields = keyInputs(m_view, key);
+        fields["request"] = id.value();
+        fields["rule"] = "key_withdrawn";
+        m_log->write(Event::RequestRevoked, fields);
         m_requests.at(id).arrived.exchange->post(KeyRevoked {});
+    }
+}
+
+void EntryControl::endAllStale()
+{
+    for (const auto& [id, request] : m_requests) {
+        Json fields = keyInputs(m_view, request.arrived.key);
+        fields["request"] = id.value();
+        fields["rule"] = "view_stale";
+        m_log->write(Event::RequestRevoked, fields);
+        request.arrived.exchange->post(ViewStale {});
+    }
 }
 
+bool EntryControl::ready() const { return m_loaded && !m_stopping && !m_freshness->refuses(bootTimeNow()); }
+
 boost::asio::awaitable<void> EntryControl::followInstances()
 {
     HttpConnection connection(m_io.get_executor(), m_settings.common.platform, maxInstanceList);
@@ -164,6 +187,7 @@
 {
     TimePoint now = bootTimeNow();
     std::set<EndpointId> live;
+    m_freshness->peersListed(list.entries);
     for (const ListedEndpoint& listed : list.endpoints) {
         if (listed.leaving)
             continue;
@@ -217,38 +241,52 @@
 
 void EntryControl::submitNow(ArrivedRequest request)
 {
-    if (!m_ready && m_view.revision() == Revision(0)) {
+    if (!m_loaded) {
         refuse(request,
             { http::status::service_unavailable, "overloaded_error", "not_ready",
                 "this instance has not loaded its configuration yet", RunOutcome::NotRun, std::chrono::seconds(1) });
         return;
     }
+    if (m_freshness->refuses(bootTimeNow())) {
+        refuse(request, viewStaleError(RunOutcome::NotRun));
+        return;
+    }
+    Json inputs = keyInputs(m_view, request.key);
     auto account = authenticate(request.key);
     if (!account) {
+        inputs["rule"] = "key_not_valid";
         refuse(request,
             { http::status::unauthorized, "authentication_error", "invalid_api_key", account.error().message,
-                RunOutcome::NotRun, std::nullopt });
+                RunOutcome::NotRun, std::nullopt },
+            std::move(inputs));
         return;
     }
     auto contract = m_view.contract(account.value());
     const RequestClass* requestClass = contract ? classify(*contract, request.shape) : nullptr;
+    inputs.update(shapeInputs(request.shape, m_view.contractRevision(account.value())));
     if (!requestClass) {
         refuse(request,
             { http::status::not_found, "invalid_request_error", "no_class",
                 "no class of the account's contract matches \"" + request.shape.target.value() + "\"",
-                RunOutcome::NotRun, std::nullopt });
+                RunOutcome::NotRun, std::nullopt },
+            std::move(inputs));
         return;
     }
+    inputs["request"] = request.id.value();
+    inputs["class"] = requestClass->name.value();
+    inputs["rule"] = "first_matching_class";
+    m_log->write(Event::RequestClassified, inputs);
     LiveRequest live { std::move(request), account.value(), *requestClass, contract->weight,
-        m_view.contractRevision(account.value()), 0 };
+        m_view.contractRevision(account.value()), 0, {} };
     RequestId id = live.arrived.id;
     m_requestsByKey[live.arrived.key].insert(id);
     auto inserted = m_requests.emplace(id, std::move(live)).first;
     place(inserted->second);
 }
 
-void EntryControl::place(const LiveRequest& request)
+void EntryControl::place(LiveRequest& request)
 {
+    request.submittedAt = bootTimeNow();
     RequestInfo info;
     info.id = request.arrived.id;
     info.account = request.account;
@@ -261,7 +299,7 @@
     info.expectedOutput = request.requestClass.expectedOutput;
     info.prefixHash = request.arrived.prefixHash;
     info.longestWait = request.requestClass.longestWait;
-    carryOut(m_scheduler.submit(info, bootTimeNow()));
+    carryOut(m_scheduler.submit(info, request.submittedAt));
 }
 
 void EntryControl::carryOut(const Scheduler::Decisions& decisions)
@@ -282,10 +320,13 @@
     Admitted admitted { dispatch.endpoint, endpoint->second.listed.agentAddress, ++request.attempts, request.account,
         request.requestClass.name, request.requestClass.tier, request.requestClass.priority,
         request.requestClass.atMostOnce };
-    m_log->write(Event::RequestAdmitted,
-        { { "request", dispatch.request.value() }, { "account", request.account.value() },
-            { "class", request.requestClass.name.value() }, { "endpoint", dispatch.endpoint.value() },
-            { "attempt", admitted.attempt }, { "contract_revision", request.contractRevision.value() } });
+    Json fields = waitInputs(
+        request.account, request.requestClass, request.contractRevision, bootTimeNow() - request.submittedAt);
+    fields["request"] = dispatch.request.value();
+    fields["endpoint"] = dispatch.endpoint.value();
+    fields["attempt"] = admitted.attempt;
+    fields["rule"] = "scheduler_dispatch";
+    m_log->write(Event::RequestAdmitted, fields);
     request.arrived.exchange->post(std::move(admitted));
 }
 
@@ -299,13 +340,21 @@
     if (it->second.attempts > 0 && it->second.requestClass.atMostOnce)
         error.outcome = RunOutcome::Unknown;
     ArrivedRequest arrived = it->second.arrived;
+    Json inputs = waitInputs(it->second.account, it->second.requestClass, it->second.contractRevision,
+        bootTimeNow() - it->second.submittedAt);
+    inputs["attempts"] = it->second.attempts;
+    inputs["target"] = arrived.shape.target.value();
     forgetRequest(refusal.request);
-    refuse(arrived, std::move(error));
+    refuse(arrived, std::move(error), std::move(inputs));
 }
 
-void EntryControl::refuse(const ArrivedRequest& request, ApiError error)
+void EntryControl::refuse(const ArrivedRequest& request, ApiError error, Json inputs)
 {
-    m_log->write(Event::RequestRefused, { { "request", request.id.value() }, { "code", error.code } });
+    inputs["request"] = request.id.value();
+    inputs["code"] = error.code;
+    inputs.emplace("rule", error.code);
+    inputs.emplace("contract_revision", 0);
+    m_log->write(Event::RequestRefused, std::move(inputs));
     request.exchange->post(Refused { std::move(error) });
 }
 
@@ -399,9 +448,13 @@
             { "zone", endpoint.listed.info.zone.value() }, { "lost", endpoint.lost } });
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_view.age(now)).count();
     Json status = { { "instance", m_settings.common.instance.value() }, { "zone", m_settings.common.zone.value() },
-        { "role", "entry" }, { "ready", m_ready.load() }, { "view_revision", m_view.revision().value() },
+        { "role", "entry" }, { "ready", ready() }, { "view_revision", m_view.revision().value() },
         { "view_age_ms", age }, { "queued", m_scheduler.queued() }, { "running", m_scheduler.running() },
         { "endpoints", endpoints } };
+    AuditAnchor position = m_log->position();
+    status["log"]
+        = { { "incarnation", position.incarnation }, { "sequence", position.sequence }, { "hash", position.hash } };
+    m_freshness->addStatus(status, now);
     return status.dump();
 }
 
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -2,6 +2,7 @@
 
 #include "event_log.h"
 #include "exchange.h"
+#include "freshness_watch.h"
 #include "instance_list.h"
 #include "settings.h"
 #include "store_client.h"
@@ -66,13 +67,15 @@
     /// Models that an account may use, for `GET /v1/models`; the answer is called on the control thread.
     void listModels(const KeyHash& key, std::function<void(Result<std::vector<TargetId>>)> answer);
 
-    /// The view is loaded and the process does not shut down. Any thread.
-    bool ready() const { return m_ready; }
-    void stopBeingReady() { m_ready = false; }
+    /// The view is loaded and not stale, and the process does not shut down. Control thread only.
+    bool ready() const;
+    void stopBeingReady() { m_stopping = true; }
     /// State as JSON. Control thread only.
     std::string statusJson(TimePoint now) const;
 
 private:
+    using Json = nlohmann::json;
+
     struct LiveRequest {
         ArrivedRequest arrived;
         AccountId account;
@@ -80,6 +83,8 @@
         double weight = 1.0;
         Revision contractRevision;
         std::uint32_t attempts = 0;
+        /// When it was submitted for the present attempt.
+        TimePoint submittedAt {};
     };
     struct KnownEndpoint {
         ListedEndpoint listed;
@@ -92,13 +97,15 @@
     boost::asio::awaitable<void> sleepFor(Duration time);
     void applyItem(const StoreItem& item);
     void revoke(const KeyHash& key);
+    void endAllStale();
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
-    void place(const LiveRequest& request);
+    void place(LiveRequest& request);
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
     void carryOut(const Refusal& refusal);
-    void refuse(const ArrivedRequest& request, ApiError error);
+    /// @param inputs what the decision is based on, for the log
+    void refuse(const ArrivedRequest& request, ApiError error, Json inputs = Json::object());
     void forgetRequest(const RequestId& id);
     Result<AccountId> authenticate(const KeyHash& key) const;
 
@@ -112,7 +119,9 @@
     std::map<EndpointId, KnownEndpoint> m_endpoints;
     std::map<RequestId, LiveRequest> m_requests;
     std::map<KeyHash, std::set<RequestId>> m_requestsByKey;
-    std::atomic<bool> m_ready { false };
+    std::shared_ptr<FreshnessWatch> m_freshness;
+    std::atomic<bool> m_loaded { false };
+    std::atomic<bool> m_stopping { false };
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -1,6 +1,7 @@
 #include "event_log.h"
 
 #include "clock.h"
+#include "hash.h"
 
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -8,6 +9,12 @@
 
 namespace wisteriayard {
 
+namespace {
+
+    constexpr std::size_t incarnationBytes = 8;
+
+} // namespace
+
 std::string_view eventName(Event event)
 {
     switch (event) {
@@ -17,6 +24,8 @@
         return "process_stopping";
     case Event::ProcessStopped:
         return "process_stopped";
+    case Event::LogStarted:
+        return "log_started";
     case Event::RequestAdmitted:
         return "request_admitted";
     case Event::RequestRefused:
@@ -37,6 +46,16 @@
         return "view_loaded";
     case Event::WatchEnded:
         return "watch_ended";
+    case Event::RequestClassified:
+        return "request_classified";
+    case Event::RequestRevoked:
+        return "request_revoked";
+    case Event::ViewStale:
+        return "view_stale";
+    case Event::ViewFresh:
+        return "view_fresh";
+    case Event::StoreDownForAll:
+        return "store_down_for_all";
     case Event::EndpointAdded:
         return "endpoint_added";
     case Event::EndpointRemoved:
@@ -63,21 +82,31 @@
     auto logger = std::make_shared<spdlog::logger>("events", std::move(sink));
     logger->set_pattern("%v");
     logger->flush_on(spdlog::level::info);
-    return std::shared_ptr<EventLog>(new EventLog(std::move(logger), std::move(instance)));
+    std::shared_ptr<EventLog> log(new EventLog(std::move(logger), std::move(instance)));
+    log->write(Event::LogStarted, { { "incarnation", log->m_chain.incarnation() }, { "chain", "sha256" } });
+    return log;
 }
 
 EventLog::EventLog(std::shared_ptr<spdlog::logger> logger, std::string instance)
     : m_logger(std::move(logger))
-    , m_instance(std::move(instance))
+    , m_chain(std::move(instance), randomHex(incarnationBytes))
 {
 }
 
 void EventLog::write(Event event, nlohmann::json fields)
+{
+    if (!fields.is_object())
+        fields = nlohmann::json::object();
+    std::string text = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::lock_guard lock(m_mutex);
+    m_logger->info(
+        m_chain.append({ static_cast<int>(event), eventName(event), wallClockMilliseconds(), std::move(text) }));
+}
+
+AuditAnchor EventLog::position() const
 {
     std::lock_guard lock(m_mutex);
-    nlohmann::json line = { { "seq", ++m_sequence }, { "time_ms", wallClockMilliseconds() }, { "instance", m_instance },
-        { "event", static_cast<int>(event) }, { "name", eventName(event) }, { "fields", std::move(fields) } };
-    m_logger->info(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    return { m_chain.incarnation(), m_chain.sequence(), m_chain.head() };
 }
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wisteriayard/audit.h"
 #include "wisteriayard/error.h"
 
 #include <nlohmann/json.hpp>
@@ -20,6 +21,7 @@
     ProcessStarted = 100,
     ProcessStopping = 101,
     ProcessStopped = 102,
+    LogStarted = logStartedEvent,
     RequestAdmitted = 200,
     RequestRefused = 201,
     RequestFinished = 202,
@@ -30,18 +32,24 @@
     ConfigRejected = 302,
     ViewLoaded = 303,
     WatchEnded = 304,
+    RequestClassified = 340,
+    RequestRevoked = 341,
+    ViewStale = 342,
+    ViewFresh = 343,
+    StoreDownForAll = 344,
     EndpointAdded = 400,
     EndpointRemoved = 401,
     AgentLost = 402,
     InstanceListUnavailable = 403,
 };
 
-/// Name of an event as in the catalogue.
+/// Name of an event as in the catalogue, or `unknown`.
 std::string_view eventName(Event event);
 
-/// Writes events as JSON lines with a sequence number. May be used by all threads.
+/// Writes events as JSON lines with a sequence number and a chained hash. May be used by all threads.
 class EventLog {
 public:
+    /// Opens the log and writes its first line, which names this start of the process.
     /// @param file path, or empty for standard output
     /// @return the log, or Unavailable if the file can't be opened
     static Result<std::shared_ptr<EventLog>> open(const std::string& file, std::string instance);
@@ -50,13 +58,15 @@
     /// @param fields object with the event's fields; never a key or text of a prompt or an answer
     void write(Event event, nlohmann::json fields);
 
+    /// Where the log stands now; an audit is given this to find a truncated tail.
+    AuditAnchor position() const;
+
 private:
     EventLog(std::shared_ptr<spdlog::logger> logger, std::string instance);
 
     std::shared_ptr<spdlog::logger> m_logger;
-    std::string m_instance;
-    std::mutex m_mutex;
-    std::uint64_t m_sequence = 0;
+    mutable std::mutex m_mutex;
+    AuditChain m_chain;
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -38,6 +38,9 @@
 /// The caller's key was withdrawn.
 struct KeyRevoked { };
 
+/// The entry's view of contracts and keys is stale, so the key may have been withdrawn.
+struct ViewStale { };
+
 /// The agent of the running attempt is gone or silent.
 struct AgentLost { };
 
@@ -45,8 +48,8 @@
 struct TimedOut { };
 
 /// What may happen to a request while its caller waits.
-using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, TimedOut, wire::Accepted, wire::Rejected,
-    wire::Chunk, wire::Finished, wire::Failed>;
+using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, ViewStale, AgentLost, TimedOut, wire::Accepted,
+    wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
 
 /// Mailbox of one request: other threads post events, the request's coroutine takes them in order.
 class Exchange : public std::enable_shared_from_this<Exchange> {
--- a/src/wisteriayardd/instance_list.cpp
+++ b/src/wisteriayardd/instance_list.cpp
@@ -55,6 +55,8 @@
         BOOST_OUTCOME_TRY(entry.adminAddress, address(json, "admin"));
         entry.instance = InstanceId(id);
         entry.zone = ZoneId(zone);
+        if (json.contains("region") && json["region"].is_string())
+            entry.region = RegionId(json["region"].get<std::string>());
         return entry;
     }
 
--- a/src/wisteriayardd/instance_list.h
+++ b/src/wisteriayardd/instance_list.h
@@ -23,6 +23,8 @@
 struct ListedEntry {
     InstanceId instance;
     ZoneId zone;
+    /// Empty if the list does not say.
+    RegionId region;
     /// `IP:port` of its admin port.
     std::string adminAddress;
     bool leaving = false;
--- a/src/wisteriayardd/settings.cpp
+++ b/src/wisteriayardd/settings.cpp
@@ -37,6 +37,8 @@
             "time between failing readiness and closing the listener, 0 to 600000");
         add("drain-timeout-ms", po::value<std::int64_t>()->default_value(60000),
             "longest time for running requests at shutdown, 0 to 3600000");
+        add("store-region", po::value<std::string>()->default_value(""),
+            "entry: region of the key-value store; without it an entry refuses 5 s after it lost the store");
         add("traffic-threads", po::value<std::int64_t>()->default_value(2), "entry: traffic threads, 1 to 64");
         add("max-connections", po::value<std::int64_t>()->default_value(10000),
             "entry: callers' connections, 1 to 1000000");
@@ -138,6 +140,7 @@
         EntrySettings entry;
         entry.common = readCommon(reader, variables);
         entry.listen = reader.address("listen");
+        entry.storeRegion = RegionId(variables["store-region"].as<std::string>());
         entry.trafficThreads = static_cast<int>(reader.integer("traffic-threads", 1, 64));
         entry.maxConnections = static_cast<int>(reader.integer("max-connections", 1, 1'000'000));
         entry.maxBody = Bytes(reader.integer("max-body-bytes", 1024, 8 * 1024 * 1024));
--- a/src/wisteriayardd/settings.h
+++ b/src/wisteriayardd/settings.h
@@ -35,6 +35,8 @@
     CommonSettings common;
     /// Callers' HTTP.
     boost::asio::ip::tcp::endpoint listen;
+    /// Region of the key-value store. Entries there are asked whether the store answers; empty if none may be.
+    RegionId storeRegion;
     int trafficThreads = 2;
     int maxConnections = 10'000;
     Bytes maxBody { 8 * 1024 * 1024 };
