Report usage windows and order endpoints under leases

A lease holder (Boost.MSM) counts lease time from before the request, and each call that needs authority runs inside a section that the kernel ends with SIGKILL at the lease's end minus the margin. Entries write cumulative usage parts; the holder of lease/usage closes windows in order and reports the stored record; entries settle from the record what it left out. The zone's planner orders endpoints with hysteresis. Orders to an endpoint pass through the agent's order port, which refuses epochs below the store's.

--- a/src/fakes/fake_kv.cpp
+++ b/src/fakes/fake_kv.cpp
@@ -50,6 +50,8 @@
         bool hang = false;
         /// Writes take effect, but the answer is lost; how many times still, or -1 for always.
         int loseWriteAnswers = 0;
+        /// Only answers of transactions that put a key with this prefix are lost; empty for all writes.
+        std::string loseKey;
         int delayMs = 0;
     };
 
@@ -120,6 +122,7 @@
             m_faults.refuse = json.value("refuse", false);
             m_faults.hang = json.value("hang", false);
             m_faults.loseWriteAnswers = json.value("lose_write_answers", 0);
+            m_faults.loseKey = json.value("lose_key", "");
             m_faults.delayMs = json.value("delay_ms", 0);
             return jsonResponse(Json::object());
         }
@@ -143,7 +146,8 @@
                 return errorResponse(http::status::not_found, "no such call: " + path);
             if (answer.contains("error"))
                 return makeHttpResponse(http::status::bad_request, answer.dump());
-            if (isWrite && m_faults.loseWriteAnswers != 0) {
+            if (isWrite && m_faults.loseWriteAnswers != 0 && losesAnswer(body, answer)) {
+                ++m_lostAnswers;
                 if (m_faults.loseWriteAnswers > 0)
                     --m_faults.loseWriteAnswers;
                 return lostAnswer();
@@ -151,6 +155,20 @@
             return jsonResponse(answer);
         }
 
+        bool losesAnswer(const Json& request, const Json& answer) const
+        {
+            if (m_faults.loseKey.empty())
+                return true;
+            if (!answer.value("succeeded", false))
+                return false;
+            for (const Json& operation : request.value("success", Json::array())) {
+                Json put = operation.value("request_put", Json::object());
+                if (field(put, "key").rfind(m_faults.loseKey, 0) == 0)
+                    return true;
+            }
+            return false;
+        }
+
         Json header() const { return { { "revision", std::to_string(m_revision) } }; }
 
         Json itemJson(const std::string& key, const Record& record) const
@@ -327,7 +345,7 @@
         Json stats() const
         {
             return { { "reads", m_reads }, { "writes", m_writes }, { "watches", m_watches },
-                { "revision", m_revision } };
+                { "lost_answers", m_lostAnswers }, { "keys", m_records.size() }, { "revision", m_revision } };
         }
 
         Json eventsSince(std::int64_t revision, const std::string& first, const std::string& end) const
@@ -358,6 +376,7 @@
         std::int64_t m_lastLease = 1000;
         std::int64_t m_reads = 0;
         std::int64_t m_writes = 0;
+        std::int64_t m_lostAnswers = 0;
         int m_watches = 0;
         Faults m_faults;
     };
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -41,6 +41,8 @@
             }
             if (path == "/fake/orders")
                 co_return jsonResponse(m_orders);
+            if (path == "/fake/arrived")
+                co_return jsonResponse({ { "arrived", m_arrived } });
             if (path == "/fake/reports")
                 co_return jsonResponse(m_reports);
             if (path == "/fake/faults") {
@@ -49,6 +51,7 @@
                 m_delayMs = body.value("delay_ms", 0);
                 co_return jsonResponse(Json::object());
             }
+            ++m_arrived;
             if (m_delayMs > 0)
                 co_await sleepFor(m_io, std::chrono::milliseconds(m_delayMs));
             if (m_refuse)
@@ -108,6 +111,8 @@
         std::map<std::string, std::int64_t> m_highestEpoch;
         std::deque<TimePoint> m_weightReads;
         int m_loseAnswers = 0;
+        /// Orders, reports and weight reads that came in, whatever became of them.
+        std::int64_t m_arrived = 0;
         int m_delayMs = 0;
         bool m_refuse = false;
     };
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -48,6 +48,8 @@
         co_return fail(Errc::Unavailable, "cannot connect to " + formatAddress(m_server) + ": " + error.message());
     }
     m_stream->socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
+    if (m_discardUnsent)
+        m_stream->socket().set_option(boost::asio::socket_base::linger(true, 0), error);
     co_return boost::outcome_v2::success();
 }
 
--- a/src/libnet/http_client.h
+++ b/src/libnet/http_client.h
@@ -35,6 +35,9 @@
     /// @return the bytes; empty at the end of a complete body
     boost::asio::awaitable<Result<std::string>> readSome(Duration timeout);
 
+    /// Connections made from now on drop what is not yet sent when they close, also by the end of the process, so
+    /// that nothing leaves the machine afterwards (SO_LINGER of 0).
+    void discardUnsentOnClose() { m_discardUnsent = true; }
     /// Closes at once; a running operation ends with an error.
     void close();
     bool isOpen() { return m_stream && m_stream->socket().is_open(); }
@@ -48,6 +51,7 @@
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::endpoint m_server;
     Bytes m_maxBody;
+    bool m_discardUnsent = false;
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
--- /dev/null
+++ b/src/libwisteriayard/lease.cpp
@@ -0,0 +1,184 @@
+#include "wisteriayard/lease.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace wisteriayard {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+using msm::front::none;
+using msm::front::Row;
+
+namespace {
+
+    struct RequestSent {
+        TimePoint now;
+    };
+    struct Acquired {
+        Epoch epoch;
+        TimePoint now;
+    };
+    struct Refused { };
+    struct AnswerLost { };
+    struct Renewed {
+        TimePoint sent;
+    };
+    struct Lost { };
+    struct TimePassed {
+        TimePoint now;
+    };
+
+    struct NoteRequest {
+        template <typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event& event, Machine& machine, From&, To&) const
+        {
+            machine.sent = event.now;
+        }
+    };
+
+    struct NoteAcquired {
+        template <typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event& event, Machine& machine, From&, To&) const
+        {
+            machine.epoch = event.epoch;
+            machine.readyAt = event.now + machine.times.lease + machine.times.margin;
+        }
+    };
+
+    struct NoteRenewed {
+        template <typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event& event, Machine& machine, From&, To&) const
+        {
+            machine.sent = std::max(machine.sent, event.sent);
+        }
+    };
+
+    struct HasRunOut {
+        template <typename Event, typename Machine, typename From, typename To>
+        bool operator()(const Event& event, Machine& machine, From&, To&) const
+        {
+            return event.now >= machine.authorityEnds();
+        }
+    };
+
+    struct WaitIsOver {
+        template <typename Event, typename Machine, typename From, typename To>
+        bool operator()(const Event& event, Machine& machine, From&, To&) const
+        {
+            return event.now >= machine.readyAt && event.now < machine.authorityEnds();
+        }
+    };
+
+    /// Front end of the state machine; the order of the states is that of LeaseState.
+    struct LeaseMachine : msm::front::state_machine_def<LeaseMachine> {
+        struct Free : msm::front::state<> { };
+        struct Acquiring : msm::front::state<> { };
+        struct Unsure : msm::front::state<> { };
+        struct Waiting : msm::front::state<> { };
+        struct Holding : msm::front::state<> { };
+
+        using initial_state = Free;
+
+        // clang-format off
+        // NOLINTNEXTLINE(readability-identifier-naming): the name that Boost.MSM asks for
+        struct transition_table : mpl::vector<
+            Row<Free, RequestSent, Acquiring, NoteRequest, none>,
+            Row<Acquiring, Acquired, Waiting, NoteAcquired, none>,
+            Row<Acquiring, Refused, Free, none, none>,
+            Row<Acquiring, AnswerLost, Unsure, none, none>,
+            Row<Unsure, Acquired, Waiting, NoteAcquired, none>,
+            Row<Unsure, Refused, Free, none, none>,
+            Row<Waiting, Renewed, none, NoteRenewed, none>,
+            Row<Waiting, Lost, Free, none, none>,
+            Row<Waiting, TimePassed, Free, none, HasRunOut>,
+            Row<Waiting, TimePassed, Holding, none, WaitIsOver>,
+            Row<Holding, Renewed, none, NoteRenewed, none>,
+            Row<Holding, Lost, Free, none, none>,
+            Row<Holding, TimePassed, Free, none, HasRunOut>
+        > { };
+        // clang-format on
+
+        template <typename Machine, typename Event> void no_transition(const Event&, Machine&, int) { }
+
+        TimePoint authorityEnds() const { return sent + times.lease - times.margin; }
+
+        LeaseTimes times;
+        TimePoint sent {};
+        TimePoint readyAt {};
+        Epoch epoch {};
+    };
+
+} // namespace
+
+struct LeaseHolder::Machine : msm::back::state_machine<LeaseMachine> { };
+
+std::string_view leaseStateName(LeaseState state)
+{
+    switch (state) {
+    case LeaseState::Free:
+        return "free";
+    case LeaseState::Acquiring:
+        return "acquiring";
+    case LeaseState::Unsure:
+        return "unsure";
+    case LeaseState::Waiting:
+        return "waiting";
+    case LeaseState::Holding:
+        return "holding";
+    }
+    return "unknown";
+}
+
+namespace {
+
+    template <typename Machine, typename Event> Status apply(Machine& machine, const Event& event, const char* name)
+    {
+        int before = machine.current_state()[0];
+        if (machine.process_event(event) == msm::back::HANDLED_TRUE)
+            return boost::outcome_v2::success();
+        return fail(Errc::Conflict,
+            std::string("lease: ") + name + " is not allowed when "
+                + std::string(leaseStateName(static_cast<LeaseState>(before))));
+    }
+
+} // namespace
+
+LeaseHolder::LeaseHolder(LeaseTimes times)
+    : m_machine(std::make_unique<Machine>())
+{
+    m_machine->times = times;
+    m_machine->start();
+}
+
+LeaseHolder::LeaseHolder(LeaseHolder&&) noexcept = default;
+LeaseHolder& LeaseHolder::operator=(LeaseHolder&&) noexcept = default;
+LeaseHolder::~LeaseHolder() = default;
+
+Status LeaseHolder::requestSent(TimePoint now) { return apply(*m_machine, RequestSent { now }, "a request"); }
+Status LeaseHolder::acquired(Epoch epoch, TimePoint now)
+{
+    return apply(*m_machine, Acquired { epoch, now }, "an acquisition");
+}
+Status LeaseHolder::refused() { return apply(*m_machine, Refused {}, "a refusal"); }
+Status LeaseHolder::answerLost() { return apply(*m_machine, AnswerLost {}, "a lost answer"); }
+Status LeaseHolder::renewed(TimePoint sent) { return apply(*m_machine, Renewed { sent }, "a renewal"); }
+Status LeaseHolder::lost() { return apply(*m_machine, Lost {}, "a loss"); }
+void LeaseHolder::timePassed(TimePoint now) { m_machine->process_event(TimePassed { now }); }
+
+LeaseState LeaseHolder::state() const { return static_cast<LeaseState>(m_machine->current_state()[0]); }
+Epoch LeaseHolder::epoch() const { return m_machine->epoch; }
+
+std::optional<TimePoint> LeaseHolder::authorityEnds(TimePoint now) const
+{
+    TimePoint ends = m_machine->authorityEnds();
+    if (state() != LeaseState::Holding || now >= ends)
+        return std::nullopt;
+    return ends;
+}
+
+} // namespace wisteriayard
--- a/src/wisteriayardd/agent.cpp
+++ b/src/wisteriayardd/agent.cpp
@@ -7,6 +7,7 @@
 #include "event_log.h"
 #include "hash.h"
 #include "once_keeper.h"
+#include "order_port.h"
 #include "wire_socket.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -72,6 +73,10 @@
 
         Status start()
         {
+            if (m_settings.orderListen) {
+                m_orders = std::make_shared<OrderPort>(m_io, m_settings, m_log);
+                BOOST_OUTCOME_TRY(m_orders->start());
+            }
             BOOST_OUTCOME_TRY(m_socket.bind(formatAddress(m_settings.listen)));
             m_admin = makeAdminServer(
                 m_io, { [this] { return !m_leaving; }, [] { return std::string(); }, [this] { return statusJson(); } });
@@ -399,6 +404,7 @@
         WireSocket m_socket;
         std::shared_ptr<HttpServer> m_admin;
         std::unique_ptr<OnceKeeper> m_once;
+        std::shared_ptr<OrderPort> m_orders;
         std::uint64_t m_incarnation = 0;
         std::map<std::string, std::shared_ptr<Job>> m_jobs;
         std::map<std::string, TimePoint> m_lastHeard;
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -89,15 +89,19 @@
     Tokens tokens { 0 };
     /// Tokens of earlier attempts.
     Tokens resumed { 0 };
+    /// Usage of a finished request.
+    std::optional<UsageFigures> billed;
 };
 
 CallerHandler::CallerHandler(boost::asio::io_context& io, std::shared_ptr<EntryControl> control,
-    std::shared_ptr<AgentLinks> links, std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log)
+    std::shared_ptr<AgentLinks> links, std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log,
+    std::shared_ptr<UsageReporter> usage)
     : m_io(io)
     , m_control(std::move(control))
     , m_links(std::move(links))
     , m_metrics(std::move(metrics))
     , m_log(std::move(log))
+    , m_usage(std::move(usage))
 {
 }
 
@@ -343,6 +347,9 @@
 {
     m_links->end(call.id, false);
     m_control->attemptEnded(call.id, AttemptEnd::Finished);
+    TokenUsage usage = usageOf(finished, call.resumed);
+    call.billed
+        = { 1, usage.prompt, usage.cached, usage.output, Duration(static_cast<std::int64_t>(finished.endpoint_us())) };
     ended(call, "finished");
     if (!call.chat) {
         auto status = static_cast<http::status>(finished.http_status());
@@ -350,7 +357,6 @@
         response.set("x-request-id", call.id.value());
         co_return response;
     }
-    TokenUsage usage = usageOf(finished, call.resumed);
     if (!call.chat->stream) {
         HttpResponse response = makeHttpResponse(http::status::ok,
             completionBody(call.id, call.chat->model, call.created, call.text, finished.finish_reason(), usage));
@@ -396,6 +402,9 @@
     Duration total = bootTimeNow() - call.arrived;
     m_metrics->requestEnded(account, requestClass, outcome);
     m_metrics->outputTokens(account, requestClass, call.tokens);
+    // Of a request without its end only the delivered tokens are known.
+    UsageFigures delivered { 1, Tokens(0), Tokens(0), call.tokens, Duration(0) };
+    m_usage->count(account, requestClass, call.billed.value_or(delivered));
     if (outcome != "finished")
         return;
     m_metrics->totalTime(account, requestClass, total);
--- a/src/wisteriayardd/caller_handler.h
+++ b/src/wisteriayardd/caller_handler.h
@@ -5,6 +5,7 @@
 #include "entry_control.h"
 #include "http_server.h"
 #include "metrics.h"
+#include "usage_reporter.h"
 
 #include <memory>
 
@@ -14,7 +15,7 @@
 class CallerHandler {
 public:
     CallerHandler(boost::asio::io_context& io, std::shared_ptr<EntryControl> control, std::shared_ptr<AgentLinks> links,
-        std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log);
+        std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log, std::shared_ptr<UsageReporter> usage);
 
     /// Handles one request.
     boost::asio::awaitable<HandlerResult> handle(HttpRequest request, HttpStreamWriter& writer);
@@ -44,6 +45,7 @@
     std::shared_ptr<AgentLinks> m_links;
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<EventLog> m_log;
+    std::shared_ptr<UsageReporter> m_usage;
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/entry.cpp
+++ b/src/wisteriayardd/entry.cpp
@@ -6,6 +6,8 @@
 #include "caller_handler.h"
 #include "clock.h"
 #include "entry_control.h"
+#include "planner.h"
+#include "usage_reporter.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -48,14 +50,19 @@
             handlers.added = [this](const EndpointId& id, const std::string& address) { endpointAdded(id, address); };
             handlers.removed = [this](const EndpointId& id) { endpointRemoved(id); };
             m_control = std::make_shared<EntryControl>(m_controlIo, m_settings, m_log, std::move(handlers));
+            m_usage = std::make_shared<UsageReporter>(m_controlIo, m_settings, m_log);
+            m_planner = std::make_shared<Planner>(
+                m_controlIo, m_settings, m_log, [control = m_control] { return control->zoneLoads(); });
             for (int i = 0; i < m_settings.trafficThreads; ++i) {
                 BOOST_OUTCOME_TRY(addTrafficThread());
             }
             m_admin = makeAdminServer(m_controlIo,
                 { [this] { return m_control->ready(); }, [this] { return m_metrics->text(); },
-                    [this] { return m_control->statusJson(bootTimeNow()); } });
+                    [this] { return statusJson(); } });
             BOOST_OUTCOME_TRY(m_admin->listen(m_settings.common.admin));
             m_control->start();
+            m_usage->start();
+            m_planner->start();
             return boost::outcome_v2::success();
         }
 
@@ -77,6 +84,14 @@
         }
 
     private:
+        std::string statusJson() const
+        {
+            auto status = nlohmann::json::parse(m_control->statusJson(bootTimeNow()));
+            status["planner"] = m_planner->status();
+            status["usage"] = m_usage->status();
+            return status.dump();
+        }
+
         Status addTrafficThread()
         {
             auto traffic = std::make_unique<TrafficThread>();
@@ -85,7 +100,7 @@
                 [this](const EndpointId& id, const EndpointLoad& load) { m_control->endpointReported(id, load); },
                 [this](const EndpointId& id) { m_control->agentLost(id); });
             traffic->handler
-                = std::make_shared<CallerHandler>(traffic->io, m_control, traffic->links, m_metrics, m_log);
+                = std::make_shared<CallerHandler>(traffic->io, m_control, traffic->links, m_metrics, m_log, m_usage);
             HttpServerLimits limits;
             limits.maxBody = m_settings.maxBody;
             limits.readTimeout = m_settings.readTimeout;
@@ -127,6 +142,8 @@
                 timer.expires_after(drainPoll);
                 co_await timer.async_wait(boost::asio::use_awaitable);
             }
+            co_await m_planner->release();
+            co_await m_usage->flush();
             m_controlIo.stop();
         }
 
@@ -145,6 +162,8 @@
         boost::asio::io_context m_controlIo { 1 };
         boost::asio::signal_set m_signals;
         std::shared_ptr<EntryControl> m_control;
+        std::shared_ptr<UsageReporter> m_usage;
+        std::shared_ptr<Planner> m_planner;
         std::vector<std::unique_ptr<TrafficThread>> m_traffic;
         std::shared_ptr<HttpServer> m_admin;
     };
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -175,7 +175,7 @@
         auto known = m_endpoints.find(listed.info.id);
         if (known != m_endpoints.end() && known->second.listed.agentAddress == listed.agentAddress)
             continue;
-        m_endpoints[listed.info.id] = { listed, false };
+        m_endpoints[listed.info.id] = { listed, false, {} };
         m_log->write(
             Event::EndpointAdded, { { "endpoint", listed.info.id.value() }, { "target", listed.info.target.value() } });
         m_handlers.added(listed.info.id, listed.agentAddress);
@@ -389,6 +389,7 @@
         if (it == self->m_endpoints.end())
             return;
         TimePoint now = bootTimeNow();
+        it->second.load = load;
         if (load.leaving)
             self->m_onceRouter.leaving(endpoint, now);
         else
@@ -437,6 +438,26 @@
     });
 }
 
+std::vector<TargetLoad> EntryControl::zoneLoads() const
+{
+    std::map<TargetId, TargetLoad> loads;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        const EndpointInfo& info = endpoint.listed.info;
+        if (info.zone != m_settings.common.zone || endpoint.lost)
+            continue;
+        TargetLoad& load = loads[info.target];
+        load.target = info.target;
+        ++load.endpoints;
+        load.slots += info.slots;
+        load.running += endpoint.load.running;
+        load.queued += endpoint.load.queued;
+    }
+    std::vector<TargetLoad> list;
+    for (const auto& [target, load] : loads)
+        list.push_back(load);
+    return list;
+}
+
 std::string EntryControl::statusJson(TimePoint now) const
 {
     Json endpoints = Json::array();
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -8,6 +8,7 @@
 #include "store_client.h"
 #include "wisteriayard/scheduler.h"
 #include "wisteriayard/view.h"
+#include "wisteriayard/zone_planner.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -76,6 +77,8 @@
     /// The view is loaded and the process does not shut down. Any thread.
     bool ready() const { return m_ready; }
     void stopBeingReady() { m_ready = false; }
+    /// Load of the targets in the entry's zone, as agents reported it. Control thread only.
+    std::vector<TargetLoad> zoneLoads() const;
     /// State as JSON. Control thread only.
     std::string statusJson(TimePoint now) const;
 
@@ -94,6 +97,7 @@
     struct KnownEndpoint {
         ListedEndpoint listed;
         bool lost = false;
+        EndpointLoad load;
     };
 
     boost::asio::awaitable<void> followStore();
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -45,6 +45,28 @@
         return "agent_lost";
     case Event::InstanceListUnavailable:
         return "instance_list_unavailable";
+    case Event::LeaseChanged:
+        return "lease_changed";
+    case Event::OrderSent:
+        return "order_sent";
+    case Event::OrderFailed:
+        return "order_failed";
+    case Event::EndpointOrderPassed:
+        return "endpoint_order_passed";
+    case Event::EndpointOrderRefused:
+        return "endpoint_order_refused";
+    case Event::UsageWindowClosed:
+        return "usage_window_closed";
+    case Event::UsageReportSent:
+        return "usage_report_sent";
+    case Event::UsageStepFailed:
+        return "usage_step_failed";
+    case Event::UsagePartFailed:
+        return "usage_part_failed";
+    case Event::UsageLate:
+        return "usage_late";
+    case Event::UsageLost:
+        return "usage_lost";
     case Event::OncePartitionClaimed:
         return "once_partition_claimed";
     case Event::OncePartitionReleased:
--- a/src/wisteriayardd/settings.cpp
+++ b/src/wisteriayardd/settings.cpp
@@ -21,6 +21,9 @@
                                         "Each option can also be set as an environment variable: --drain-delay-ms is "
                                         "WISTERIAYARD_DRAIN_DELAY_MS. A flag goes before the environment");
         auto add = options.add_options();
+        auto addTime = [&add](const char* name, std::int64_t value, const char* text) {
+            add(name, po::value<std::int64_t>()->default_value(value), text);
+        };
         add("help", "show this text");
         add("version", "show the version");
         add("role", po::value<std::string>(), "entry or agent");
@@ -44,10 +47,24 @@
             "entry: largest request body, 1024 to 8388608");
         add("read-timeout-ms", po::value<std::int64_t>()->default_value(30000),
             "entry: time for a request to arrive, 10 to 600000");
+        add("planner", po::value<bool>()->default_value(true),
+            "entry: takes part in the leases for orders and usage reports");
+        addTime("lease-ms", 6000, "entry: time of a lease, 1000 to 60000");
+        addTime("lease-margin-ms", 1000, "entry: time before a lease's end when its holder stops, at most a quarter");
+        addTime("usage-window-ms", 60000, "entry: length of a usage window, 500 to 3600000");
+        addTime("usage-part-ms", 5000, "entry: time between written parts of usage, 10 to 60000");
+        addTime("usage-grace-ms", 30000, "entry: time after a window's end before it is closed, 0 to 3600000");
+        add("usage-retained-windows", po::value<std::int64_t>()->default_value(1440),
+            "entry: closed windows whose records the store keeps, 2 to 100000");
+        addTime("planner-interval-ms", 5000, "entry: time between plans for the zone, 10 to 60000");
+        addTime("planner-grow-ms", 5000, "entry: time of high load before endpoints are ordered, 0 to 3600000");
+        addTime("planner-shrink-ms", 120000, "entry: time of low load before endpoints go, 0 to 86400000");
         add("endpoint", po::value<std::string>(), "agent: id of the endpoint beside it");
         add("endpoint-kind", po::value<std::string>()->default_value("engine"), "agent: engine or service");
         add("endpoint-address", po::value<std::string>(), "agent: IP:port of the endpoint");
         add("target", po::value<std::string>(), "agent: model or service that the endpoint serves");
+        add("order-listen", po::value<std::string>(),
+            "agent: IP:port for orders to the endpoint; none if it is not set");
         add("slots", po::value<std::int64_t>()->default_value(8), "agent: requests at once, 1 to 10000");
         add("once-partitions", po::value<std::int64_t>()->default_value(16),
             "at-most-once partitions of a service, 1 to 4096; the first agent's value is kept in the store");
@@ -148,6 +165,21 @@
         return once;
     }
 
+    void readPlanner(OptionReader& reader, const po::variables_map& variables, EntrySettings& entry)
+    {
+        entry.planner = variables["planner"].as<bool>();
+        std::int64_t lease = reader.integer("lease-ms", 1000, 60'000);
+        entry.lease.lease = std::chrono::milliseconds(lease);
+        entry.lease.margin = reader.milliseconds("lease-margin-ms", 1, lease / 4);
+        entry.usageWindow = reader.milliseconds("usage-window-ms", 500, 3'600'000);
+        entry.usagePartInterval = reader.milliseconds("usage-part-ms", 10, 60'000);
+        entry.usageGrace = reader.milliseconds("usage-grace-ms", 0, 3'600'000);
+        entry.usageRetainedWindows = reader.integer("usage-retained-windows", 2, 100'000);
+        entry.plannerInterval = reader.milliseconds("planner-interval-ms", 10, 60'000);
+        entry.plannerGrowAfter = reader.milliseconds("planner-grow-ms", 0, 3'600'000);
+        entry.plannerShrinkAfter = reader.milliseconds("planner-shrink-ms", 0, 86'400'000);
+    }
+
     EntrySettings readEntry(OptionReader& reader, const po::variables_map& variables)
     {
         EntrySettings entry;
@@ -158,6 +190,7 @@
         entry.maxBody = Bytes(reader.integer("max-body-bytes", 1024, 8 * 1024 * 1024));
         entry.readTimeout = reader.milliseconds("read-timeout-ms", 10, 600'000);
         entry.once = readOnce(reader);
+        readPlanner(reader, variables, entry);
         return entry;
     }
 
@@ -169,6 +202,8 @@
         agent.endpoint = EndpointId(reader.text("endpoint"));
         agent.target = TargetId(reader.text("target"));
         agent.endpointAddress = reader.address("endpoint-address");
+        if (variables.count("order-listen"))
+            agent.orderListen = reader.address("order-listen");
         agent.slots = static_cast<int>(reader.integer("slots", 1, 10'000));
         std::string kind = reader.text("endpoint-kind");
         if (kind != "engine" && kind != "service")
--- a/src/wisteriayardd/settings.h
+++ b/src/wisteriayardd/settings.h
@@ -2,10 +2,12 @@
 
 #include "wisteriayard/error.h"
 #include "wisteriayard/ids.h"
+#include "wisteriayard/lease.h"
 #include "wisteriayard/units.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +51,20 @@
     /// Time for a request to arrive, and for an idle connection to stay open.
     Duration readTimeout = std::chrono::seconds(30);
     OnceSettings once;
+    /// Takes part in the leases for orders and usage reports.
+    bool planner = true;
+    LeaseTimes lease;
+    Duration usageWindow = std::chrono::seconds(60);
+    Duration usagePartInterval = std::chrono::seconds(5);
+    /// Time after a window's end in which its parts may still be written.
+    Duration usageGrace = std::chrono::seconds(30);
+    /// Final records that the store keeps; an entry that was cut off for longer loses what it had not written.
+    std::int64_t usageRetainedWindows = 1440;
+    Duration plannerInterval = std::chrono::seconds(5);
+    /// How long the load of a target has to be high before endpoints are ordered.
+    Duration plannerGrowAfter = std::chrono::seconds(5);
+    /// How long it has to be low before endpoints are given back.
+    Duration plannerShrinkAfter = std::chrono::minutes(2);
 };
 
 /// What kind of endpoint an agent stands beside.
@@ -68,6 +84,8 @@
     boost::asio::ip::tcp::endpoint endpointAddress;
     /// Requests that the endpoint runs at once.
     int slots = 8;
+    /// Order port of the slot; without one the endpoint gets no orders.
+    std::optional<boost::asio::ip::tcp::endpoint> orderListen;
     OnceSettings once;
 };
 
--- /dev/null
+++ b/src/wisteriayardd/usage_closer.cpp
@@ -0,0 +1,178 @@
+#include "usage_closer.h"
+
+#include "authority_call.h"
+#include "clock.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wisteriayard {
+
+using boost::asio::awaitable;
+
+namespace {
+
+    constexpr Duration stepInterval = std::chrono::milliseconds(200);
+    /// etcd takes 128 operations in a transaction by default.
+    constexpr std::size_t deletesPerTransaction = 100;
+
+    std::string reportBody(const std::string& record, Epoch epoch)
+    {
+        nlohmann::json body = nlohmann::json::parse(record, nullptr, false);
+        body["epoch"] = epoch.value();
+        body.erase("counted");
+        return body.dump();
+    }
+
+} // namespace
+
+UsageCloser::UsageCloser(boost::asio::io_context& io, const EntrySettings& settings, StoreClient& store,
+    LeaseKeeper& keeper, std::shared_ptr<EventLog> log)
+    : m_io(io)
+    , m_settings(settings)
+    , m_store(store)
+    , m_keeper(keeper)
+    , m_log(std::move(log))
+{
+}
+
+awaitable<void> UsageCloser::run()
+{
+    boost::asio::steady_timer timer(m_io);
+    while (true) {
+        bool more = false;
+        if (m_keeper.authorityEnds(bootTimeNow())) {
+            auto result = co_await step();
+            if (result)
+                more = result.value();
+            else
+                m_log->write(Event::UsageStepFailed, { { "error", result.error().message } });
+        }
+        if (more)
+            continue;
+        timer.expires_after(stepInterval);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+bool UsageCloser::isDue(WindowId window) const
+{
+    auto length = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.usageWindow).count();
+    auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.usageGrace).count();
+    return wallClockMilliseconds() >= (window.value() + 1) * length + grace;
+}
+
+awaitable<Result<bool>> UsageCloser::step()
+{
+    auto closed = co_await readWindowMark(m_store, usageClosedKey);
+    if (!closed)
+        co_return closed.error();
+    if (!closed.value().window) {
+        auto oldest = co_await oldestPartWindow(m_store);
+        if (!oldest)
+            co_return oldest.error();
+        if (!oldest.value() || !isDue(*oldest.value()))
+            co_return false;
+        co_return co_await close(closed.value(), *oldest.value());
+    }
+    auto sent = co_await readWindowMark(m_store, usageSentKey);
+    if (!sent)
+        co_return sent.error();
+    if (sent.value().window && *sent.value().window < *closed.value().window)
+        co_return co_await report(sent.value(), *sent.value().window + WindowId(1));
+    WindowId next = *closed.value().window + WindowId(1);
+    if (!isDue(next))
+        co_return false;
+    co_return co_await close(closed.value(), next);
+}
+
+awaitable<Result<bool>> UsageCloser::close(const WindowMark& closed, WindowId next)
+{
+    auto parts = co_await readUsageParts(m_store, next);
+    if (!parts)
+        co_return parts.error();
+    if (!m_keeper.authorityEnds(bootTimeNow()))
+        co_return false;
+    UsageFinal final = makeUsageFinal(next, parts.value());
+    auto result = co_await m_store.transact(finalTransaction(closed, final));
+    if (!result)
+        co_return result.error(); // the next step reads back whether it took effect
+    if (result.value().succeeded)
+        m_log->write(Event::UsageWindowClosed,
+            { { "window", next.value() }, { "parts", parts.value().size() }, { "epoch", m_keeper.epoch().value() } });
+    co_return result.value().succeeded;
+}
+
+Transaction UsageCloser::finalTransaction(const WindowMark& closed, const UsageFinal& final) const
+{
+    Transaction transaction;
+    Revision epoch(m_keeper.epoch().value());
+    transaction.compares.emplace_back(CompareCreateRevision { m_keeper.key(), epoch });
+    transaction.compares.emplace_back(CompareModRevision { usageFinalKey(final.window), Revision(0) });
+    transaction.compares.emplace_back(CompareModRevision { std::string(usageClosedKey), closed.revision });
+    std::string window = std::to_string(final.window.value());
+    transaction.onSuccess.emplace_back(PutOperation { usageFinalKey(final.window), usageFinalJson(final), LeaseId() });
+    transaction.onSuccess.emplace_back(PutOperation { std::string(usageClosedKey), window, LeaseId() });
+    if (!closed.window) {
+        std::string before = std::to_string(final.window.value() - 1);
+        transaction.onSuccess.emplace_back(PutOperation { std::string(usageSentKey), before, LeaseId() });
+    }
+    return transaction;
+}
+
+awaitable<Result<bool>> UsageCloser::report(const WindowMark& sent, WindowId next)
+{
+    auto item = co_await m_store.read(usageFinalKey(next));
+    if (!item)
+        co_return item.error();
+    std::string body = reportBody(item.value().value, m_keeper.epoch());
+    auto posted = co_await postWithAuthority(
+        m_io.get_executor(), m_keeper, m_settings.common.platform, "/v1/usage-reports", std::move(body));
+    if (!posted)
+        co_return posted.error(); // sent again with the same figures
+    auto marked = co_await m_store.transact(sentTransaction(sent, next));
+    if (!marked)
+        co_return marked.error();
+    if (!marked.value().succeeded)
+        co_return false;
+    m_log->write(Event::UsageReportSent, { { "window", next.value() }, { "epoch", m_keeper.epoch().value() } });
+    auto deleted = co_await deleteParts(next);
+    if (!deleted)
+        co_return deleted.error();
+    co_return true;
+}
+
+Transaction UsageCloser::sentTransaction(const WindowMark& sent, WindowId window) const
+{
+    Transaction transaction;
+    Revision epoch(m_keeper.epoch().value());
+    transaction.compares.emplace_back(CompareCreateRevision { m_keeper.key(), epoch });
+    transaction.compares.emplace_back(CompareModRevision { std::string(usageSentKey), sent.revision });
+    std::string text = std::to_string(window.value());
+    transaction.onSuccess.emplace_back(PutOperation { std::string(usageSentKey), text, LeaseId() });
+    WindowId old(window.value() - m_settings.usageRetainedWindows);
+    transaction.onSuccess.emplace_back(DeleteOperation { usageFinalKey(old) });
+    return transaction;
+}
+
+awaitable<Status> UsageCloser::deleteParts(WindowId last)
+{
+    // From the first part on: also removes what an interrupted holder left.
+    auto range = co_await m_store.range(std::string(usagePartsPrefix), usagePartPrefix(last + WindowId(1)));
+    if (!range)
+        co_return range.error();
+    const auto& items = range.value().items;
+    for (std::size_t first = 0; first < items.size(); first += deletesPerTransaction) {
+        Transaction transaction;
+        Revision epoch(m_keeper.epoch().value());
+        transaction.compares.emplace_back(CompareCreateRevision { m_keeper.key(), epoch });
+        for (std::size_t i = first; i < std::min(items.size(), first + deletesPerTransaction); ++i)
+            transaction.onSuccess.emplace_back(DeleteOperation { items[i].key });
+        auto result = co_await m_store.transact(std::move(transaction));
+        if (!result)
+            co_return result.error();
+    }
+    co_return boost::outcome_v2::success();
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/usage_reporter.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "event_log.h"
+#include "lease_keeper.h"
+#include "settings.h"
+#include "store_client.h"
+#include "usage_closer.h"
+#include "wisteriayard/usage.h"
+
+#include <memory>
+
+namespace wisteriayard {
+
+/// Usage of an entry: counts it, writes parts to the store, and closes and reports windows while it holds the lease
+/// (protocol P2). Runs on the control thread.
+class UsageReporter : public std::enable_shared_from_this<UsageReporter> {
+public:
+    UsageReporter(boost::asio::io_context& io, const EntrySettings& settings, std::shared_ptr<EventLog> log);
+
+    void start();
+    /// Counts usage. Any thread.
+    void count(const AccountId& account, const ClassId& requestClass, const UsageFigures& figures);
+    /// Writes everything that is counted and gives the lease up, for shutdown.
+    boost::asio::awaitable<void> flush();
+    /// State as JSON. Control thread only.
+    nlohmann::json status() const;
+
+private:
+    boost::asio::awaitable<void> writeForever();
+    /// @return whether the store has everything
+    boost::asio::awaitable<bool> writeParts();
+    boost::asio::awaitable<bool> settle(WindowId window);
+    WindowId windowNow() const;
+    bool mayBeClosed(WindowId window) const;
+
+    boost::asio::io_context& m_io;
+    EntrySettings m_settings;
+    std::shared_ptr<EventLog> m_log;
+    IncarnationId m_self;
+    StoreClient m_store;
+    LeaseKeeper m_keeper;
+    UsageCloser m_closer;
+    UsageLedger m_ledger;
+};
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/wisteriayardd/usage_store.cpp
@@ -0,0 +1,127 @@
+#include "usage_store.h"
+
+#include "store_json.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace wisteriayard {
+
+using boost::asio::awaitable;
+
+namespace {
+
+    /// Fixed width, so that keys sort by window.
+    std::string windowText(WindowId window)
+    {
+        char text[32];
+        std::snprintf(text, sizeof(text), "%015lld", static_cast<long long>(window.value()));
+        return text;
+    }
+
+    Result<WindowId> parseWindow(std::string_view text)
+    {
+        std::int64_t value = 0;
+        auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (result.ec != std::errc() || result.ptr != text.data() + text.size())
+            return fail(Errc::Protocol, "store: \"" + std::string(text.substr(0, 40)) + "\" is not a window number");
+        return WindowId(value);
+    }
+
+    Transaction recordTransaction(WindowId window)
+    {
+        Transaction transaction;
+        transaction.onSuccess.emplace_back(ReadOperation { usageFinalKey(window) });
+        transaction.onSuccess.emplace_back(ReadOperation { std::string(usageClosedKey) });
+        return transaction;
+    }
+
+} // namespace
+
+std::string usagePartPrefix(WindowId window) { return std::string(usagePartsPrefix) + windowText(window) + "/"; }
+std::string usagePartKey(WindowId window, const IncarnationId& entry)
+{
+    return usagePartPrefix(window) + entry.value();
+}
+std::string usageFinalKey(WindowId window) { return "usage/final/" + windowText(window); }
+
+awaitable<Result<WindowMark>> readWindowMark(StoreClient& store, std::string_view key)
+{
+    auto item = co_await store.read(std::string(key));
+    WindowMark mark;
+    if (!item && item.error().code == Errc::NotFound)
+        co_return mark;
+    if (!item)
+        co_return item.error();
+    auto window = parseWindow(item.value().value);
+    if (!window)
+        co_return window.error();
+    mark.window = window.value();
+    mark.revision = item.value().modRevision;
+    co_return mark;
+}
+
+awaitable<Result<WindowRecord>> readWindowRecord(StoreClient& store, WindowId window)
+{
+    auto result = co_await store.transact(recordTransaction(window));
+    if (!result)
+        co_return result.error();
+    WindowRecord record;
+    for (const StoreItem& item : result.value().items) {
+        if (item.key == usageClosedKey) {
+            auto closed = parseWindow(item.value);
+            if (!closed)
+                co_return closed.error();
+            record.closed = window <= closed.value();
+            continue;
+        }
+        auto final = parseUsageFinal(item.value);
+        if (!final)
+            co_return final.error();
+        record.final = std::move(final.value());
+    }
+    co_return record;
+}
+
+awaitable<Result<std::map<IncarnationId, UsagePart>>> readUsageParts(StoreClient& store, WindowId window)
+{
+    std::string prefix = usagePartPrefix(window);
+    auto range = co_await store.range(prefix, prefixEnd(prefix));
+    if (!range)
+        co_return range.error();
+    std::map<IncarnationId, UsagePart> parts;
+    for (const StoreItem& item : range.value().items) {
+        auto part = parseUsagePart(item.value);
+        if (!part)
+            co_return part.error();
+        parts[IncarnationId(item.key.substr(prefix.size()))] = std::move(part.value());
+    }
+    co_return parts;
+}
+
+awaitable<Result<std::optional<WindowId>>> oldestPartWindow(StoreClient& store)
+{
+    std::string prefix(usagePartsPrefix);
+    auto range = co_await store.range(prefix, prefixEnd(prefix));
+    if (!range)
+        co_return range.error();
+    std::optional<WindowId> oldest;
+    if (range.value().items.empty())
+        co_return oldest;
+    std::string_view rest = std::string_view(range.value().items.front().key).substr(prefix.size());
+    auto window = parseWindow(rest.substr(0, rest.find('/')));
+    if (!window)
+        co_return window.error();
+    oldest = window.value();
+    co_return oldest;
+}
+
+Transaction partTransaction(WindowId window, const IncarnationId& entry, const UsagePart& part)
+{
+    Transaction transaction;
+    transaction.compares.emplace_back(CompareModRevision { usageFinalKey(window), Revision(0) });
+    transaction.onSuccess.emplace_back(PutOperation { usagePartKey(window, entry), usagePartJson(part), LeaseId() });
+    return transaction;
+}
+
+} // namespace wisteriayard
