--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -9,6 +9,7 @@
 #include "store_client.h"
 #include "wisteriayard/scheduler.h"
 #include "wisteriayard/view.h"
+#include "wisteriayard/zone_planner.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -79,6 +80,8 @@
     /// The view is loaded and not stale, and the process does not shut down. Control thread only.
     bool ready() const;
     void stopBeingReady() { m_stopping = true; }
+    /// Load of the targets in the entry's zone, as agents reported it. Control thread only.
+    std::vector<TargetLoad> zoneLoads() const;
     /// State as JSON. Control thread only.
     std::string statusJson(TimePoint now) const;
 
@@ -101,6 +104,7 @@
     struct KnownEndpoint {
         ListedEndpoint listed;
         bool lost = false;
+        EndpointLoad load;
     };
 
     boost::asio::awaitable<void> followStore();
