--- a/src/bench/policy_bench.cpp
+++ b/src/bench/policy_bench.cpp
@@ -151,8 +151,8 @@
         return 2;
     if (options.check) {
         options.seeds = 1;
-        options.seconds = 120;
-        options.monthEndSeconds = 240;
+        options.seconds = 300;
+        options.monthEndSeconds = 600;
     }
     std::vector<RunRecord> records = runAll(makeTasks(options), options);
     printTable(std::cout, records);
--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -147,9 +147,12 @@
         }
     }
     if (scenario == Scenario::Crashes || scenario == Scenario::BurstAndCrashes) {
-        for (std::uint32_t i = 1; i <= 5; ++i) {
-            planFault(i / 6.0, FaultKind::Crash, 2 * i);
-            planFault(i / 6.0 + 0.15, FaultKind::Restart, 2 * i);
+        // One engine each minute, which is out for 45 s.
+        double minute = 60 / std::chrono::duration<double>(m_settings.length).count();
+        for (std::uint32_t i = 1; i * minute < 1; ++i) {
+            std::uint32_t engine = 2 * i % 12;
+            planFault(i * minute, FaultKind::Crash, engine);
+            planFault((i + 0.75) * minute, FaultKind::Restart, engine);
         }
         planFault(0.5, FaultKind::Crash, plain);
         planFault(0.7, FaultKind::Restart, plain);
@@ -290,6 +293,7 @@
     info.firstTokenTarget = load.requestClass.targets.firstToken;
     info.totalTarget = load.requestClass.targets.total;
     info.placement = placement;
+    info.resumable = !load.plain;
     info.delivered = Tokens(m_live[request].delivered);
     return info;
 }
--- /dev/null
+++ b/src/include/wisteriayard/output_estimator.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "wisteriayard/ids.h"
+#include "wisteriayard/units.h"
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+namespace wisteriayard {
+
+/// Running quantiles of output lengths by class and account, in histograms whose older counts fade.
+class OutputEstimator {
+public:
+    /// Takes in the length of a complete answer.
+    void observe(const ClassId& requestClass, const AccountId& account, Tokens output);
+    /// Estimates the whole length of an answer.
+    /// @param fallback the contract's figure, used until enough answers were seen
+    /// @param soFar tokens that the answer has already; the estimate is above it
+    Tokens estimate(const ClassId& requestClass, const AccountId& account, Tokens fallback, Tokens soFar) const;
+
+private:
+    /// Two buckets for each doubling, up to 2^20 tokens.
+    static constexpr std::size_t bucketCount = 40;
+    struct Histogram {
+        std::array<std::uint16_t, bucketCount> counts {};
+        std::uint32_t total = 0;
+    };
+    struct ClassLengths {
+        Histogram all;
+        std::unordered_map<AccountId, Histogram> accounts;
+    };
+
+    static std::size_t bucketOf(std::int64_t tokens);
+    static std::int64_t bucketEnd(std::size_t bucket);
+    static void add(Histogram& histogram, std::size_t bucket);
+    static std::int64_t quantileAbove(const Histogram& histogram, std::int64_t soFar);
+
+    std::unordered_map<ClassId, ClassLengths> m_classes;
+};
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/libwisteriayard/output_estimator.cpp
@@ -0,0 +1,90 @@
+#include "wisteriayard/output_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriayard {
+
+namespace {
+
+    /// Answers that an account or a class must have had before its own figures are used.
+    constexpr std::uint32_t leastForAccount = 16;
+    constexpr std::uint32_t leastForClass = 32;
+    /// Counts are halved at this total, so that a change of lengths shows within some hundred answers.
+    constexpr std::uint32_t fadeAt = 512;
+    /// Above the median, because an answer that is longer than estimated delays those behind it.
+    constexpr double quantile = 0.6;
+    constexpr std::int64_t largestLength = std::int64_t(1) << 20;
+
+} // namespace
+
+std::size_t OutputEstimator::bucketOf(std::int64_t tokens)
+{
+    double position = 2 * std::log2(static_cast<double>(std::clamp<std::int64_t>(tokens, 1, largestLength)));
+    return std::min(static_cast<std::size_t>(position), bucketCount - 1);
+}
+
+std::int64_t OutputEstimator::bucketEnd(std::size_t bucket)
+{
+    return static_cast<std::int64_t>(std::exp2(static_cast<double>(bucket + 1) / 2));
+}
+
+void OutputEstimator::add(Histogram& histogram, std::size_t bucket)
+{
+    ++histogram.counts[bucket];
+    if (++histogram.total < fadeAt)
+        return;
+    histogram.total = 0;
+    for (std::uint16_t& count : histogram.counts) {
+        count /= 2;
+        histogram.total += count;
+    }
+}
+
+void OutputEstimator::observe(const ClassId& requestClass, const AccountId& account, Tokens output)
+{
+    if (output.value() <= 0)
+        return;
+    ClassLengths& lengths = m_classes[requestClass];
+    std::size_t bucket = bucketOf(output.value());
+    add(lengths.all, bucket);
+    add(lengths.accounts[account], bucket);
+}
+
+std::int64_t OutputEstimator::quantileAbove(const Histogram& histogram, std::int64_t soFar)
+{
+    std::size_t first = soFar > 0 ? bucketOf(soFar) : 0;
+    std::uint32_t above = 0;
+    for (std::size_t b = first; b < bucketCount; ++b)
+        above += histogram.counts[b];
+    if (above == 0)
+        return soFar * 2;
+    double wanted = quantile * above;
+    double seen = 0;
+    for (std::size_t b = first; b < bucketCount; ++b) {
+        seen += histogram.counts[b];
+        if (seen >= wanted)
+            return bucketEnd(b);
+    }
+    return largestLength;
+}
+
+Tokens OutputEstimator::estimate(
+    const ClassId& requestClass, const AccountId& account, Tokens fallback, Tokens soFar) const
+{
+    std::int64_t result = std::max<std::int64_t>(fallback.value(), 0);
+    auto known = m_classes.find(requestClass);
+    if (known != m_classes.end()) {
+        auto own = known->second.accounts.find(account);
+        if (own != known->second.accounts.end() && own->second.total >= leastForAccount)
+            result = quantileAbove(own->second, soFar.value());
+        else if (known->second.all.total >= leastForClass)
+            result = quantileAbove(known->second.all, soFar.value());
+    }
+    // An answer that has outgrown every known length is taken to be half over.
+    if (soFar.value() > 0 && result <= soFar.value())
+        result = std::min(soFar.value(), largestLength) * 2;
+    return Tokens(result);
+}
+
+} // namespace wisteriayard
--- a/src/libwisteriayard/scheduler_test.cpp
+++ b/src/libwisteriayard/scheduler_test.cpp
@@ -64,8 +64,8 @@
 {
     Scheduler scheduler(ZoneId("z1"), RegionId("r"));
     scheduler.submit(request("r1", Tier::Interactive), at(0));
-    BOOST_TEST(scheduler.tick(at(10)).empty());
-    auto decisions = scheduler.tick(at(11));
+    BOOST_TEST(scheduler.tick(at(9)).empty());
+    auto decisions = scheduler.tick(at(10));
     BOOST_REQUIRE(decisions.size() == 1u);
     BOOST_TEST((std::get<Refusal>(decisions[0]).reason == RefusalReason::WaitExceeded));
     BOOST_TEST(scheduler.queued() == 0u);
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -22,6 +22,8 @@
     constexpr Duration callerWriteTimeout = std::chrono::seconds(30);
     /// Bound on waiting for any event of a request; a queue or a stream is never silent for so long.
     constexpr Duration eventTimeout = std::chrono::minutes(10);
+    /// Tokens between two reports to the control thread, which must not be woken for each.
+    constexpr std::int64_t progressInterval = 16;
     constexpr std::string_view servicesPrefix = "/services/";
 
     /// Takes the caller's key out of the request.
@@ -158,6 +160,8 @@
     arrived.shape = { call.chat->model, "POST", "", call.chat->maxTokens };
     arrived.promptTokens = call.chat->promptTokens;
     arrived.prefixHash = call.chat->prefixHash;
+    arrived.prefixTokens = call.chat->prefixTokens;
+    arrived.resumable = true;
     arrived.id = id;
     arrived.exchange = call.exchange;
     m_control->submit(std::move(arrived));
@@ -222,7 +226,7 @@
             if (!delivered) {
                 // The caller is gone.
                 m_links->end(call.id, true);
-                m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+                m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
                 ended(call, "caller_gone");
                 co_return HandlerResult(StreamWritten { false });
             }
@@ -241,18 +245,18 @@
         if (call.attemptOpen) {
             m_links->end(call.id, true);
             call.attemptOpen = false;
-            m_control->attemptEnded(call.id, AttemptEnd::Preempted);
+            m_control->attemptEnded(call.id, AttemptEnd::Preempted, call.tokens);
         }
     } else if (std::holds_alternative<KeyRevoked>(event)) {
         error = unauthorized("the key was withdrawn");
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
         m_links->end(call.id, true);
-        m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
     } else if (std::holds_alternative<TimedOut>(event)) {
         error = ApiError { http::status::gateway_timeout, "api_error", "timeout", "no answer in time",
             call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun, std::nullopt };
         m_links->end(call.id, true);
-        m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
     }
     if (!error)
         co_return std::nullopt;
@@ -289,7 +293,7 @@
         { { "request", call.id.value() }, { "attempt", call.admitted->attempt },
             { "endpoint", call.admitted->endpoint.value() }, { "reason", reason }, { "never_ran", neverRan } });
     bool repeatable = neverRan || !call.admitted->atMostOnce;
-    m_control->attemptEnded(call.id, repeatable ? AttemptEnd::PlaceAgain : AttemptEnd::GivenUp);
+    m_control->attemptEnded(call.id, repeatable ? AttemptEnd::PlaceAgain : AttemptEnd::GivenUp, call.tokens);
     if (repeatable)
         return std::nullopt;
     return ApiError { http::status::bad_gateway, "api_error", "outcome_unknown",
@@ -302,7 +306,11 @@
         m_metrics->firstToken(call.admitted->account, call.admitted->requestClass, bootTimeNow() - call.arrived);
     ++call.nextChunk;
     call.text += chunk.text();
+    Tokens before = call.tokens;
     call.tokens += Tokens(chunk.tokens());
+    bool firstOfAttempt = before == call.resumed;
+    if (firstOfAttempt || call.tokens.value() / progressInterval != before.value() / progressInterval)
+        m_control->progressed(call.id, call.tokens);
     if (!call.chat || !call.chat->stream)
         co_return boost::outcome_v2::success();
     if (!call.writer->begun()) {
@@ -318,7 +326,7 @@
 awaitable<HandlerResult> CallerHandler::finish(Call& call, const wire::Finished& finished)
 {
     m_links->end(call.id, false);
-    m_control->attemptEnded(call.id, AttemptEnd::Finished);
+    m_control->attemptEnded(call.id, AttemptEnd::Finished, call.tokens);
     ended(call, "finished");
     if (!call.chat) {
         auto status = static_cast<http::status>(finished.http_status());
--- a/src/wisteriayardd/chat_api.cpp
+++ b/src/wisteriayardd/chat_api.cpp
@@ -9,15 +9,16 @@
     using Json = nlohmann::json;
 
     constexpr std::size_t charactersPerToken = 4;
-    /// Part of the prompt whose hash stands for the prefix, in characters.
+    /// Leading part of a prompt of one message whose hash stands for the prefix, in characters.
     constexpr std::size_t prefixCharacters = 1024;
     constexpr std::int64_t maxMaxTokens = 10'000'000;
 
     std::string dump(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
-    std::uint64_t hashPrefix(std::string_view text)
+    /// Length of the part of the prompt that other requests are likely to share: the first message, if more follow.
+    std::size_t prefixLength(std::size_t messages, std::size_t firstMessage)
     {
-        return std::hash<std::string_view> {}(text.substr(0, prefixCharacters));
+        return messages > 1 ? firstMessage : std::min(firstMessage, prefixCharacters);
     }
 
     Error badField(const std::string& message) { return Error { Errc::InvalidArgument, message }; }
@@ -108,9 +109,12 @@
     ChatRequest request;
     request.model = TargetId(json["model"].get<std::string>());
     std::string prompt;
+    std::size_t prefix = 0;
     for (std::size_t i = 0; i < json["messages"].size(); ++i) {
         BOOST_OUTCOME_TRY(auto text, contentText(json["messages"][i], i));
         prompt += text;
+        if (i == 0)
+            prefix = prefixLength(json["messages"].size(), text.size());
     }
     if (json.contains("n") && json["n"] != 1)
         return badField("n: only 1 is supported");
@@ -120,7 +124,8 @@
         BOOST_OUTCOME_TRY(request.includeUsage, readFlag(json["stream_options"], "include_usage"));
     }
     request.promptTokens = Tokens(static_cast<std::int64_t>(prompt.size() / charactersPerToken + 1));
-    request.prefixHash = hashPrefix(prompt);
+    request.prefixHash = std::hash<std::string_view> {}(std::string_view(prompt).substr(0, prefix));
+    request.prefixTokens = Tokens(static_cast<std::int64_t>(prefix / charactersPerToken));
     return request;
 }
 
--- a/src/wisteriayardd/chat_api.h
+++ b/src/wisteriayardd/chat_api.h
@@ -21,6 +21,8 @@
     Tokens promptTokens { 0 };
     /// Hash of the leading part of the messages.
     std::uint64_t prefixHash = 0;
+    /// Estimated tokens of that part.
+    Tokens prefixTokens { 0 };
 };
 
 /// Token counts of an answer.
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -44,8 +44,16 @@
             error.message = "a request with this id is running";
             error.retryAfter.reset();
             break;
+        case RefusalReason::Invalid:
+            error.status = http::status::bad_request;
+            error.type = "invalid_request_error";
+            error.message = "a size of the request is out of range";
+            error.retryAfter.reset();
+            break;
         case RefusalReason::QueueFull:
         case RefusalReason::WaitExceeded:
+        case RefusalReason::TargetMissed:
+        case RefusalReason::RetryBudget:
         case RefusalReason::NoEndpoint:
             error.status = http::status::service_unavailable;
             error.message = "no capacity for this class now";
@@ -196,6 +204,7 @@
     while (true) {
         co_await sleepFor(tickInterval);
         carryOut(m_scheduler.tick(bootTimeNow()));
+        logHealthChanges();
     }
 }
 
@@ -240,14 +249,14 @@
         return;
     }
     LiveRequest live { std::move(request), account.value(), *requestClass, contract->weight,
-        m_view.contractRevision(account.value()), 0 };
+        m_view.contractRevision(account.value()) };
     RequestId id = live.arrived.id;
     m_requestsByKey[live.arrived.key].insert(id);
     auto inserted = m_requests.emplace(id, std::move(live)).first;
-    place(inserted->second);
+    place(inserted->second, Placement::First, Tokens(0));
 }
 
-void EntryControl::place(const LiveRequest& request)
+void EntryControl::place(const LiveRequest& request, Placement placement, Tokens delivered)
 {
     RequestInfo info;
     info.id = request.arrived.id;
@@ -260,7 +269,13 @@
     info.promptTokens = request.arrived.promptTokens;
     info.expectedOutput = request.requestClass.expectedOutput;
     info.prefixHash = request.arrived.prefixHash;
+    info.prefixTokens = request.arrived.prefixTokens;
     info.longestWait = request.requestClass.longestWait;
+    info.firstTokenTarget = request.requestClass.targets.firstToken;
+    info.totalTarget = request.requestClass.targets.total;
+    info.placement = placement;
+    info.delivered = delivered;
+    info.resumable = request.arrived.resumable;
     carryOut(m_scheduler.submit(info, bootTimeNow()));
 }
 
@@ -306,8 +321,11 @@
 void EntryControl::carryOut(const Preempt& preempt)
 {
     auto it = m_requests.find(preempt.request);
-    if (it != m_requests.end())
-        it->second.arrived.exchange->post(Preempted {});
+    if (it == m_requests.end())
+        return;
+    m_log->write(
+        Event::RequestPreempted, { { "request", preempt.request.value() }, { "endpoint", preempt.endpoint.value() } });
+    it->second.arrived.exchange->post(Preempted {});
 }
 
 void EntryControl::refuse(const ArrivedRequest& request, ApiError error)
@@ -316,25 +334,46 @@
     request.exchange->post(Refused { std::move(error) });
 }
 
-void EntryControl::attemptEnded(const RequestId& id, AttemptEnd end)
+void EntryControl::attemptEnded(const RequestId& id, AttemptEnd end, Tokens output)
 {
-    boost::asio::post(m_io, [self = shared_from_this(), id, end] {
-        TimePoint now = bootTimeNow();
-        self->carryOut(self->m_scheduler.cancelled(id, now));
-        self->carryOut(self->m_scheduler.finished(id, {}, now));
-        auto it = self->m_requests.find(id);
-        if (it == self->m_requests.end())
-            return;
-        bool again = end != AttemptEnd::Finished && end != AttemptEnd::GivenUp;
-        if (again && it->second.attempts < maxAttempts) {
-            self->place(it->second);
-            return;
-        }
-        if (again)
-            self->carryOut(Refusal { id, RefusalReason::NoEndpoint, std::chrono::seconds(1) });
-        else
-            self->forgetRequest(id);
-    });
+    boost::asio::post(m_io, [self = shared_from_this(), id, end, output] { self->attemptEndedNow(id, end, output); });
+}
+
+void EntryControl::attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output)
+{
+    TimePoint now = bootTimeNow();
+    carryOut(m_scheduler.cancelled(id, now));
+    carryOut(m_scheduler.finished(id, { end == AttemptEnd::Finished, output }, now));
+    auto it = m_requests.find(id);
+    if (it == m_requests.end())
+        return;
+    if (end == AttemptEnd::Finished || end == AttemptEnd::GivenUp) {
+        forgetRequest(id);
+        return;
+    }
+    // A preemption is no failure of the attempt and does not use one up.
+    if (end == AttemptEnd::Preempted && it->second.failures < maxAttempts) {
+        place(it->second, Placement::Preempted, output);
+        return;
+    }
+    if (++it->second.failures >= maxAttempts) {
+        carryOut(Refusal { id, RefusalReason::NoEndpoint, std::chrono::seconds(1) });
+        return;
+    }
+    place(it->second, end == AttemptEnd::NeverRan ? Placement::NeverRan : Placement::Retry, output);
+}
+
+void EntryControl::progressed(const RequestId& request, Tokens output)
+{
+    boost::asio::post(m_io,
+        [self = shared_from_this(), request, output] { self->m_scheduler.progress(request, output, bootTimeNow()); });
+}
+
+void EntryControl::logHealthChanges()
+{
+    for (const EndpointHealthChange& change : m_scheduler.takeHealthChanges())
+        m_log->write(change.ejected ? Event::EndpointEjected : Event::EndpointTakenBack,
+            { { "endpoint", change.endpoint.value() } });
 }
 
 void EntryControl::forgetRequest(const RequestId& id)
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -26,6 +26,9 @@
     RequestShape shape;
     Tokens promptTokens { 0 };
     std::uint64_t prefixHash = 0;
+    Tokens prefixTokens { 0 };
+    /// A later attempt can go on from the tokens delivered.
+    bool resumable = false;
     std::shared_ptr<Exchange> exchange;
 };
 
@@ -62,7 +65,11 @@
     /// Authenticates, classifies and schedules a request; the outcome goes to its exchange.
     void submit(ArrivedRequest request);
     /// Reports how an attempt ended.
-    void attemptEnded(const RequestId& request, AttemptEnd end);
+    /// @param output tokens that the caller has over all attempts
+    void attemptEnded(const RequestId& request, AttemptEnd end, Tokens output);
+    /// Output arrived; to be called for the first token and then now and then.
+    /// @param output tokens over all attempts
+    void progressed(const RequestId& request, Tokens output);
     /// Takes in a load report.
     void endpointReported(const EndpointId& endpoint, const EndpointLoad& load);
     /// An agent is silent or restarted.
@@ -84,6 +91,8 @@
         double weight = 1.0;
         Revision contractRevision;
         std::uint32_t attempts = 0;
+        /// Attempts that failed or were rejected.
+        std::uint32_t failures = 0;
     };
     struct KnownEndpoint {
         ListedEndpoint listed;
@@ -98,7 +107,9 @@
     void revoke(const KeyHash& key);
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
-    void place(const LiveRequest& request);
+    void place(const LiveRequest& request, Placement placement, Tokens delivered);
+    void attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output);
+    void logHealthChanges();
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
     void carryOut(const Refusal& refusal);
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -27,6 +27,12 @@
         return "request_failed";
     case Event::AttemptFailed:
         return "attempt_failed";
+    case Event::RequestPreempted:
+        return "request_preempted";
+    case Event::EndpointEjected:
+        return "endpoint_ejected";
+    case Event::EndpointTakenBack:
+        return "endpoint_taken_back";
     case Event::ContractInForce:
         return "contract_in_force";
     case Event::KeyWithdrawnInForce:
