Give operators history, diff, explain, usage and audit verify

Cause: the loser of a race was told a revision only, a lost answer was read back once although the write could still arrive, and the tool said 'in force' when no entry had been asked.

A write without an answer is sent again; its compare lets at most one copy take effect, so a later answer is final. Each put keeps its predecessor under contract-history/.

--- a/src/wisteriayardctl/commands.cpp
+++ b/src/wisteriayardctl/commands.cpp
@@ -1,135 +1,88 @@
 #include "commands.h"
 
-#include "address.h"
-#include "clock.h"
-
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
-
-#include <map>
+#include <algorithm>
+#include <iostream>
 
 namespace wisteriayard::ctl {
 
-namespace http = boost::beast::http;
-
 namespace {
 
-    constexpr Duration confirmPoll = std::chrono::milliseconds(20);
-    constexpr Duration entryTimeout = std::chrono::seconds(2);
-    constexpr Bytes maxStatus { 16 * 1024 * 1024 };
-    constexpr int maxReadBacks = 20;
-    constexpr Duration readBackPause = std::chrono::milliseconds(250);
-
-    using CommandFunction = Command (*)(Context&, const Arguments&);
-
-    const std::map<std::string, CommandFunction>& commands()
-    {
-        static const std::map<std::string, CommandFunction> table {
-            { "contract check", contractCheck },
-            { "contract put", contractPut },
-            { "contract get", contractGet },
-            { "contract list", contractList },
-            { "key issue", keyIssue },
-            { "key withdraw", keyWithdraw },
-            { "key list", keyList },
-            { "status", status },
-        };
-        return table;
-    }
-
-    /// Whether an entry's view holds a revision.
-    boost::asio::awaitable<bool> confirms(
-        Context& context, const boost::asio::ip::tcp::endpoint& entry, Revision revision)
-    {
-        HttpConnection connection(context.io.get_executor(), entry, maxStatus);
-        auto response = co_await connection.exchange(makeHttpRequest(http::verb::get, "/status"), entryTimeout);
-        if (!response)
-            co_return false;
-        auto json = nlohmann::json::parse(response.value().body(), nullptr, false);
-        co_return json.is_object() && json.value("view_revision", std::int64_t(0)) >= revision.value();
-    }
+    constexpr std::size_t anyNumber = 1000;
 
-    boost::asio::awaitable<void> sleepFor(Context& context, Duration time)
+    std::size_t wordsIn(std::string_view name)
     {
-        boost::asio::steady_timer timer(context.io, time);
-        co_await timer.async_wait(boost::asio::use_awaitable);
+        return static_cast<std::size_t>(std::count(name.begin(), name.end(), ' ')) + 1;
     }
 
 } // namespace
 
-Command runCommand(Context& context, Arguments arguments)
+const std::vector<CommandInfo>& allCommands()
 {
-    for (std::size_t length : { std::size_t(2), std::size_t(1) }) {
-        if (arguments.words.size() < length)
-            continue;
-        std::string name = arguments.words[0];
-        if (length == 2)
-            name += " " + arguments.words[1];
-        auto it = commands().find(name);
-        if (it == commands().end())
-            continue;
-        arguments.words.erase(arguments.words.begin(), arguments.words.begin() + static_cast<std::ptrdiff_t>(length));
-        co_return co_await it->second(context, arguments);
+    static const std::vector<CommandInfo> table {
+        { "audit verify", "FILE...", "check the hash chain of logs, recompute decisions, reconcile usage",
+            "audit verify entry-1.log --last 4f00aa12bc34de56:8123 --replay --contracts history --reports reports.json",
+            auditVerify, 1, anyNumber, false },
+        { "completion", "bash", "print a completion script for the shell", "completion bash", completion, 1, 1, false },
+        { "contract check", "FILE", "validate a contract", "contract check jordan.json", contractCheck, 1, 1, false },
+        { "contract diff", "A B",
+            "show the fields in which two contracts differ; each is FILE, ACCOUNT or "
+            "ACCOUNT@REVISION",
+            "contract diff jordan@17 jordan.json", contractDiff, 2, 2, true },
+        { "contract get", "ACCOUNT", "show a contract and its revision", "contract get jordan", contractGet, 1, 1,
+            true },
+        { "contract history", "ACCOUNT", "list the revisions of a contract with what each changed",
+            "contract history jordan --export history", contractHistory, 1, 1, true },
+        { "contract list", "", "list contracts", "contract list", contractList, 0, 0, true },
+        { "contract put", "FILE", "put a contract in force",
+            "--platform 10.0.0.6:8080 contract put jordan.json --if-revision 17", contractPut, 1, 1, true },
+        { "explain", "REQUEST-ID", "say from logs why a request was placed, waited or was refused",
+            "explain 5d1f00aa9c --log entry-1.log entry-2.log", explain, 1, 1, false },
+        { "key issue", "ACCOUNT", "issue a key; it is shown once", "key issue jordan", keyIssue, 1, 1, true },
+        { "key list", "", "list keys by hash", "key list --account jordan", keyList, 0, 0, true },
+        { "key withdraw", "KEY", "withdraw a key, given as key or hash",
+            "--platform 10.0.0.6:8080 key withdraw 9f86d081884c7d65...", keyWithdraw, 1, 1, true },
+        { "status", "", "state of each entry named with --entry", "--entry 10.0.0.7:9100 status", status, 0, 0, false },
+        { "usage", "", "usage by window, account and class, final and not yet final", "usage --account jordan", usage,
+            0, 0, true },
+    };
+    return table;
+}
+
+const CommandInfo* findCommand(const std::vector<std::string>& words)
+{
+    for (const CommandInfo& command : allCommands()) {
+        std::string begin = words.empty() ? "" : words[0];
+        if (wordsIn(command.name) == 2 && words.size() > 1)
+            begin += " " + words[1];
+        if (begin == command.name)
+            return &command;
     }
-    std::string known;
-    for (const auto& [name, function] : commands())
-        known += (known.empty() ? "" : ", ") + name;
-    co_return fail(Errc::InvalidArgument, "no such command; expected one of: " + known);
+    return nullptr;
 }
 
-boost::asio::awaitable<Result<Revision>> writeIfUnchanged(
-    StoreClient& store, std::string key, std::string value, Revision expected)
+std::string commandHelp(const CommandInfo* command)
 {
-    Transaction transaction;
-    transaction.compares.push_back(CompareModRevision { key, expected });
-    transaction.onSuccess.push_back(PutOperation { key, value, {} });
-    transaction.onFailure.push_back(ReadOperation { key });
-    auto result = co_await store.transact(transaction);
-    if (result && result.value().succeeded)
-        co_return result.value().revision;
-    if (!result && result.error().code == Errc::Unavailable)
-        co_return result.error();
-    // The write lost a race, or its answer was lost: what the key holds now decides.
-    auto present = co_await store.read(key);
-    for (int i = 0; i < maxReadBacks && !present && present.error().code != Errc::NotFound; ++i) {
-        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, readBackPause);
-        co_await timer.async_wait(boost::asio::use_awaitable);
-        present = co_await store.read(key);
+    std::string text;
+    for (const CommandInfo& each : allCommands()) {
+        if (command && command != &each)
+            continue;
+        text += "  " + std::string(each.name) + (each.operands.empty() ? "" : " ") + std::string(each.operands) + "\n"
+            + "      " + std::string(each.summary) + "\n      Example: wisteriayardctl " + std::string(each.example)
+            + "\n";
     }
-    if (!present && present.error().code != Errc::NotFound)
-        co_return fail(Errc::Timeout, "whether the write took effect is not known yet: " + present.error().message);
-    bool ours = present && present.value().value == value && present.value().modRevision > expected;
-    if (!result && ours)
-        co_return present.value().modRevision;
-    Revision revision = present ? present.value().modRevision : Revision(0);
-    if (!result && revision == expected)
-        co_return fail(Errc::Unavailable, "the write did not take effect: " + result.error().message);
-    co_return fail(Errc::Conflict,
-        key + " is at revision " + std::to_string(revision.value()) + ", not " + std::to_string(expected.value()));
+    return text;
 }
 
-boost::asio::awaitable<std::vector<std::string>> unconfirmedEntries(Context& context, Revision revision, Duration wait)
+Command runCommand(Context& context, const CommandInfo& command, Arguments arguments)
 {
-    TimePoint deadline = bootTimeNow() + wait;
-    std::vector<boost::asio::ip::tcp::endpoint> pending = context.entries;
-    while (true) {
-        std::vector<boost::asio::ip::tcp::endpoint> still;
-        for (const auto& entry : pending) {
-            bool confirmed = co_await confirms(context, entry, revision);
-            if (!confirmed)
-                still.push_back(entry);
-        }
-        pending = std::move(still);
-        if (pending.empty() || bootTimeNow() >= deadline)
-            break;
-        co_await sleepFor(context, confirmPoll);
+    arguments.words.erase(
+        arguments.words.begin(), arguments.words.begin() + static_cast<std::ptrdiff_t>(wordsIn(command.name)));
+    if (arguments.words.size() < command.leastWords || arguments.words.size() > command.mostWords) {
+        std::cerr << "wisteriayardctl: expected " << command.name << ' ' << command.operands << ", got "
+                  << arguments.words.size() << " operands; see --help\n";
+        co_return ExitCode::Usage;
     }
-    std::vector<std::string> names;
-    for (const auto& entry : pending)
-        names.push_back(formatAddress(entry));
-    co_return names;
+    co_return co_await command.function(context, arguments);
 }
 
 } // namespace wisteriayard::ctl
--- a/src/wisteriayardctl/contract_commands.cpp
+++ b/src/wisteriayardctl/contract_commands.cpp
@@ -1,9 +1,11 @@
-#include "commands.h"
+#include "contract_diff.h"
+#include "contract_store.h"
 #include "store_json.h"
 #include "wisteriayard/view.h"
 
 #include <nlohmann/json.hpp>
 
+#include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -15,63 +17,162 @@
 
     using Json = nlohmann::json;
 
+    /// Largest value of the store.
+    constexpr std::size_t maxContractBytes = 1024 * 1024;
+
     struct ContractFile {
         std::string text;
         Contract contract;
     };
 
-    Result<ContractFile> readContractFile(const Arguments& arguments)
+    Result<std::string> readFile(const std::string& name)
     {
-        if (arguments.words.size() != 1)
-            return fail(Errc::InvalidArgument, "expected one file");
-        std::ifstream file(arguments.words[0], std::ios::binary);
+        std::ifstream file(name, std::ios::binary);
         if (!file)
-            return fail(Errc::NotFound, "cannot open " + arguments.words[0]);
+            return fail(Errc::NotFound, "cannot open the file " + name);
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    }
+
+    Result<ContractFile> readContractFile(const std::string& name)
+    {
         ContractFile result;
-        result.text.assign(std::istreambuf_iterator<char>(file), {});
-        BOOST_OUTCOME_TRY(result.contract, parseContract(result.text));
+        BOOST_OUTCOME_TRY(result.text, readFile(name));
+        if (result.text.size() > maxContractBytes)
+            return fail(Errc::InvalidArgument, name + " is larger than 1 MiB");
+        auto contract = parseContract(result.text);
+        if (!contract)
+            return fail(contract.error().code, name + ": " + contract.error().message);
+        result.contract = std::move(contract.value());
         return result;
     }
 
-    std::string contractKey(const AccountId& account) { return std::string(contractPrefix) + account.value(); }
-
-    void printPut(const Context& context, const AccountId& account, Revision revision,
-        const std::vector<std::string>& unconfirmed)
+    void printPut(const Context& context, const AccountId& account, Revision revision, const Confirmation& confirmation)
     {
         if (context.json) {
             Json result = { { "account", account.value() }, { "revision", revision.value() },
-                { "in_force", unconfirmed.empty() }, { "unconfirmed", unconfirmed } };
+                { "in_force", confirmation.inForce() }, { "unconfirmed", confirmation.missing } };
             std::cout << result.dump() << '\n';
             return;
         }
         std::cout << "contract of " << account << " recorded at revision " << revision << '\n';
-        if (unconfirmed.empty())
-            std::cout << "in force at every entry\n";
-        for (const std::string& entry : unconfirmed)
-            std::cout << "not confirmed by " << entry << '\n';
+        printConfirmation(confirmation);
     }
 
-    void printContract(const Context& context, const StoreItem& item)
+    Json differencesJson(const std::vector<FieldDifference>& differences, const char* first, const char* second)
     {
-        if (!context.json) {
-            std::cout << item.value << "\nrevision " << item.modRevision << '\n';
-            return;
+        Json list = Json::array();
+        for (const FieldDifference& difference : differences) {
+            Json item = { { "field", difference.path } };
+            item[first] = Json::parse(difference.first, nullptr, false);
+            item[second] = Json::parse(difference.second, nullptr, false);
+            for (const char* side : { first, second }) {
+                if (item[side].is_discarded())
+                    item[side] = nullptr;
+            }
+            list.push_back(item);
+        }
+        return list;
+    }
+
+    void printDifferences(std::ostream& out, const std::vector<FieldDifference>& differences)
+    {
+        constexpr int fieldWidth = 44;
+        auto shown = [](const std::string& text) { return text.empty() ? std::string("(none)") : text; };
+        for (const FieldDifference& difference : differences)
+            out << "  " << std::left << std::setw(fieldWidth) << difference.path << ' ' << shown(difference.first)
+                << " -> " << shown(difference.second) << '\n';
+    }
+
+    /// Two contracts of one account, and the revisions of the operator who lost and the one who won.
+    struct PutConflict {
+        AccountId account;
+        Revision seen;
+        Revision present;
+        std::string presentText;
+        std::string ownText;
+        /// Revision at which the own write took effect before it was replaced; 0 if it never did.
+        Revision replaced;
+    };
+
+    ExitCode reportConflict(const Context& context, const PutConflict& conflict)
+    {
+        auto differences = differingFields(conflict.presentText, conflict.ownText);
+        if (context.json) {
+            Json result = { { "error", "conflict" }, { "account", conflict.account.value() },
+                { "seen_revision", conflict.seen.value() }, { "present_revision", conflict.present.value() },
+                { "written_revision", conflict.replaced.value() },
+                { "fields", differencesJson(differences, "present", "yours") } };
+            std::cout << result.dump() << '\n';
+        }
+        std::cerr << "wisteriayardctl: conflict: the contract of " << conflict.account << " was at revision "
+                  << conflict.seen << " for you, but is at revision " << conflict.present << " now; ";
+        if (conflict.replaced > Revision(0))
+            std::cerr << "yours took effect at revision " << conflict.replaced << " and was replaced since\n";
+        else
+            std::cerr << "yours did not take effect\n";
+        if (differences.empty())
+            std::cerr << "both have the same fields\n";
+        else
+            std::cerr << "fields that differ, present -> yours:\n";
+        printDifferences(std::cerr, differences);
+        return ExitCode::Refused;
+    }
+
+    /// Finds the own write among the former contracts.
+    Revision findReplaced(const std::vector<ContractVersion>& versions, const std::string& text, Revision seen)
+    {
+        for (const ContractVersion& version : versions) {
+            if (!version.current && version.revision > seen && version.text == text)
+                return version.revision;
+        }
+        return Revision(0);
+    }
+
+    /// Reads a contract named as FILE, ACCOUNT or ACCOUNT@REVISION.
+    boost::asio::awaitable<Result<std::string>> readOperand(Context& context, std::string name)
+    {
+        std::error_code ignored;
+        if (std::filesystem::is_regular_file(name, ignored))
+            co_return readFile(name);
+        std::size_t at = name.find('@');
+        AccountId account(name.substr(0, at));
+        auto versions = co_await readVersions(context.store, account);
+        if (!versions)
+            co_return versions.error();
+        for (const ContractVersion& version : versions.value()) {
+            bool wanted = at == std::string::npos ? version.current
+                                                  : std::to_string(version.revision.value()) == name.substr(at + 1);
+            if (wanted)
+                co_return version.text;
         }
-        Json contract = Json::parse(item.value, nullptr, false);
-        Json result = { { "revision", item.modRevision.value() }, { "contract", contract } };
-        std::cout << result.dump() << '\n';
+        co_return fail(Errc::NotFound, name + " is neither a file nor a contract in the store");
     }
 
-    Json listedContract(const std::string& account, Revision revision)
+    Json versionJson(const ContractVersion& version, const std::vector<FieldDifference>& changed)
     {
-        return { { "account", account }, { "revision", revision.value() } };
+        return { { "revision", version.revision.value() }, { "current", version.current },
+            { "changed", differencesJson(changed, "before", "after") } };
+    }
+
+    Status exportVersion(const std::string& folder, const AccountId& account, const ContractVersion& version)
+    {
+        std::filesystem::path path = std::filesystem::path(folder) / account.value();
+        std::error_code error;
+        std::filesystem::create_directories(path, error);
+        path /= std::to_string(version.revision.value()) + ".json";
+        std::ofstream file(path, std::ios::binary);
+        file << version.text;
+        file.close();
+        if (!file)
+            return fail(Errc::InvalidArgument, "cannot write " + path.string());
+        return boost::outcome_v2::success();
     }
 
 } // namespace
 
 Command contractCheck(Context& context, const Arguments& arguments)
 {
-    auto file = readContractFile(arguments);
+    auto file = readContractFile(arguments.words[0]);
     if (!file)
         co_return file.error();
     if (context.json)
@@ -84,33 +185,59 @@
 
 Command contractPut(Context& context, const Arguments& arguments)
 {
-    auto file = readContractFile(arguments);
+    auto file = readContractFile(arguments.words[0]);
     if (!file)
         co_return file.error();
     const AccountId& account = file.value().contract.account;
-    Revision expected(arguments.ifRevision.value_or(0));
-    if (!arguments.ifRevision) {
-        auto present = co_await context.store.read(contractKey(account));
-        if (!present && present.error().code != Errc::NotFound)
-            co_return present.error();
-        expected = present ? present.value().modRevision : Revision(0);
+    const std::string& text = file.value().text;
+    auto versions = co_await readVersions(context.store, account);
+    if (!versions)
+        co_return versions.error();
+    const bool exists = !versions.value().empty() && versions.value().back().current;
+    StoreItem present { contractKey(account), "", Revision(0), Revision(0) };
+    if (exists) {
+        present.value = versions.value().back().text;
+        present.modRevision = versions.value().back().revision;
+    }
+    Revision seen(arguments.ifRevision.value_or(present.modRevision.value()));
+    if (seen != present.modRevision)
+        co_return reportConflict(context, { account, seen, present.modRevision, present.value, text, Revision(0) });
+    ConditionalWrite write { present.key, text, seen, {} };
+    if (exists)
+        write.also = historyOperations(account, present, versions.value());
+    auto outcome = co_await writeIfUnchanged(context.store, write);
+    if (!outcome)
+        co_return outcome.error();
+    if (!outcome.value().written) {
+        PutConflict conflict { account, seen, outcome.value().revision, outcome.value().present, text, Revision(0) };
+        if (outcome.value().uncertain) {
+            auto now = co_await readVersions(context.store, account);
+            if (!now)
+                co_return now.error();
+            conflict.replaced = findReplaced(now.value(), text, seen);
+        }
+        co_return reportConflict(context, conflict);
     }
-    auto revision = co_await writeIfUnchanged(context.store, contractKey(account), file.value().text, expected);
-    if (!revision)
-        co_return revision.error();
-    auto unconfirmed = co_await unconfirmedEntries(context, revision.value(), arguments.wait);
-    printPut(context, account, revision.value(), unconfirmed);
-    co_return unconfirmed.empty() ? ExitCode::Ok : ExitCode::Pending;
+    auto confirmation = co_await confirmEverywhere(context, outcome.value().revision, arguments.wait);
+    printPut(context, account, outcome.value().revision, confirmation);
+    co_return confirmation.exitCode();
 }
 
 Command contractGet(Context& context, const Arguments& arguments)
 {
-    if (arguments.words.size() != 1)
-        co_return fail(Errc::InvalidArgument, "expected one account");
     auto item = co_await context.store.read(contractKey(AccountId(arguments.words[0])));
+    if (!item && item.error().code == Errc::NotFound)
+        co_return fail(Errc::NotFound, "no contract of account " + arguments.words[0] + "; see contract list");
     if (!item)
         co_return item.error();
-    printContract(context, item.value());
+    if (!context.json) {
+        std::cout << item.value().value << "\nrevision " << item.value().modRevision << '\n';
+        co_return ExitCode::Ok;
+    }
+    Json result = Json::object();
+    result["revision"] = item.value().modRevision.value();
+    result["contract"] = Json::parse(item.value().value, nullptr, false);
+    std::cout << result.dump() << '\n';
     co_return ExitCode::Ok;
 }
 
@@ -123,9 +250,11 @@
     Json list = Json::array();
     for (const StoreItem& item : range.value().items) {
         std::string account = item.key.substr(prefix.size());
-        if (context.json)
-            list.push_back(listedContract(account, item.modRevision));
-        else
+        Json row = Json::object();
+        row["account"] = account;
+        row["revision"] = item.modRevision.value();
+        list.push_back(row);
+        if (!context.json)
             std::cout << std::left << std::setw(24) << account << " revision " << item.modRevision << '\n';
     }
     if (context.json)
@@ -133,4 +262,52 @@
     co_return ExitCode::Ok;
 }
 
+Command contractDiff(Context& context, const Arguments& arguments)
+{
+    auto first = co_await readOperand(context, arguments.words[0]);
+    if (!first)
+        co_return first.error();
+    auto second = co_await readOperand(context, arguments.words[1]);
+    if (!second)
+        co_return second.error();
+    auto differences = differingFields(first.value(), second.value());
+    if (context.json)
+        std::cout << differencesJson(differences, "first", "second").dump() << '\n';
+    else if (differences.empty())
+        std::cout << "no field differs\n";
+    else
+        printDifferences(std::cout, differences);
+    co_return ExitCode::Ok;
+}
+
+Command contractHistory(Context& context, const Arguments& arguments)
+{
+    AccountId account(arguments.words[0]);
+    auto versions = co_await readVersions(context.store, account);
+    if (!versions)
+        co_return versions.error();
+    if (versions.value().empty())
+        co_return fail(Errc::NotFound, "no contract of account " + account.value() + "; see contract list");
+    Json list = Json::array();
+    const ContractVersion* before = nullptr;
+    for (const ContractVersion& version : versions.value()) {
+        std::vector<FieldDifference> changed;
+        if (before)
+            changed = differingFields(before->text, version.text);
+        before = &version;
+        list.push_back(versionJson(version, changed));
+        if (!arguments.exportFolder.empty()) {
+            if (auto exported = exportVersion(arguments.exportFolder, account, version); !exported)
+                co_return exported.error();
+        }
+        if (context.json)
+            continue;
+        std::cout << "revision " << version.revision << (version.current ? " (in force)" : "") << '\n';
+        printDifferences(std::cout, changed);
+    }
+    if (context.json)
+        std::cout << list.dump() << '\n';
+    co_return ExitCode::Ok;
+}
+
 } // namespace wisteriayard::ctl
--- a/src/wisteriayardctl/key_commands.cpp
+++ b/src/wisteriayardctl/key_commands.cpp
@@ -16,34 +16,63 @@
     using Json = nlohmann::json;
 
     constexpr std::size_t keyRandomBytes = 24;
+    constexpr int maxWithdrawTries = 5;
 
     Json keyJson(const AccountId& account)
     {
         return { { "account", account.value() }, { "issued_ms", wallClockMilliseconds() } };
     }
 
-    void printWithdrawn(const Context& context, Revision revision, const std::vector<std::string>& unconfirmed)
+    void printWithdrawn(const Context& context, Revision revision, const Confirmation& confirmation)
     {
         if (context.json) {
-            Json result = { { "recorded", true }, { "revision", revision.value() }, { "in_force", unconfirmed.empty() },
-                { "unconfirmed", unconfirmed } };
+            Json result = { { "recorded", true }, { "revision", revision.value() },
+                { "in_force", confirmation.inForce() }, { "unconfirmed", confirmation.missing } };
             std::cout << result.dump() << '\n';
             return;
         }
         std::cout << "withdrawal recorded at revision " << revision << '\n';
-        if (unconfirmed.empty())
-            std::cout << "in force at every entry\n";
-        for (const std::string& entry : unconfirmed)
-            std::cout << "not confirmed by " << entry << '\n';
+        printConfirmation(confirmation);
     }
 
-    void printIssued(const Context& context, const std::string& key, const std::string& hash,
-        const std::vector<std::string>& unconfirmed)
+    void printIssued(
+        const Context& context, const std::string& key, const std::string& hash, const Confirmation& confirmation)
     {
-        if (context.json)
-            std::cout << Json({ { "key", key }, { "key_hash", hash }, { "unconfirmed", unconfirmed } }).dump() << '\n';
-        else
-            std::cout << key << "\nkey hash " << hash << "; the key itself is not kept and can't be shown again\n";
+        if (context.json) {
+            Json result = { { "key", key }, { "key_hash", hash }, { "in_force", confirmation.inForce() },
+                { "unconfirmed", confirmation.missing } };
+            std::cout << result.dump() << '\n';
+            return;
+        }
+        std::cout << key << "\nkey hash " << hash << "; the key itself is not kept and can't be shown again\n";
+        printConfirmation(confirmation);
+    }
+
+    std::string keyHashOf(const std::string& word) { return word.rfind("wy-", 0) == 0 ? sha256Hex(word) : word; }
+
+    /// Marks a key as withdrawn. A withdrawal is never taken back, so a write that loses a race is tried again.
+    /// @return the revision from which on the key is withdrawn
+    boost::asio::awaitable<Result<Revision>> markWithdrawn(Context& context, std::string storeKey)
+    {
+        for (int i = 0; i < maxWithdrawTries; ++i) {
+            auto present = co_await context.store.read(storeKey);
+            if (!present)
+                co_return present.error();
+            Json record = Json::parse(present.value().value, nullptr, false);
+            if (!record.is_object())
+                record = Json::object();
+            if (record.value("withdrawn", false))
+                co_return present.value().modRevision;
+            record["withdrawn"] = true;
+            record["withdrawn_ms"] = wallClockMilliseconds();
+            ConditionalWrite write { storeKey, record.dump(), present.value().modRevision, {} };
+            auto outcome = co_await writeIfUnchanged(context.store, write);
+            if (!outcome)
+                co_return outcome.error();
+            if (outcome.value().written)
+                co_return outcome.value().revision;
+        }
+        co_return fail(Errc::Conflict, storeKey + " was changed by others again and again; it is not withdrawn");
     }
 
     Json listedKey(const std::string& hash, const std::string& account, bool withdrawn)
@@ -55,43 +84,36 @@
 
 Command keyIssue(Context& context, const Arguments& arguments)
 {
-    if (arguments.words.size() != 1)
-        co_return fail(Errc::InvalidArgument, "expected one account");
     AccountId account(arguments.words[0]);
     auto contract = co_await context.store.read(std::string(contractPrefix) + account.value());
+    if (!contract && contract.error().code == Errc::NotFound)
+        co_return fail(Errc::NotFound, "no contract of account " + account.value() + "; see contract list");
     if (!contract)
         co_return contract.error();
     std::string key = "wy-" + randomHex(keyRandomBytes);
     std::string hash = sha256Hex(key);
-    std::string value = keyJson(account).dump();
-    auto revision = co_await writeIfUnchanged(context.store, std::string(keyPrefix) + hash, value, Revision(0));
-    if (!revision)
-        co_return revision.error();
-    auto unconfirmed = co_await unconfirmedEntries(context, revision.value(), arguments.wait);
-    printIssued(context, key, hash, unconfirmed);
-    co_return unconfirmed.empty() ? ExitCode::Ok : ExitCode::Pending;
+    ConditionalWrite write { std::string(keyPrefix) + hash, keyJson(account).dump(), Revision(0), {} };
+    auto outcome = co_await writeIfUnchanged(context.store, write);
+    if (!outcome)
+        co_return outcome.error();
+    if (!outcome.value().written)
+        co_return fail(Errc::Conflict, "the key was changed by others before it was shown; issue another one");
+    auto confirmation = co_await confirmEverywhere(context, outcome.value().revision, arguments.wait);
+    printIssued(context, key, hash, confirmation);
+    co_return confirmation.exitCode();
 }
 
 Command keyWithdraw(Context& context, const Arguments& arguments)
 {
-    if (arguments.words.size() != 1)
-        co_return fail(Errc::InvalidArgument, "expected one key or key hash");
-    const std::string& word = arguments.words[0];
-    std::string storeKey = std::string(keyPrefix) + (word.rfind("wy-", 0) == 0 ? sha256Hex(word) : word);
-    auto present = co_await context.store.read(storeKey);
-    if (!present)
-        co_return present.error();
-    Json record = Json::parse(present.value().value, nullptr, false);
-    if (!record.is_object())
-        record = Json::object();
-    record["withdrawn"] = true;
-    record["withdrawn_ms"] = wallClockMilliseconds();
-    auto revision = co_await writeIfUnchanged(context.store, storeKey, record.dump(), present.value().modRevision);
+    std::string hash = keyHashOf(arguments.words[0]);
+    auto revision = co_await markWithdrawn(context, std::string(keyPrefix) + hash);
+    if (!revision && revision.error().code == Errc::NotFound)
+        co_return fail(Errc::NotFound, "no key with the hash " + hash + "; see key list");
     if (!revision)
-        co_return revision.error();
-    auto unconfirmed = co_await unconfirmedEntries(context, revision.value(), arguments.wait);
-    printWithdrawn(context, revision.value(), unconfirmed);
-    co_return unconfirmed.empty() ? ExitCode::Ok : ExitCode::Pending;
+        co_return fail(revision.error().code, "not withdrawn: " + revision.error().message);
+    auto confirmation = co_await confirmEverywhere(context, revision.value(), arguments.wait);
+    printWithdrawn(context, revision.value(), confirmation);
+    co_return confirmation.exitCode();
 }
 
 Command keyList(Context& context, const Arguments& arguments)
--- a/src/wisteriayardctl/main.cpp
+++ b/src/wisteriayardctl/main.cpp
@@ -15,6 +15,7 @@
 
 struct CommandLine {
     std::string store;
+    std::string platform;
     std::vector<std::string> entries;
     std::int64_t waitMs = 5000;
     std::int64_t ifRevision = -1;
@@ -26,35 +27,34 @@
 po::options_description describeOptions(CommandLine& line)
 {
     po::options_description options(
-        "wisteriayardctl [options] COMMAND\n\n"
-        "Commands:\n"
-        "  contract check FILE     validate a contract\n"
-        "  contract put FILE       put a contract in force\n"
-        "  contract get ACCOUNT    show a contract and its revision\n"
-        "  contract list           list contracts\n"
-        "  key issue ACCOUNT       issue a key\n"
-        "  key withdraw KEY        withdraw a key, given as key or hash\n"
-        "  key list                list keys by hash\n"
-        "  status                  state of each entry\n\n"
-        "Example: wisteriayardctl --store 10.0.0.5:2379 --entry 10.0.0.7:9100 contract put jordan.json\n\n"
-        "Options, also as WISTERIAYARD_STORE, WISTERIAYARD_ENTRY (separated by spaces)");
+        "Options; the first three also as WISTERIAYARD_STORE, WISTERIAYARD_PLATFORM and WISTERIAYARD_ENTRY "
+        "(entries separated by spaces)");
     auto add = options.add_options();
     add("help", po::bool_switch(&line.help), "show this text");
     add("store", po::value(&line.store), "IP:port of the key-value store");
+    add("platform", po::value(&line.platform), "IP:port of the platform, whose list names the live entries");
     add("entry", po::value(&line.entries)->composing(), "IP:port of an entry's admin port; may be repeated");
     add("json", po::bool_switch(&line.json), "print JSON");
     add("wait-ms", po::value(&line.waitMs), "how long to wait for every entry to confirm");
     add("if-revision", po::value(&line.ifRevision), "contract put: refuse unless the contract is at this revision");
-    add("account", po::value(&line.arguments.account), "key list: only this account");
+    add("account", po::value(&line.arguments.account), "key list, usage: only this account");
+    add("log", po::value(&line.arguments.logs)->composing()->multitoken(), "explain: log files");
+    add("last", po::value(&line.arguments.last)->composing(),
+        "audit verify: [INCARNATION:]SEQUENCE[:HASH] that a log must reach, see status --json; may be repeated");
+    add("replay", po::bool_switch(&line.arguments.replay), "audit verify: recompute decisions");
+    add("contracts", po::value(&line.arguments.contracts),
+        "audit verify: folder with <account>/<revision>.json; without it the store's history is read");
+    add("reports", po::value(&line.arguments.reports), "audit verify: JSON list of usage reports to reconcile");
+    add("export", po::value(&line.arguments.exportFolder), "contract history: folder to write the contracts to");
     return options;
 }
 
-Status parseCommandLine(int argc, char** argv, CommandLine& line, std::string& help)
+Status parseCommandLine(int argc, char** argv, CommandLine& line, std::string& optionsHelp)
 {
     auto options = describeOptions(line);
     std::ostringstream text;
     text << options;
-    help = text.str();
+    optionsHelp = text.str();
     po::options_description all;
     all.add(options).add_options()("word", po::value(&line.arguments.words), "");
     po::positional_options_description positional;
@@ -66,6 +66,8 @@
                       [](const std::string& name) -> std::string {
                           if (name == "WISTERIAYARD_STORE")
                               return "store";
+                          if (name == "WISTERIAYARD_PLATFORM")
+                              return "platform";
                           return name == "WISTERIAYARD_ENTRY" ? "entry" : "";
                       }),
             variables);
@@ -112,15 +114,45 @@
     return static_cast<int>(ctl::ExitCode::Usage);
 }
 
-int run(const CommandLine& line, const boost::asio::ip::tcp::endpoint& server,
-    std::vector<boost::asio::ip::tcp::endpoint> entries)
+/// Addresses that a command talks to.
+struct Servers {
+    boost::asio::ip::tcp::endpoint store;
+    std::optional<boost::asio::ip::tcp::endpoint> platform;
+    std::vector<boost::asio::ip::tcp::endpoint> entries;
+};
+
+Result<Servers> parseServers(const CommandLine& line, bool needsStore)
+{
+    Servers servers;
+    if (line.store.empty() && needsStore)
+        return fail(Errc::InvalidArgument, "--store is missing; expected IP:port of the key-value store");
+    auto named = [](const char* option, auto parsed) -> decltype(parsed) {
+        if (!parsed)
+            return fail(Errc::InvalidArgument, std::string(option) + ": " + parsed.error().message);
+        return parsed;
+    };
+    if (!line.store.empty()) {
+        BOOST_OUTCOME_TRY(servers.store, named("--store", parseAddress(line.store)));
+    }
+    if (!line.platform.empty()) {
+        BOOST_OUTCOME_TRY(auto platform, named("--platform", parseAddress(line.platform)));
+        servers.platform = platform;
+    }
+    BOOST_OUTCOME_TRY(servers.entries, named("--entry", parseEntries(line.entries)));
+    return servers;
+}
+
+int run(const CommandLine& line, const ctl::CommandInfo& command, const Servers& servers)
 {
     constexpr Duration storeTimeout = std::chrono::seconds(5);
     boost::asio::io_context io(1);
-    StoreClient store(io.get_executor(), server, storeTimeout);
-    ctl::Context context { io, store, std::move(entries), line.json };
+    StoreClient store(io.get_executor(), servers.store, storeTimeout);
+    ctl::Context context { io, store, servers.entries, servers.platform, line.json };
     ctl::CommandResult result = fail(Errc::Unavailable, "not run");
-    auto task = [&]() -> boost::asio::awaitable<void> { result = co_await ctl::runCommand(context, line.arguments); };
+    auto task = [&]() -> boost::asio::awaitable<void> {
+        result = co_await ctl::runCommand(context, command, line.arguments);
+        io.stop();
+    };
     boost::asio::co_spawn(io, task, boost::asio::detached);
     io.run();
     if (result)
@@ -134,22 +166,23 @@
 int main(int argc, char** argv)
 {
     CommandLine line;
-    std::string help;
-    if (auto parsed = parseCommandLine(argc, argv, line, help); !parsed)
+    std::string optionsHelp;
+    if (auto parsed = parseCommandLine(argc, argv, line, optionsHelp); !parsed)
         return usageError(parsed.error().message);
+    const ctl::CommandInfo* command = ctl::findCommand(line.arguments.words);
     if (line.help) {
-        std::cout << help;
+        std::cout << "wisteriayardctl [options] COMMAND\n\nCommands:\n"
+                  << ctl::commandHelp(command) << '\n'
+                  << optionsHelp;
         return 0;
     }
     if (line.arguments.words.empty())
         return usageError("no command");
-    auto entries = parseEntries(line.entries);
-    if (!entries)
-        return usageError("--entry: " + entries.error().message);
-    bool needsStore = line.arguments.words.front() != "status"
-        && !(line.arguments.words.size() > 1 && line.arguments.words[1] == "check");
-    auto server = parseAddress(line.store.empty() && !needsStore ? "127.0.0.1:0" : line.store);
-    if (!server)
-        return usageError("--store: " + server.error().message);
-    return run(line, server.value(), std::move(entries.value()));
+    if (!command)
+        return usageError("no such command: " + line.arguments.words.front());
+    bool needsStore = command->needsStore || (line.arguments.replay && line.arguments.contracts.empty());
+    auto servers = parseServers(line, needsStore);
+    if (!servers)
+        return usageError(servers.error().message);
+    return run(line, *command, servers.value());
 }
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -115,6 +115,7 @@
         self.settings = settings or {}
         self.instances = []
         self.entries, self.admins = {}, {}
+        self.store_region = None
 
     def __enter__(self):
         return self
@@ -163,7 +164,9 @@
 
     def start_entry(self, name, zone, region, *extra):
         self.entries.setdefault(name, f"127.0.0.1:{free_port()}")
+        self.store_region = self.store_region or region
         self.start(name, "wisteriayardd", "--role", "entry", "--listen", self.entries[name],
+                   "--store-region", self.store_region,
                    *self.common(name, zone, region), *extra)
         if not any(each["instance"] == name for each in self.instances):
             self.instances.append({"instance": name, "role": "entry", "zone": zone, "region": region,
