--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy python3 curl pkg-config \
 	libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libssl-dev libzmq3-dev cppzmq-dev \
-	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin
+	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin librapidcheck-dev \
+	gnuplot-nox python3-httpx
 
-.PHONY: all deps build check demo lint model format proto clean
+.PHONY: all deps build check sanitize bench demo lint model format proto clean
 
 all: build
 
@@ -27,6 +28,22 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Runs the unit tests under sanitizers, each in a build folder of its own.
+sanitize: deps
+	@for kind in address,undefined thread; do \
+	  folder=$(BUILD)-$${kind%%,*}; \
+	  cmake -S . -B $$folder -G Ninja -DWISTERIAYARD_SANITIZE=$$kind >/dev/null && \
+	  cmake --build $$folder -j $(JOBS) && \
+	  TSAN_OPTIONS=suppressions=$(CURDIR)/src/cmake/tsan.supp \
+	  ctest --test-dir $$folder --output-on-failure -j 4 -E '^case_' || exit 1; \
+	done
+
+# Runs every policy scenario in virtual time; gnuplot draws the charts if it is there.
+bench: build
+	mkdir -p $(BUILD)/bench
+	$(BUILD)/bin/policy_bench --output $(BUILD)/bench/policy.json
+	@! command -v gnuplot >/dev/null || for script in $(BUILD)/bench/policy-*.gp; do gnuplot $$script; done
+
 demo: build
 	python3 testsuite/demo/run.py --bin $(BUILD)/bin
 
@@ -45,6 +62,7 @@
 # Regenerates the committed protobuf code.
 proto:
 	protoc --proto_path=src/libwire --cpp_out=src/libwire/generated src/libwire/wisteriayard.proto
+	protoc --proto_path=src/libwisteriayard --cpp_out=src/libwisteriayard/generated src/libwisteriayard/once.proto
 
 clean:
 	rm -rf $(BUILD)
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -4,6 +4,7 @@
 #include "exchange.h"
 #include "freshness_watch.h"
 #include "instance_list.h"
+#include "once_router.h"
 #include "settings.h"
 #include "store_client.h"
 #include "wisteriayard/scheduler.h"
@@ -27,6 +28,8 @@
     RequestShape shape;
     Tokens promptTokens { 0 };
     std::uint64_t prefixHash = 0;
+    /// Services only; empty if there is none.
+    std::string idempotencyKey;
     std::shared_ptr<Exchange> exchange;
 };
 
@@ -34,8 +37,12 @@
 enum class AttemptEnd {
     /// The caller has its whole answer.
     Finished,
-    /// It failed; the request has to be placed again.
+    /// It failed and may have run in part; the request has to be placed again.
     PlaceAgain,
+    /// It was rejected and never ran; the request has to be placed again.
+    NeverRan,
+    /// It was preempted; the request has to be placed again.
+    Preempted,
     /// It failed or the caller left; the request ends.
     GivenUp,
 };
@@ -60,6 +67,8 @@
     void submit(ArrivedRequest request);
     /// Reports how an attempt ended.
     void attemptEnded(const RequestId& request, AttemptEnd end);
+    /// An agent rejected an at-most-once call and may have named the owner of its partition.
+    void onceRejected(const RequestId& request, const wire::Rejected& rejected);
     /// Takes in a load report.
     void endpointReported(const EndpointId& endpoint, const EndpointLoad& load);
     /// An agent is silent or restarted.
@@ -83,6 +92,9 @@
         double weight = 1.0;
         Revision contractRevision;
         std::uint32_t attempts = 0;
+        /// An attempt may have run, in part or as a whole.
+        bool mayHaveRun = false;
+        EndpointId lastEndpoint;
         /// When it was submitted for the present attempt.
         TimePoint submittedAt {};
     };
@@ -103,7 +115,9 @@
     void place(LiveRequest& request);
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
+    OnceRoute onceRoute(const LiveRequest& request, const EndpointId& dispatched) const;
     void carryOut(const Refusal& refusal);
+    void carryOut(const Preempt& preempt);
     /// @param inputs what the decision is based on, for the log
     void refuse(const ArrivedRequest& request, ApiError error, Json inputs = Json::object());
     void forgetRequest(const RequestId& id);
@@ -116,6 +130,7 @@
     StoreClient m_store;
     ConfigView m_view;
     Scheduler m_scheduler;
+    OnceRouter m_onceRouter;
     std::map<EndpointId, KnownEndpoint> m_endpoints;
     std::map<RequestId, LiveRequest> m_requests;
     std::map<KeyHash, std::set<RequestId>> m_requestsByKey;
