Count a view as fresh from the question on, not from the delivery

Cause: a watch message that was on its way for long made a view count as fresh when it arrived, so a withdrawal could be missed for longer than 5 s (MUTANT_CONFIRM_AT_ARRIVAL of models/keys.pml is that fault). An entry that watches the store now asks for its revision once a second.

Preemptions are logged with their rule. A contract that is in force already is not written again.

--- a/models/keys.pml
+++ b/models/keys.pml
@@ -85,7 +85,7 @@
             :: !up && withdrawnAt != 255 -> since = now
             :: else -> skip
             fi;
-            /* The view is confirmed as of the time of the question: ConfigView::confirmed(). */
+            /* The view is confirmed as of the time of the question: ConfigView::stated(). */
             if
             :: up && linked[0] -> refresh(0)
             :: else -> skip
--- a/src/include/wisteriayard/view.h
+++ b/src/include/wisteriayard/view.h
@@ -53,6 +53,15 @@
     /// @return what changed, or InvalidArgument if the value can't be used; the view keeps the former value then
     Result<ViewChange> apply(std::string_view key, std::string_view value, Revision revision);
 
+    /// The source handed over everything up to a revision. It may have been on its way for long, so this alone does
+    /// not make the view fresh.
+    void completed(Revision revision);
+
+    /// The source named its present revision in answer to a question. The view counts as fresh as of the question
+    /// as soon as it is complete up to that revision.
+    /// @param asked when the question was sent
+    void stated(Revision revision, TimePoint asked);
+
     /// The source confirmed that the view holds everything up to a revision.
     /// @param now when the confirmation was requested
     void confirmed(Revision revision, TimePoint now);
@@ -92,6 +101,12 @@
     Revision m_revision {};
     Revision m_newestChange {};
     TimePoint m_confirmedAt {};
+    /// Statement that waits until the view is complete up to its revision.
+    struct Statement {
+        Revision revision;
+        TimePoint asked;
+    };
+    std::optional<Statement> m_statement;
 };
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/view.cpp
+++ b/src/libwisteriayard/view.cpp
@@ -84,9 +84,28 @@
     return it == m_keys.end() ? Revision(0) : it->second.revision;
 }
 
-void ConfigView::confirmed(Revision revision, TimePoint now)
+void ConfigView::completed(Revision revision)
 {
     m_revision = std::max(m_revision, revision);
+    if (!m_statement || m_statement->revision > m_revision)
+        return;
+    m_confirmedAt = std::max(m_confirmedAt, m_statement->asked);
+    m_statement.reset();
+}
+
+void ConfigView::stated(Revision revision, TimePoint asked)
+{
+    // An older statement that still waits stays, so that a watch that lags a little makes progress.
+    if (!m_statement)
+        m_statement = Statement { revision, asked };
+    completed(m_revision);
+    if (revision <= m_revision)
+        m_confirmedAt = std::max(m_confirmedAt, asked);
+}
+
+void ConfigView::confirmed(Revision revision, TimePoint now)
+{
+    completed(revision);
     m_confirmedAt = std::max(m_confirmedAt, now);
 }
 
--- a/src/libwisteriayard/view_test.cpp
+++ b/src/libwisteriayard/view_test.cpp
@@ -50,3 +50,21 @@
     BOOST_REQUIRE(view.apply("key/00ff", R"({"account":"a"})", Revision(2)));
     BOOST_TEST(view.key(hash)->withdrawn);
 }
+
+// Guards against a view that counts as fresh because of a message that was on its way for long (G5).
+BOOST_AUTO_TEST_CASE(fresh_as_of_the_question)
+{
+    using std::chrono::seconds;
+    const TimePoint start { seconds(100) };
+    ConfigView view;
+    view.confirmed(Revision(5), start);
+    view.completed(Revision(6));
+    BOOST_TEST((view.age(start + seconds(3)) == seconds(3)), "a delivery alone says nothing of when it was sent");
+    view.stated(Revision(8), start + seconds(1));
+    BOOST_TEST((view.age(start + seconds(3)) == seconds(3)), "the view lacks revisions 7 and 8");
+    view.stated(Revision(9), start + seconds(2));
+    view.completed(Revision(8));
+    BOOST_TEST((view.age(start + seconds(3)) == seconds(2)), "fresh as of the first question");
+    view.stated(Revision(8), start + seconds(3));
+    BOOST_TEST((view.age(start + seconds(3)) == seconds(0)), "complete already when the answer came");
+}
--- a/src/wisteriayardctl/contract_commands.cpp
+++ b/src/wisteriayardctl/contract_commands.cpp
@@ -202,6 +202,12 @@
     Revision seen(arguments.ifRevision.value_or(present.modRevision.value()));
     if (seen != present.modRevision)
         co_return reportConflict(context, { account, seen, present.modRevision, present.value, text, Revision(0) });
+    if (exists && present.value == text) {
+        // Put before, perhaps by a command that did not see every entry confirm.
+        auto confirmation = co_await confirmEverywhere(context, seen, arguments.wait);
+        printPut(context, account, seen, confirmation);
+        co_return confirmation.exitCode();
+    }
     ConditionalWrite write { present.key, text, seen, {} };
     if (exists)
         write.also = historyOperations(account, present, versions.value());
--- a/src/wisteriayardctl/explain_command.cpp
+++ b/src/wisteriayardctl/explain_command.cpp
@@ -65,6 +65,8 @@
         if (name == "attempt_failed")
             return "attempt " + field(fields, "attempt") + " at " + field(fields, "endpoint") + " failed: "
                 + field(fields, "reason") + (field(fields, "never_ran") == "true" ? "; it never ran" : "");
+        if (name == "request_preempted")
+            return "gave its place at " + field(fields, "endpoint") + " to a request of tier top";
         if (name == "request_revoked")
             return "ended by the rule " + field(fields, "rule") + "; key " + field(fields, "key_state")
                 + " at revision " + field(fields, "key_revision");
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -111,10 +111,12 @@
         auto onBatch = [this](const WatchBatch& batch) {
             for (const StoreItem& item : batch.items)
                 applyItem(item);
-            m_view.confirmed(batch.revision, bootTimeNow());
+            m_view.completed(batch.revision);
             m_freshness->storeCalled(true, bootTimeNow());
         };
+        m_freshness->setWatching(true);
         Error ended = co_await m_store.watch(first, end, next, watchSilence, onBatch);
+        m_freshness->setWatching(false);
         m_freshness->storeCalled(false, bootTimeNow());
         m_log->write(Event::WatchEnded, { { "error", ended.message } });
         co_await sleepFor(storeRetry);
@@ -390,8 +392,15 @@
 void EntryControl::carryOut(const Preempt& preempt)
 {
     auto it = m_requests.find(preempt.request);
-    if (it != m_requests.end())
-        it->second.arrived.exchange->post(Preempted {});
+    if (it == m_requests.end())
+        return;
+    Json fields = waitInputs(it->second.account, it->second.requestClass, it->second.contractRevision, Duration(0));
+    fields["request"] = preempt.request.value();
+    fields.erase("waited_us");
+    fields["endpoint"] = preempt.endpoint.value();
+    fields["rule"] = "preempted_for_top";
+    m_log->write(Event::RequestPreempted, fields);
+    it->second.arrived.exchange->post(Preempted {});
 }
 
 void EntryControl::refuse(const ArrivedRequest& request, ApiError error, Json inputs)
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -56,6 +56,8 @@
         return "view_fresh";
     case Event::StoreDownForAll:
         return "store_down_for_all";
+    case Event::RequestPreempted:
+        return "request_preempted";
     case Event::EndpointAdded:
         return "endpoint_added";
     case Event::EndpointRemoved:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -37,6 +37,7 @@
     ViewStale = 342,
     ViewFresh = 343,
     StoreDownForAll = 344,
+    RequestPreempted = 345,
     EndpointAdded = 400,
     EndpointRemoved = 401,
     AgentLost = 402,
--- a/src/wisteriayardd/freshness_watch.cpp
+++ b/src/wisteriayardd/freshness_watch.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 FreshnessWatch::FreshnessWatch(boost::asio::io_context& io, const EntrySettings& settings,
-    std::shared_ptr<EventLog> log, const ConfigView& view, std::function<void()> onStale)
+    std::shared_ptr<EventLog> log, ConfigView& view, std::function<void()> onStale)
     : m_io(io)
     , m_instance(settings.common.instance)
     , m_storeRegion(settings.storeRegion)
@@ -111,7 +111,7 @@
     while (true) {
         TimePoint now = bootTimeNow();
         Duration age = m_view.age(now);
-        if (age > probeAge && !m_probing && now - probedAt >= probeInterval) {
+        if ((m_watching || age > probeAge) && !m_probing && now - probedAt >= probeInterval) {
             probedAt = now;
             m_probing = true;
             boost::asio::co_spawn(
@@ -153,9 +153,12 @@
 
 boost::asio::awaitable<void> FreshnessWatch::probeStore()
 {
-    auto item = co_await m_probe.read(std::string(contractPrefix));
-    bool answered = item || item.error().code == Errc::NotFound;
-    storeCalled(answered, bootTimeNow());
+    // No key has this name; the answer's header tells the store's revision.
+    TimePoint asked = bootTimeNow();
+    auto answer = co_await m_probe.range(std::string(contractPrefix), "");
+    storeCalled(bool(answer), bootTimeNow());
+    if (answer)
+        m_view.stated(answer.value().revision, asked);
     m_probing = false;
 }
 
--- a/src/wisteriayardd/freshness_watch.h
+++ b/src/wisteriayardd/freshness_watch.h
@@ -24,12 +24,15 @@
     /// @param view the entry's view
     /// @param onStale called when the entry begins to refuse
     FreshnessWatch(boost::asio::io_context& io, const EntrySettings& settings, std::shared_ptr<EventLog> log,
-        const ConfigView& view, std::function<void()> onStale);
+        ConfigView& view, std::function<void()> onStale);
 
     /// Starts once the view has been loaded; later calls do nothing.
     void start();
     /// Takes in the entries on the platform's list.
     void peersListed(const std::vector<ListedEntry>& entries);
+    /// Whether this entry watches the store itself. It then asks the store for its revision every second, because
+    /// what a watch delivers may have been on its way for long.
+    void setWatching(bool watching) { m_watching = watching; }
     /// Takes in the outcome of a store call of this entry.
     void storeCalled(bool answered, TimePoint now);
     /// Whether new requests have to be refused now.
@@ -49,7 +52,7 @@
     InstanceId m_instance;
     RegionId m_storeRegion;
     std::shared_ptr<EventLog> m_log;
-    const ConfigView& m_view;
+    ConfigView& m_view;
     std::function<void()> m_onStale;
     StoreClient m_probe;
     FreshnessGuard m_guard;
@@ -57,6 +60,7 @@
     std::size_t m_nextPeer = 0;
     Serving m_serving = Serving::Serve;
     bool m_started = false;
+    bool m_watching = false;
     bool m_probing = false;
     bool m_asking = false;
     bool m_lastCallFailed = true;
--- a/testsuite/operators/run.py
+++ b/testsuite/operators/run.py
@@ -63,6 +63,8 @@
     after = json.loads(deployment.ctl("--json", "contract", "history", "jordan").stdout)
     assert len(after) == len(before) + 1, (before, after)
     assert [each["field"] for each in after[-1]["changed"]] == ["weight"] and after[-1]["current"], after[-1]
+    assert tool(deployment, "contract", "put", os.path.join(deployment.dir, "lost.json")).returncode == 0
+    assert len(json.loads(deployment.ctl("--json", "contract", "history", "jordan").stdout)) == len(after)
     call(deployment.store, "POST", "/fake/faults", {"lose_write_answers": -1})
     put = tool(deployment, "contract", "put", write_contract(deployment, "lost.json", weight=10))
     assert put.returncode == 3 and "may have taken effect" in put.stderr, (put.returncode, put.stderr)
