Take only a recent failed call of a peer as evidence of an outage

Cause: a peer that was paused, or had never called the store, reported a failed last call and so spoke for an outage for all. A failure counts for 3 s now, and a peer with a fresh view counts as one that the store answers.

--- a/src/include/wisteriayard/freshness.h
+++ b/src/include/wisteriayard/freshness.h
@@ -13,6 +13,8 @@
 inline constexpr Duration viewStaleAge = std::chrono::seconds(5);
 /// Longest time since the store answered a peer that still counts as the store being up for that peer.
 inline constexpr Duration storeSilenceLimit = std::chrono::seconds(2);
+/// Longest time since a peer's failed store call that still counts as the store being down for that peer.
+inline constexpr Duration failedCallLifetime = std::chrono::seconds(3);
 /// How long the peers' answers hold. After that the entry can't tell any more.
 inline constexpr Duration peerAnswerLifetime = std::chrono::seconds(2);
 
@@ -22,7 +24,9 @@
     bool reached = false;
     /// The peer's last store call failed.
     bool lastCallFailed = false;
-    /// Time since the store last answered the peer.
+    /// Time since the peer's last store call ended.
+    Duration callAge { 0 };
+    /// Time since the store last answered the peer, or since the peer's view was last confirmed.
     Duration storeSilence { 0 };
     /// Revision of the newest contract or key that the peer holds.
     Revision newestChange {};
--- a/src/libwisteriayard/freshness.cpp
+++ b/src/libwisteriayard/freshness.cpp
@@ -8,11 +8,12 @@
     for (const PeerReport& report : reports) {
         if (!report.reached)
             continue;
-        reached = true;
         bool storeAnswers = !report.lastCallFailed || report.storeSilence < storeSilenceLimit;
         // A peer that holds a newer change shows that this entry missed one before the outage.
         if (storeAnswers || report.newestChange > own)
             return StoreState::Up;
+        // A failure of long ago says nothing: the peer may have been paused since.
+        reached = reached || report.callAge <= failedCallLifetime;
     }
     return reached ? StoreState::DownForAll : StoreState::Unknown;
 }
--- a/src/libwisteriayard/freshness_test.cpp
+++ b/src/libwisteriayard/freshness_test.cpp
@@ -17,9 +17,9 @@
 
 std::ostream& operator<<(std::ostream& out, const PeersCase& c) { return out << c.name; }
 
-const PeerReport unreachable { false, true, std::chrono::seconds(60), Revision(0) };
-const PeerReport down { true, true, std::chrono::seconds(4), Revision(7) };
-const PeerReport answered { true, false, milliseconds(300), Revision(7) };
+const PeerReport unreachable { false, true, milliseconds(0), std::chrono::seconds(60), Revision(0) };
+const PeerReport down { true, true, milliseconds(500), std::chrono::seconds(4), Revision(7) };
+const PeerReport answered { true, false, milliseconds(300), milliseconds(300), Revision(7) };
 
 // Guards against serving on without evidence: only a peer that was reached can show that the store is down.
 const PeersCase peersCases[] = {
@@ -27,11 +27,17 @@
     { "no peer reached", { unreachable, unreachable }, StoreState::Unknown },
     { "store answers one", { down, answered }, StoreState::Up },
     { "down for all reached", { down, unreachable, down }, StoreState::DownForAll },
-    { "failed just now", { { true, true, milliseconds(1999), Revision(7) } }, StoreState::Up },
-    { "silent for the limit", { { true, true, storeSilenceLimit, Revision(7) } }, StoreState::DownForAll },
-    { "silent, but no call failed", { { true, false, std::chrono::seconds(9), Revision(7) } }, StoreState::Up },
-    { "peer holds a newer change", { { true, true, std::chrono::seconds(9), Revision(8) } }, StoreState::Up },
-    { "peer holds an older view", { { true, true, std::chrono::seconds(9), Revision(6) } }, StoreState::DownForAll },
+    { "failed just now", { { true, true, milliseconds(0), milliseconds(1999), Revision(7) } }, StoreState::Up },
+    { "silent for the limit", { { true, true, failedCallLifetime, storeSilenceLimit, Revision(7) } },
+        StoreState::DownForAll },
+    { "silent, but no call failed", { { true, false, std::chrono::seconds(9), std::chrono::seconds(9), Revision(7) } },
+        StoreState::Up },
+    { "failed long ago", { { true, true, milliseconds(3001), std::chrono::seconds(9), Revision(7) } },
+        StoreState::Unknown },
+    { "peer holds a newer change", { { true, true, milliseconds(0), std::chrono::seconds(9), Revision(8) } },
+        StoreState::Up },
+    { "peer holds an older view", { { true, true, milliseconds(0), std::chrono::seconds(9), Revision(6) } },
+        StoreState::DownForAll },
 };
 
 struct DecideCase {
--- a/src/wisteriayardd/freshness_watch.cpp
+++ b/src/wisteriayardd/freshness_watch.cpp
@@ -35,11 +35,15 @@
             return report;
         const Json& store = json["store"];
         auto silence = store.find("answered_ms_ago");
+        auto called = store.find("called_ms_ago");
         auto failed = store.find("last_call_failed");
-        if (silence == store.end() || !silence->is_number_integer() || failed == store.end() || !failed->is_boolean())
+        bool timesGiven = silence != store.end() && silence->is_number_integer() && called != store.end()
+            && called->is_number_integer();
+        if (!timesGiven || failed == store.end() || !failed->is_boolean())
             return report;
         report.reached = true;
         report.lastCallFailed = failed->get<bool>();
+        report.callAge = std::chrono::milliseconds(called->get<std::int64_t>());
         report.storeSilence = std::chrono::milliseconds(silence->get<std::int64_t>());
         auto newest = json.find("newest_change");
         if (newest != json.end() && newest->is_number_integer())
@@ -84,6 +88,7 @@
 void FreshnessWatch::storeCalled(bool answered, TimePoint now)
 {
     m_lastCallFailed = !answered;
+    m_calledAt = now;
     if (answered)
         m_storeAnsweredAt = now;
 }
@@ -95,11 +100,14 @@
 
 void FreshnessWatch::addStatus(Json& status, TimePoint now) const
 {
-    auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_storeAnsweredAt).count();
+    auto milliseconds
+        = [](Duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); };
     status["newest_change"] = m_view.newestChange().value();
     status["store"] = Json::object();
     status["store"]["last_call_failed"] = m_lastCallFailed;
-    status["store"]["answered_ms_ago"] = silence;
+    status["store"]["called_ms_ago"] = milliseconds(now - m_calledAt);
+    // A confirmed view shows too that the store answered, be it through another entry.
+    status["store"]["answered_ms_ago"] = milliseconds(std::min(now - m_storeAnsweredAt, m_view.age(now)));
     status["refuses"] = refuses(now);
 }
 
--- a/src/wisteriayardd/freshness_watch.h
+++ b/src/wisteriayardd/freshness_watch.h
@@ -63,7 +63,8 @@
     bool m_watching = false;
     bool m_probing = false;
     bool m_asking = false;
-    bool m_lastCallFailed = true;
+    bool m_lastCallFailed = false;
+    TimePoint m_calledAt {};
     TimePoint m_storeAnsweredAt {};
 };
 
--- a/testsuite/operators/run.py
+++ b/testsuite/operators/run.py
@@ -145,6 +145,8 @@
     good = [log, "--replay", "--contracts", folder, "--last", last, "--reports",
             write_json(deployment, "reports.json", reports)]
     print(audit(deployment, good, 0, "passed").strip())
+    audit(deployment, [os.path.join(deployment.dir, f"{name}.out") for name in ("entry-1", "entry-2", "engine-1-agent")],
+          0, "passed")
     audit(deployment, [log, "--replay"], 0, "passed")  # contracts from the store's history
     reports[0]["output_tokens"] += 1
     audit(deployment, [*good[:-1], write_json(deployment, "wrong.json", reports)], 1, "USAGE jordan chat")
--- a/testsuite/stale_view/run.py
+++ b/testsuite/stale_view/run.py
@@ -3,6 +3,7 @@
 
 import argparse
 import os
+import signal
 import socket
 import sys
 import threading
@@ -133,6 +134,29 @@
     print("outage for all: every entry served on; the withdrawal was refused, and in force after the outage")
 
 
+def paused_entry(deployment, withdrawn_key):
+    """An entry that was paused while a key was withdrawn never admits that key when it goes on."""
+    address = deployment.entries["near-2"]
+    stream = Stream(address, withdrawn_key, "length=100000")
+    wait_until(lambda: stream.text, "the first token")
+    deployment.stop("near-2", signal.SIGSTOP)
+    answers = []
+    callers = [threading.Thread(target=lambda: answers.append(code(chat(address, withdrawn_key)))) for _ in range(4)]
+    withdrawal = deployment.ctl("--wait-ms", "100", "key", "withdraw", withdrawn_key, check=False)
+    assert withdrawal.returncode == 4 and deployment.admins["near-2"] in withdrawal.stdout, withdrawal
+    for each in callers:
+        each.start()
+    time.sleep(BOUND_S + 1)
+    deployment.stop("near-2", signal.SIGCONT)
+    for each in callers:
+        each.join(60)
+    stream.join()
+    assert len(answers) == 4 and set(answers) <= {"view_stale", "invalid_api_key"}, answers
+    assert stream.error and stream.error["code"] in ("view_stale", "invalid_api_key"), stream.error
+    assert "in force" in deployment.ctl("key", "withdraw", withdrawn_key).stdout
+    print(f"paused entry: 4 requests with the withdrawn key answered with {sorted(set(answers))}")
+
+
 def new_entry_in_outage(deployment, key):
     """A new entry takes no traffic before it has read contracts and keys."""
     call(deployment.store, "POST", "/fake/faults", {"hang": True})
@@ -152,10 +176,11 @@
     parser.add_argument("--bin", required=True)
     with Deployment(os.path.abspath(parser.parse_args().bin)) as deployment:
         store_gate, peer_gates = start(deployment)
-        keys = [deployment.issue_key("jordan") for _ in range(4)]
+        keys = [deployment.issue_key("jordan") for _ in range(5)]
         cut_off_entry(deployment, [store_gate], keys[0], keys[3])
         cut_off_entry(deployment, [store_gate, *peer_gates], keys[1], keys[3])
         outage_for_all(deployment, keys[2])
+        paused_entry(deployment, keys[4])
         new_entry_in_outage(deployment, keys[3])
     print("stale_view: all steps passed")
 
