Test at-most-once calls under faults of every party

Nine cases with real processes: the same key through three entries, the service and the store losing answers, the agent killed before its intent, between intent and call and before its result, stopped past a takeover and resumed, an entry killed, a planned replacement. Steps wait on what the stand-ins hold, not on time. Two trial changes were found: a successor that forgets open intents, and a write without its compare; the second only after the case made the resumed agent own the partition again.

--- a/src/fakes/fake_kv.cpp
+++ b/src/fakes/fake_kv.cpp
@@ -48,6 +48,8 @@
     struct Faults {
         bool refuse = false;
         bool hang = false;
+        /// Transactions wait until this ends, then take effect even if the client has gone.
+        bool holdWrites = false;
         /// Writes take effect, but the answer is lost; how many times still, or -1 for always.
         int loseWriteAnswers = 0;
         int delayMs = 0;
@@ -106,6 +108,9 @@
                 co_await sleepFor(m_io, hangTime);
             if (m_faults.refuse)
                 co_return errorResponse(http::status::service_unavailable, "store is down");
+            m_held += m_faults.holdWrites && path == "/v3/kv/txn";
+            while (m_faults.holdWrites && path == "/v3/kv/txn")
+                co_await sleepFor(m_io, watchPoll);
             if (path == "/v3/watch")
                 co_return co_await watch(body, writer);
             co_return call(path, body);
@@ -119,6 +124,7 @@
                 return errorResponse(http::status::bad_request, "faults are not a JSON object");
             m_faults.refuse = json.value("refuse", false);
             m_faults.hang = json.value("hang", false);
+            m_faults.holdWrites = json.value("hold_writes", false);
             m_faults.loseWriteAnswers = json.value("lose_write_answers", 0);
             m_faults.delayMs = json.value("delay_ms", 0);
             return jsonResponse(Json::object());
@@ -326,7 +332,7 @@
 
         Json stats() const
         {
-            return { { "reads", m_reads }, { "writes", m_writes }, { "watches", m_watches },
+            return { { "reads", m_reads }, { "writes", m_writes }, { "held", m_held }, { "watches", m_watches },
                 { "revision", m_revision } };
         }
 
@@ -359,6 +365,8 @@
         std::int64_t m_reads = 0;
         std::int64_t m_writes = 0;
         int m_watches = 0;
+        /// Transactions that were held so far.
+        int m_held = 0;
         Faults m_faults;
     };
 
--- a/src/fakes/fake_service.cpp
+++ b/src/fakes/fake_service.cpp
@@ -9,6 +9,8 @@
 
     namespace http = boost::beast::http;
 
+    constexpr Duration holdPoll = std::chrono::milliseconds(2);
+
     class FakeService {
     public:
         FakeService(boost::asio::io_context& io, const Settings& settings)
@@ -24,13 +26,21 @@
                 co_return jsonResponse(m_executions);
             if (path == "/fake/faults")
                 co_return setFaults(request.body());
+            if (path == "/fake/stats")
+                co_return jsonResponse({ { "held", m_held } });
             if (m_delayMs > 0)
                 co_await sleepFor(m_io, std::chrono::milliseconds(m_delayMs));
             if (request.method() == http::verb::get)
                 co_return read(path);
             if (m_refuse)
                 co_return errorResponse(http::status::service_unavailable, "service refuses");
-            co_return execute(path, request);
+            m_held += m_holdBefore;
+            while (m_holdBefore)
+                co_await sleepFor(m_io, holdPoll);
+            HandlerResult result = execute(path, request);
+            while (m_holdAfter)
+                co_await sleepFor(m_io, holdPoll);
+            co_return result;
         }
 
     private:
@@ -42,6 +52,8 @@
             m_delayMs = json.value("delay_ms", 0);
             m_loseAnswers = json.value("lose_answers", 0);
             m_refuse = json.value("refuse", false);
+            m_holdBefore = json.value("hold_before", false);
+            m_holdAfter = json.value("hold_after", false);
             return jsonResponse(Json::object());
         }
 
@@ -69,6 +81,11 @@
         int m_delayMs = 0;
         int m_loseAnswers = 0;
         bool m_refuse = false;
+        /// Calls wait before or after their effect until this ends.
+        bool m_holdBefore = false;
+        bool m_holdAfter = false;
+        /// Calls that were held before their effect so far.
+        int m_held = 0;
     };
 
 } // namespace
--- a/src/wisteriayardd/agent.cpp
+++ b/src/wisteriayardd/agent.cpp
@@ -387,7 +387,8 @@
             nlohmann::json status
                 = { { "instance", m_settings.common.instance.value() }, { "zone", m_settings.common.zone.value() },
                       { "role", "agent" }, { "endpoint", m_settings.endpoint.value() }, { "ready", !m_leaving },
-                      { "running", m_running }, { "jobs", m_jobs.size() }, { "once_partitions", m_once->held() } };
+                      { "running", m_running }, { "jobs", m_jobs.size() }, { "once_partitions", m_once->held() },
+                      { "once_writing", m_once->writing() } };
             return status.dump();
         }
 
--- a/src/wisteriayardd/once_keeper.cpp
+++ b/src/wisteriayardd/once_keeper.cpp
@@ -199,4 +199,10 @@
         std::count_if(m_partitions.begin(), m_partitions.end(), [](const auto& each) { return each.second->held(); }));
 }
 
+std::size_t OnceKeeper::writing() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_partitions.begin(), m_partitions.end(), [](const auto& each) { return each.second->writing(); }));
+}
+
 } // namespace wisteriayard
--- a/src/wisteriayardd/once_keeper.h
+++ b/src/wisteriayardd/once_keeper.h
@@ -38,6 +38,8 @@
     boost::asio::awaitable<void> leave();
     /// Partitions that this agent holds.
     std::size_t held() const;
+    /// Partitions with a write that is due or under way.
+    std::size_t writing() const;
 
 private:
     boost::asio::awaitable<Result<std::uint32_t>> partitionCount();
--- a/src/wisteriayardd/once_partition.h
+++ b/src/wisteriayardd/once_partition.h
@@ -66,6 +66,8 @@
 
     /// This agent owns it or tries to.
     bool held() const { return m_log || m_claiming; }
+    /// A write is due or under way.
+    bool writing() const { return m_writing; }
 
 private:
     struct Waiter {
