--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -2,6 +2,7 @@
 
 #include "event_log.h"
 #include "exchange.h"
+#include "freshness_watch.h"
 #include "instance_list.h"
 #include "once_router.h"
 #include "settings.h"
@@ -38,8 +39,10 @@
     Finished,
     /// It failed and may have run in part; the request has to be placed again.
     PlaceAgain,
-    /// It never ran; the request has to be placed again.
-    PlaceAgainNeverRan,
+    /// It was rejected and never ran; the request has to be placed again.
+    NeverRan,
+    /// It was preempted; the request has to be placed again.
+    Preempted,
     /// It failed or the caller left; the request ends.
     GivenUp,
 };
@@ -73,13 +76,15 @@
     /// Models that an account may use, for `GET /v1/models`; the answer is called on the control thread.
     void listModels(const KeyHash& key, std::function<void(Result<std::vector<TargetId>>)> answer);
 
-    /// The view is loaded and the process does not shut down. Any thread.
-    bool ready() const { return m_ready; }
-    void stopBeingReady() { m_ready = false; }
+    /// The view is loaded and not stale, and the process does not shut down. Control thread only.
+    bool ready() const;
+    void stopBeingReady() { m_stopping = true; }
     /// State as JSON. Control thread only.
     std::string statusJson(TimePoint now) const;
 
 private:
+    using Json = nlohmann::json;
+
     struct LiveRequest {
         ArrivedRequest arrived;
         AccountId account;
@@ -90,6 +95,8 @@
         /// An attempt may have run, in part or as a whole.
         bool mayHaveRun = false;
         EndpointId lastEndpoint;
+        /// When it was submitted for the present attempt.
+        TimePoint submittedAt {};
     };
     struct KnownEndpoint {
         ListedEndpoint listed;
@@ -102,14 +109,17 @@
     boost::asio::awaitable<void> sleepFor(Duration time);
     void applyItem(const StoreItem& item);
     void revoke(const KeyHash& key);
+    void endAllStale();
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
-    void place(const LiveRequest& request);
+    void place(LiveRequest& request);
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
     OnceRoute onceRoute(const LiveRequest& request, const EndpointId& dispatched) const;
     void carryOut(const Refusal& refusal);
-    void refuse(const ArrivedRequest& request, ApiError error);
+    void carryOut(const Preempt& preempt);
+    /// @param inputs what the decision is based on, for the log
+    void refuse(const ArrivedRequest& request, ApiError error, Json inputs = Json::object());
     void forgetRequest(const RequestId& id);
     Result<AccountId> authenticate(const KeyHash& key) const;
 
@@ -124,7 +134,9 @@
     std::map<EndpointId, KnownEndpoint> m_endpoints;
     std::map<RequestId, LiveRequest> m_requests;
     std::map<KeyHash, std::set<RequestId>> m_requestsByKey;
-    std::atomic<bool> m_ready { false };
+    std::shared_ptr<FreshnessWatch> m_freshness;
+    std::atomic<bool> m_loaded { false };
+    std::atomic<bool> m_stopping { false };
 };
 
 } // namespace wisteriayard
