Weigh prefill, reports and affinity by measurement; property tests

Requests missed their first token target behind prefill that the choice of an endpoint did not see, the least share of a tier was granted twice, and a hot prefix drew load to its home even when little prefill was saved.

The property tests found that a lower tier got 4.7% instead of 5% of the work; the share now counts its own work too.

--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -340,6 +340,9 @@
     Live& live = m_live[request];
     ClassFigures& figures = figuresOf(request);
     ++figures.shed;
+    if (m_settings.trace)
+        std::cerr << m_now.time_since_epoch().count() << " refuse " << refusal.request << " " << figures.name << " "
+                  << refusalReasonName(refusal.reason) << "\n";
     if (live.attempt == 0)
         ++figures.notRunRefusals;
     if (!live.dispatched)
@@ -648,8 +651,13 @@
     bool inTime = m_now <= TimePoint(m_settings.length);
     if (inTime)
         figures.lowerBoundSeconds += idealSeconds(request);
-    if (!metTargets(request))
+    if (!metTargets(request)) {
+        if (m_settings.trace)
+            std::cerr << m_now.time_since_epoch().count() << " late r" << request << " " << figures.name << " first "
+                      << (live.firstToken - m_arrivals[request].at).count() << " between "
+                      << (live.lastToken - live.firstToken).count() / std::max(1, live.delivered - 1) << "\n";
         return;
+    }
     ++figures.met;
     ++figures.byAccount[m_arrivals[request].account].second;
     const ClassLoad& load = loadOf(request);
--- a/src/include/wisteriayard/endpoint_selector.h
+++ b/src/include/wisteriayard/endpoint_selector.h
@@ -198,6 +198,7 @@
     int m_slotSum = 0;
     double m_ownShare = 1;
     double m_othersSum = 0;
+    std::array<double, groupCount> m_groupOthers {};
     std::size_t m_ejectedCount = 0;
     /// An ejected endpoint whose probe is due.
     std::optional<Index> m_probe;
--- a/src/include/wisteriayard/scheduler.h
+++ b/src/include/wisteriayard/scheduler.h
@@ -214,7 +214,8 @@
         std::int64_t openTokens = 0;
         std::int64_t prefill = 0;
         std::int64_t preemptionLoss = 0;
-        bool preempting = false;
+        /// It was dispatched ahead of the usual order.
+        bool urgent = false;
     };
     /// What to dispatch next.
     struct Next {
@@ -243,6 +244,8 @@
     static bool bulkMayStart(const Pool& pool);
     EndpointQuery queryOf(const Job& job, bool urgent) const;
     void charge(Pool& pool, Tier tier, double work);
+    /// Charges the difference between real and estimated work.
+    static void correct(const Job& job, double work);
     void preemptFor(const Job& job, Decisions& decisions);
     void observeFirstToken(Job& job);
     void observeGap(const Job& job, Duration gap);
--- a/src/libwisteriayard/endpoint_selector.cpp
+++ b/src/libwisteriayard/endpoint_selector.cpp
@@ -13,7 +13,7 @@
     /// One slot in this many stays free for higher tiers.
     constexpr int slotsPerReserve = 8;
     /// A report tells half as much after this time.
-    constexpr double reportHalfLifeSeconds = 5;
+    constexpr double reportHalfLifeSeconds = 20;
     constexpr Duration historyStep = std::chrono::milliseconds(500);
     constexpr double gapWeight = 0.1;
     constexpr double probeGapWeight = 0.5;
@@ -23,20 +23,27 @@
     constexpr Duration probeInterval = std::chrono::seconds(5);
     /// At most one endpoint in this many is ejected: if more are slow, the median is not to be trusted.
     constexpr std::size_t endpointsPerEjection = 3;
-    /// An endpoint with the prefix may hold this much more of its slots than the best sampled one.
+    /// An endpoint with the prefix may hold this much more of its slots than the best sampled one: less if little
+    /// prefill is saved.
     constexpr double affinityCap = 0.35;
+    constexpr double prefixPerLoad = 8'000;
     constexpr int prefixHomes = 2;
     /// Load from which the next group is looked at, and by how much it must be better.
     constexpr double spillLoad = 0.3;
     constexpr double spillGain = 0.1;
     /// Load up to which another region's endpoint is worth the link's bytes and delay.
     constexpr double remoteLoad = 0.7;
+    /// Load near by from which another region is looked at, and by how much it must be better: a request that waits
+    /// behind the prefill of others is late by far more than the way of 16 ms.
+    constexpr double remoteSpillLoad = 0.8;
+    constexpr double remoteGain = 0.4;
     constexpr double bytesPerPromptToken = 4;
     constexpr double bytesPerOutputToken = 100;
     constexpr std::size_t refreshedAtOnce = 8;
 
-    /// Uncached prompt tokens that weigh as much as all slots of an endpoint: about a second of prefill.
-    constexpr double prefillPerLoad = 10'000;
+    /// Uncached prompt tokens that weigh as much as all slots of an endpoint: about 0.4 s of prefill, most of the
+    /// time that a first token may take.
+    constexpr double prefillPerLoad = 4'000;
     /// Weight of one observation in the share of the slots that is the entry's own.
     constexpr double shareWeight = 0.02;
     /// Running requests, as a part of all slots, from which that share is observed.
@@ -109,7 +116,9 @@
     m_index[info.id] = index;
     State& state = m_states[index];
     state.info = info;
+    m_groupOthers[state.group] -= state.others;
     state.group = info.zone == m_zone ? 0 : info.region == m_region ? 1 : remoteGroup;
+    m_groupOthers[state.group] += state.others;
     state.present = true;
     state.leaving = false;
     put(m_members[state.group], index, state.member);
@@ -135,6 +144,7 @@
     removeHomes(index);
     m_slotSum -= state.info.slots;
     m_othersSum -= state.others;
+    m_groupOthers[state.group] -= state.others;
     m_ejectedCount -= state.ejected;
     state.present = false;
     // Requests that still run there refer to the state until they end.
@@ -204,7 +214,8 @@
 {
     double age = std::chrono::duration<double>(now - state.reportedAt).count();
     double trust = std::exp2(-std::max(0.0, age) / reportHalfLifeSeconds);
-    double mean = m_index.empty() ? 0 : m_othersSum / static_cast<double>(m_index.size());
+    std::size_t members = m_members[state.group].size();
+    double mean = members == 0 ? 0 : m_groupOthers[state.group] / static_cast<double>(members);
     return state.own + trust * state.others + (1 - trust) * std::min(mean, static_cast<double>(state.info.slots));
 }
 
@@ -256,6 +267,7 @@
     recordHistory(state, now);
     double others = std::max(0, load.running + load.queued - ownAt(state, load.takenAt));
     m_othersSum += others - state.others;
+    m_groupOthers[state.group] += others - state.others;
     state.others = others;
     state.reportedAt = std::min(load.takenAt, now);
     state.leaving = load.leaving;
@@ -333,11 +345,11 @@
     double bestLoad = 0;
     for (std::size_t group = 0; group < groupCount; ++group) {
         const auto& list = m_open[group][level];
-        if (list.empty() || (best && (group == remoteGroup || bestLoad < spillLoad)))
+        if (list.empty() || (best && bestLoad < (group == remoteGroup ? remoteSpillLoad : spillLoad)))
             continue;
         Index candidate = sample(list, now);
         double load = score(candidate, now);
-        if (best && load + spillGain > bestLoad)
+        if (best && load + (group == remoteGroup ? remoteGain : spillGain) > bestLoad)
             continue;
         double bytes = bytesPerPromptToken * static_cast<double>(query.promptTokens)
             + bytesPerOutputToken * static_cast<double>(query.outputTokens);
@@ -348,7 +360,8 @@
     }
     if (query.prefixHash == 0 || (best && m_states[*best].group == remoteGroup))
         return best;
-    auto home = affine(query, level, best ? bestLoad + affinityCap : 1.0, now);
+    double cap = std::min(affinityCap, static_cast<double>(query.prefixTokens) / prefixPerLoad);
+    auto home = affine(query, level, best ? bestLoad + cap : 1.0, now);
     return home ? home : best;
 }
 
--- a/src/libwisteriayard/scheduler.cpp
+++ b/src/libwisteriayard/scheduler.cpp
@@ -309,8 +309,7 @@
 bool Scheduler::bulkMayStart(const Pool& pool)
 {
     double own = pool.selector.ownSlots();
-    double room = std::max(leastShare * own, own - neededMargin * pool.needed);
-    return pool.bulkRunning < std::max(1.0, room);
+    return pool.bulkRunning < own - neededMargin * pool.needed;
 }
 
 EndpointQuery Scheduler::queryOf(const Job& job, bool urgent) const
@@ -339,6 +338,7 @@
     charge(pool, job.info.tier, job.work);
     job.prefill = pool.selector.started(*endpoint, query, m_now);
     job.state = JobState::Running;
+    job.urgent = next.urgent;
     job.endpoint = *endpoint;
     job.dispatchedAt = m_now;
     job.lastProgress = m_now;
@@ -357,13 +357,21 @@
         auto waiting = pool.backlog.lower_bound({ static_cast<Tier>(other), Priority(0) });
         bool waits = waiting != pool.backlog.end() && waiting->first == static_cast<Tier>(other);
         double& credit = pool.credit[other];
+        credit = waits ? std::min(maxCredit, credit + leastShare * work) : std::min(0.0, credit);
         if (other == static_cast<std::size_t>(tier))
-            credit = std::max(0.0, credit - work);
-        else
-            credit = waits ? std::min(maxCredit, credit + leastShare * work) : 0;
+            credit = std::min(credit, std::max(0.0, credit - work));
     }
 }
 
+void Scheduler::correct(const Job& job, double work)
+{
+    Pool& pool = *job.pool;
+    pool.queues[{ job.info.tier, job.info.priority }].correct(job.info.account, work);
+    // Work beyond the estimate counts against the least share that let the request go first.
+    if (job.urgent)
+        pool.credit[static_cast<std::size_t>(job.info.tier)] -= work;
+}
+
 void Scheduler::preemptFor(const Job& job, Decisions& decisions)
 {
     Pool& pool = *job.pool;
@@ -373,8 +381,7 @@
     if (static_cast<double>(loss) >= job.work)
         return;
     pool.preemptible.erase(pool.preemptible.begin());
-    Job& victim = m_jobs[item];
-    victim.preempting = true;
+    const Job& victim = m_jobs[item];
     decisions.push_back(Preempt { victim.info.id, pool.selector.info(victim.endpoint).id });
 }
 
@@ -447,8 +454,7 @@
     if (job.output >= job.estimate) {
         std::int64_t longer
             = m_estimator.estimate(job.info.requestClass, job.info.account, Tokens(job.estimate), output).value();
-        job.pool->queues[{ job.info.tier, job.info.priority }].correct(
-            job.info.account, static_cast<double>(longer - job.estimate));
+        correct(job, static_cast<double>(longer - job.estimate));
         job.estimate = longer;
     }
     job.openTokens = job.estimate - job.output;
