Pause lease holders right before they send

Cause: the cases paused a holder while it waited for the platform's answer, after its order had left, so a missing kernel timer showed only as a holder that lived, and the step was hit by chance.

A preloaded library stops the process right before the request leaves.

--- a/src/wisteriayardd/settings_test.cpp
+++ b/src/wisteriayardd/settings_test.cpp
@@ -28,6 +28,7 @@
     { "--max-connections=0", "--max-connections: 0 is not allowed; expected 1 to 1000000" },
     { "--drain-delay-ms=-1", "--drain-delay-ms: -1 is not allowed" },
     { "--drain-delay-ms=soon", "the argument ('soon')" },
+    { "--lease-margin-ms=1501", "--lease-margin-ms: 1501 is not allowed; expected 1 to 1500" },
     { "--colour=red", "unrecognised option" },
 };
 
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -28,6 +28,32 @@
         time.sleep(0.02)
 
 
+class PauseBeforeSend:
+    """Stops one process right before it sends a request that starts with a prefix; see pause_before_send.cpp."""
+
+    def __init__(self, deployment, name, prefix):
+        self._file = os.path.join(deployment.dir, name + ".pause")
+        self._environment = {"LD_PRELOAD": os.path.join(deployment.bin, "libpause_before_send.so"),
+                             "PAUSE_FILE": self._file, "PAUSE_PREFIX": prefix}
+
+    def __enter__(self):
+        """Processes that start inside the block can be stopped later."""
+        os.environ.update(self._environment)
+        return self
+
+    def __exit__(self, *_):
+        for variable in self._environment:
+            del os.environ[variable]
+
+    def stop(self, process):
+        open(self._file, "w").close()
+
+        def stopped():
+            with open(f"/proc/{process.pid}/stat") as file:
+                return file.read().rsplit(")", 1)[1].split()[0] == "T"
+        wait_until(stopped, "the process to stop before its next call")
+
+
 class Reply:
     """Answer of one HTTP call."""
 
--- a/testsuite/orders/run.py
+++ b/testsuite/orders/run.py
@@ -10,15 +10,13 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from harness import Deployment, Stream, call, wait_until  # noqa: E402
+from harness import Deployment, PauseBeforeSend, Stream, call, wait_until  # noqa: E402
 
 ROOT = os.path.join(os.path.dirname(__file__), "..", "..")
 ZONE, REGION = "amman-a", "amman"
 SETTINGS = {"lease-ms": 4000, "lease-margin-ms": 1000, "planner-interval-ms": 50, "planner-grow-ms": 0,
             "store-timeout-ms": 400}
 SLOTS = 2
-# A pause that falls just after the platform's answer is outside the section; the next one is tried.
-ATTEMPTS = 8
 
 
 def start(deployment, platform_options, times=None):
@@ -26,8 +24,10 @@
     address = deployment.start_fake("engine", "engine", "--model", "scent", "--token-ms", "20")
     deployment.start_agent("engine-0", ZONE, REGION, "scent", "engine", address, slots=SLOTS)
     deployment.settings = SETTINGS | (times or {})
-    for index in range(2):
-        deployment.start_entry(f"entry-{index}", ZONE, REGION)
+    deployment.pauses = {}
+    for name in ("entry-0", "entry-1"):
+        with PauseBeforeSend(deployment, name, f"POST /v1/zones/{ZONE}/") as deployment.pauses[name]:
+            deployment.start_entry(name, ZONE, REGION)
     # Carries the load, so that the streams outlive the planners; it never plans.
     deployment.settings = {"planner": "false"}
     deployment.start_entry("entry-load", ZONE, REGION)
@@ -71,12 +71,10 @@
     old = holder(deployment, names)
     new = names[1 - names.index(old)]
     if inside:
-        # The platform holds the call, so the holder is paused while it waits inside the section.
-        call(deployment.platform, "POST", "/fake/faults", {"delay_ms": 300})
-        count = arrived(deployment)
-        wait_until(lambda: arrived(deployment) > count, "an order to arrive")
-    deployment.stop(old, signal.SIGSTOP)
-    call(deployment.platform, "POST", "/fake/faults", {})
+        # The worst step: the lease was checked, and the order is the next thing that leaves.
+        deployment.pauses[old].stop(deployment.processes[old])
+    else:
+        deployment.stop(old, signal.SIGSTOP)
     wait_until(lambda: holder(deployment, [new]), "a successor")
     wait_orders(deployment, "an order of the successor")
     deployment.stop(old, signal.SIGCONT)
@@ -95,13 +93,9 @@
         names = ["entry-0", "entry-1"]
         wait_orders(deployment, "a first order")
         killed = pause_holder(deployment, names, inside)
-        for _ in range(ATTEMPTS if inside else 0):
-            if killed:
-                break
-            killed = pause_holder(deployment, names, inside)
-        assert killed or not inside, f"no holder was killed in {ATTEMPTS + 1} pauses inside the section"
+        assert killed or not inside, "paused right before an order, and lived"
         epochs = check_orders(deployment)
-        print(f"holder paused {'while it orders' if inside else 'at any step'}, fencing "
+        print(f"holder paused {'right before an order' if inside else 'at any step'}, fencing "
               f"{'checked' if fencing else 'ignored'}: {len(epochs)} orders, epochs {sorted(set(epochs))}, "
               f"{'killed by the kernel' if killed else 'no order after its lease'}")
 
--- a/testsuite/usage_windows/run.py
+++ b/testsuite/usage_windows/run.py
@@ -11,15 +11,13 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from harness import Deployment, Stream, call, wait_until  # noqa: E402
+from harness import Deployment, PauseBeforeSend, Stream, call, wait_until  # noqa: E402
 
 ROOT = os.path.join(os.path.dirname(__file__), "..", "..")
 RETAINED = 3
 SETTINGS = {"lease-ms": 4000, "lease-margin-ms": 1000, "usage-window-ms": 1000, "usage-part-ms": 50,
             "usage-grace-ms": 300, "usage-retained-windows": RETAINED, "store-timeout-ms": 400}
 TOKENS = 20
-# A pause that falls just after the platform's answer is outside the section; the next one is tried.
-ATTEMPTS = 8
 
 
 def start(deployment, entries):
@@ -30,8 +28,10 @@
     deployment.settings = {}
     deployment.start_agent("engine-0", "amman-a", "amman", "scent", "engine", address)
     deployment.settings = SETTINGS
-    for index in range(entries):
-        deployment.start_entry(f"entry-{index}", "amman-a", "amman")
+    deployment.pauses = {}
+    for name in (f"entry-{index}" for index in range(entries)):
+        with PauseBeforeSend(deployment, name, "POST /v1/usage-reports") as deployment.pauses[name]:
+            deployment.start_entry(name, "amman-a", "amman")
     deployment.wait_ready()
     deployment.ctl("contract", "put", os.path.join(ROOT, "examples", "nadira", "jordan.json"))
     return deployment.issue_key("jordan")
@@ -135,37 +135,28 @@
     return tokens
 
 
-def pause_until_killed(deployment, key, names, tokens):
-    """Pauses holders while the platform holds a report, until one was inside the section and was killed."""
-    for _ in range(ATTEMPTS):
-        tokens, killed = pause_holder(deployment, key, names, tokens, inside=True)
-        if killed:
-            return tokens
-    raise AssertionError(f"no holder was killed in {ATTEMPTS} pauses inside the section")
-
-
 def pause_holder(deployment, key, names, tokens, inside):
     """Pauses the holder for longer than its lease; returns whether the kernel killed it."""
     old = wait_holder(deployment, names)
     if inside:
-        before = call(deployment.platform, "GET", "/fake/arrived").json()["arrived"]
-        faults(deployment.platform, delay_ms=300)
-        wait_until(lambda: call(deployment.platform, "GET", "/fake/arrived").json()["arrived"] > before, "a report")
-    deployment.stop(old, signal.SIGSTOP)
+        # The worst step: the lease was checked, and the report is the next thing that leaves.
+        deployment.pauses[old].stop(deployment.processes[old])
+    else:
+        deployment.stop(old, signal.SIGSTOP)
     others = [name for name in names if name != old]
-    faults(deployment.platform)
     tokens += serve(deployment, key, others[0], 2)
     new = wait_holder(deployment, others)
     count = len(reports(deployment))
     wait_until(lambda: len(reports(deployment)) > count, "a report of the new holder")
     deployment.stop(old, signal.SIGCONT)
     killed = deployment.processes[old].poll() == -signal.SIGKILL
+    assert killed or not inside, "paused right before a report, and lived"
     if not killed:
         wait_until(lambda: deployment.status(old)["usage"]["lease"] == "free", "the old holder to notice")
     wait_reported(deployment, tokens)
-    print(f"holder {old} paused {'during a report' if inside else 'between reports'}: {new} took over, "
+    print(f"holder {old} paused {'right before a report' if inside else 'at any step'}: {new} took over, "
           f"{'the kernel killed' if killed else 'no report came from'} the old holder")
-    return tokens, killed
+    return tokens
 
 
 def graceful_shutdown(deployment, key, name, names, tokens):
@@ -208,9 +199,9 @@
         tokens = lost_answers(deployment, key, names)
         store_does_not_grow(deployment)
         tokens = store_outage(deployment, key, names, tokens)
-        tokens, _ = pause_holder(deployment, key, names, tokens, inside=False)
+        tokens = pause_holder(deployment, key, names, tokens, inside=False)
         alive = [name for name in names if deployment.processes[name].poll() is None]
-        tokens = pause_until_killed(deployment, key, alive, tokens)
+        tokens = pause_holder(deployment, key, alive, tokens, inside=True)
         alive = [name for name in names if deployment.processes[name].poll() is None]
         graceful_shutdown(deployment, key, wait_holder(deployment, alive), alive, tokens)
     killed_entry(bin_dir)
