--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy python3 curl pkg-config \
 	libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libssl-dev libzmq3-dev cppzmq-dev \
-	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin python3-httpx
+	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin librapidcheck-dev \
+	gnuplot-nox python3-httpx
 
-.PHONY: all deps build check sanitize demo lint model format proto clean
+.PHONY: all deps build check sanitize bench demo lint model format proto clean
 
 all: build
 
@@ -37,6 +38,12 @@
 	  ctest --test-dir $$folder --output-on-failure -j 4 -E '^case_' || exit 1; \
 	done
 
+# Runs every policy scenario in virtual time; gnuplot draws the charts if it is there.
+bench: build
+	mkdir -p $(BUILD)/bench
+	$(BUILD)/bin/policy_bench --output $(BUILD)/bench/policy.json
+	@! command -v gnuplot >/dev/null || for script in $(BUILD)/bench/policy-*.gp; do gnuplot $$script; done
+
 demo: build
 	python3 testsuite/demo/run.py --bin $(BUILD)/bin
 
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -192,7 +192,9 @@
     ArrivedRequest arrived;
     arrived.id = id;
     arrived.key = key;
-    arrived.shape = { TargetId(name), std::string(request.method_string()), path, std::nullopt };
+    // The query takes no part in the classification, so it does not have to be logged.
+    arrived.shape
+        = { TargetId(name), std::string(request.method_string()), path.substr(0, path.find('?')), std::nullopt };
     arrived.exchange = call.exchange;
     arrived.idempotencyKey = std::string(idempotencyKey);
     m_control->submit(std::move(arrived));
@@ -247,11 +249,21 @@
         error = attemptFailed(call, "the agent does not answer", false);
     } else if (std::holds_alternative<CallerGone>(event)) {
         co_return callerGone(call);
+    } else if (std::holds_alternative<Preempted>(event)) {
+        if (call.attemptOpen) {
+            m_links->end(call.id, true);
+            call.attemptOpen = false;
+            m_control->attemptEnded(call.id, AttemptEnd::Preempted);
+        }
     } else if (std::holds_alternative<KeyRevoked>(event)) {
         error = unauthorized("the key was withdrawn");
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
         m_links->end(call.id, true);
         m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
+    } else if (std::holds_alternative<ViewStale>(event)) {
+        error = viewStaleError(call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun);
+        m_links->end(call.id, true);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp);
     } else if (std::holds_alternative<TimedOut>(event)) {
         error = ApiError { http::status::gateway_timeout, "api_error", "timeout", "no answer in time",
             call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun, std::nullopt };
@@ -316,7 +328,7 @@
         { { "request", call.id.value() }, { "attempt", call.admitted->attempt },
             { "endpoint", call.admitted->endpoint.value() }, { "reason", reason }, { "never_ran", neverRan } });
     bool repeatable = neverRan || !call.admitted->atMostOnce;
-    AttemptEnd again = neverRan ? AttemptEnd::PlaceAgainNeverRan : AttemptEnd::PlaceAgain;
+    AttemptEnd again = neverRan ? AttemptEnd::NeverRan : AttemptEnd::PlaceAgain;
     m_control->attemptEnded(call.id, repeatable ? again : AttemptEnd::GivenUp);
     if (repeatable)
         return std::nullopt;
