--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -75,8 +75,8 @@
     /// Output arrived; to be called for the first token and then now and then.
     /// @param output tokens over all attempts
     void progressed(const RequestId& request, Tokens output);
-    /// An agent rejected an at-most-once call and may have named the owner of its partition.
-    void onceRejected(const RequestId& request, const wire::Rejected& rejected);
+    /// An agent rejected a request: it may be leaving, or have named the owner of an at-most-once partition.
+    void agentRejected(const RequestId& request, const wire::Rejected& rejected);
     /// Takes in a load report.
     void endpointReported(const EndpointId& endpoint, const EndpointLoad& load);
     /// An agent is silent or restarted.
