Log counted usage and reconcile it with the reports

Cause: usage reports count every admitted request that ended, and the log held the finished ones only, so the sums could not agree.

--- a/src/include/wisteriayard/replay.h
+++ b/src/include/wisteriayard/replay.h
@@ -33,7 +33,7 @@
 /// Length of a usage window.
 inline constexpr std::int64_t usageWindowMs = 60'000;
 
-/// Recomputes logged decisions from the inputs that stand beside them, and sums finished requests.
+/// Recomputes logged decisions from the inputs that stand beside them, and sums the usage of requests that ended.
 class DecisionReplay {
 public:
     /// Finds the contract of an account at a revision; nullptr if it is not known.
--- a/src/libwisteriayard/audit_test.cpp
+++ b/src/libwisteriayard/audit_test.cpp
@@ -178,7 +178,8 @@
 {
     DecisionReplay replay(lookUp);
     for (int i = 0; i < 3; ++i)
-        replay.take(logLine(202, R"({"request":"q","account":"jordan","class":"chat","output_tokens":7})"));
+        replay.take(
+            logLine(346, R"({"request":"q","account":"jordan","class":"chat","requests":1,"output_tokens":7})"));
     BOOST_REQUIRE(replay.usage().size() == 1u);
     BOOST_TEST(replay.usage().begin()->first.window == 2);
     BOOST_TEST(bool(replay.usage().begin()->second == UsageSum { 3, 21 }));
--- a/src/libwisteriayard/replay.cpp
+++ b/src/libwisteriayard/replay.cpp
@@ -11,9 +11,9 @@
     // Numbers of the events that are read; docs/events.md is the catalogue.
     constexpr int requestAdmitted = 200;
     constexpr int requestRefused = 201;
-    constexpr int requestFinished = 202;
     constexpr int keyWithdrawnInForce = 301;
     constexpr int requestClassified = 340;
+    constexpr int usageCounted = 346;
 
     std::string text(const Json& fields, const char* name)
     {
@@ -68,7 +68,7 @@
     case requestAdmitted:
         checkPlaced(line);
         break;
-    case requestFinished:
+    case usageCounted:
         addUsage(line);
         break;
     case keyWithdrawnInForce:
@@ -153,7 +153,7 @@
 void DecisionReplay::addUsage(const Line& line)
 {
     UsageSum& sum = m_usage[{ text(line.fields, "account"), text(line.fields, "class"), line.timeMs / usageWindowMs }];
-    ++sum.requests;
+    sum.requests += number(line.fields, "requests");
     sum.outputTokens += number(line.fields, "output_tokens");
     m_classified.erase(line.request());
 }
--- a/src/wisteriayardctl/audit_commands.cpp
+++ b/src/wisteriayardctl/audit_commands.cpp
@@ -72,35 +72,92 @@
 
     using AccountClass = std::pair<std::string, std::string>;
 
-    /// Reads `[{"account", "class", "requests", "output_tokens"}, …]`; several records of one class add up.
-    Result<std::map<AccountClass, UsageSum>> readReports(const std::string& name)
+    /// Usage reports as the platform holds them.
+    struct Reports {
+        std::map<AccountClass, UsageSum> sums;
+        /// Lines of each window that was reported; a window may be sent again with the same figures.
+        std::map<std::int64_t, Json> windows;
+        /// Windows that were reported with different figures.
+        std::vector<std::string> faults;
+    };
+
+    /// Adds a line `{"account", "class", "requests", "output_tokens"}`.
+    Status addLine(const Json& line, Reports& reports)
+    {
+        auto has = [&](const char* field, bool text) {
+            auto it = line.find(field);
+            return it != line.end() && (text ? it->is_string() : it->is_number_integer());
+        };
+        if (!has("account", true) || !has("class", true) || !has("requests", false) || !has("output_tokens", false))
+            return fail(Errc::InvalidArgument,
+                "--reports: " + line.dump().substr(0, 200)
+                    + " needs account and class (text), requests and output_tokens (whole numbers)");
+        UsageSum& sum = reports.sums[{ line["account"].get<std::string>(), line["class"].get<std::string>() }];
+        sum.requests += line["requests"].get<std::int64_t>();
+        sum.outputTokens += line["output_tokens"].get<std::int64_t>();
+        return boost::outcome_v2::success();
+    }
+
+    Status addLines(const Json& lines, Reports& reports)
+    {
+        if (!lines.is_array())
+            return fail(Errc::InvalidArgument, "--reports: expected a list of lines");
+        for (const Json& line : lines) {
+            if (!line.is_object())
+                return fail(Errc::InvalidArgument, "--reports: a line is not an object");
+            BOOST_OUTCOME_TRY(addLine(line, reports));
+        }
+        return boost::outcome_v2::success();
+    }
+
+    /// Adds a report as the platform takes it: `{"window", "lines": […], "late": [{"window", "lines"}]}`.
+    Status addReport(const Json& report, Reports& reports)
+    {
+        auto window = report.find("window");
+        if (window == report.end() || !window->is_number_integer())
+            return fail(Errc::InvalidArgument, "--reports: window of a report is not a whole number");
+        Json late = report.value("late", Json::array());
+        Json content = Json::array({ report["lines"], late });
+        auto [it, isNew] = reports.windows.try_emplace(window->get<std::int64_t>(), content);
+        if (!isNew) {
+            if (it->second != content)
+                reports.faults.push_back("window " + window->dump() + " was reported with different figures");
+            return boost::outcome_v2::success();
+        }
+        BOOST_OUTCOME_TRY(addLines(report["lines"], reports));
+        for (const Json& each : late) {
+            if (!each.is_object() || !each.contains("lines"))
+                return fail(Errc::InvalidArgument, "--reports: late of a report is not a list of windows with lines");
+            BOOST_OUTCOME_TRY(addLines(each["lines"], reports));
+        }
+        return boost::outcome_v2::success();
+    }
+
+    Result<Reports> readReports(const std::string& name)
     {
         std::ifstream file(name, std::ios::binary);
         Json list = file ? Json::parse(file, nullptr, false) : Json();
         if (!list.is_array())
             return fail(Errc::InvalidArgument, "--reports: " + name + " is not a JSON list");
-        std::map<AccountClass, UsageSum> sums;
-        for (std::size_t i = 0; i < list.size(); ++i) {
-            const Json& item = list[i];
-            auto has = [&](const char* field, bool text) {
-                return item.is_object() && item.contains(field)
-                    && (text ? item[field].is_string() : item[field].is_number_integer());
-            };
-            if (!has("account", true) || !has("class", true) || !has("requests", false) || !has("output_tokens", false))
-                return fail(Errc::InvalidArgument,
-                    "--reports: record " + std::to_string(i)
-                        + " needs account and class (text), requests and output_tokens (whole numbers)");
-            UsageSum& sum = sums[{ item["account"].get<std::string>(), item["class"].get<std::string>() }];
-            sum.requests += item["requests"].get<std::int64_t>();
-            sum.outputTokens += item["output_tokens"].get<std::int64_t>();
+        Reports reports;
+        for (const Json& item : list) {
+            if (!item.is_object())
+                return fail(Errc::InvalidArgument, "--reports: an item of " + name + " is not an object");
+            if (item.contains("lines")) {
+                BOOST_OUTCOME_TRY(addReport(item, reports));
+            } else {
+                BOOST_OUTCOME_TRY(addLine(item, reports));
+            }
         }
-        return sums;
+        return reports;
     }
 
     /// Sums over all windows: a part that came late is reported in a later window.
     Status reconcile(const std::string& file, const DecisionReplay& replay, AuditReport& report)
     {
-        BOOST_OUTCOME_TRY(auto reported, readReports(file));
+        BOOST_OUTCOME_TRY(auto reports, readReports(file));
+        report.usage = reports.faults;
+        std::map<AccountClass, UsageSum>& reported = reports.sums;
         std::map<AccountClass, UsageSum> logged;
         for (const auto& [key, sum] : replay.usage()) {
             UsageSum& total = logged[{ key.account, key.requestClass }];
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -416,7 +416,13 @@
     m_metrics->outputTokens(account, requestClass, call.tokens);
     // Of a request without its end only the delivered tokens are known.
     UsageFigures delivered { 1, Tokens(0), Tokens(0), call.tokens, Duration(0) };
-    m_usage->count(account, requestClass, call.billed.value_or(delivered));
+    UsageFigures counted = call.billed.value_or(delivered);
+    m_usage->count(account, requestClass, counted);
+    m_log->write(Event::UsageCounted,
+        { { "request", call.id.value() }, { "account", account.value() }, { "class", requestClass.value() },
+            { "requests", counted.requests }, { "prompt_tokens", counted.prompt.value() },
+            { "cached_tokens", counted.cached.value() }, { "output_tokens", counted.output.value() },
+            { "endpoint_us", counted.endpoint.count() }, { "outcome", outcome } });
     if (outcome != "finished")
         return;
     m_metrics->totalTime(account, requestClass, total);
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -58,6 +58,8 @@
         return "store_down_for_all";
     case Event::RequestPreempted:
         return "request_preempted";
+    case Event::UsageCounted:
+        return "usage_counted";
     case Event::EndpointAdded:
         return "endpoint_added";
     case Event::EndpointRemoved:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -38,6 +38,7 @@
     ViewFresh = 343,
     StoreDownForAll = 344,
     RequestPreempted = 345,
+    UsageCounted = 346,
     EndpointAdded = 400,
     EndpointRemoved = 401,
     AgentLost = 402,
--- a/testsuite/operators/run.py
+++ b/testsuite/operators/run.py
@@ -100,7 +100,7 @@
 
 
 def traffic(deployment, key, withdrawn):
-    """Sends requests with every outcome. Returns finished ones by class, and ids of refused ones by code."""
+    """Sends requests with every outcome. Returns ended ones by class, ids of refused ones by code, and running ones."""
     entry = deployment.entries["entry-1"]
     finished = {"chat": [0, 0], "lookup": [0, 0]}
     for length, fields in ((7, {}), (11, {"max_tokens": 50}), (13, {"max_tokens": 500})):
@@ -120,7 +120,7 @@
         error = reply.json()["error"]
         assert error["code"] == code and error["outcome"] == "not_run", error
         refused[code] = error["request_id"]
-    return finished, refused
+    return finished, refused, long
 
 
 def audit(deployment, arguments, expected, text):
@@ -148,6 +148,10 @@
     audit(deployment, [os.path.join(deployment.dir, f"{name}.out") for name in ("entry-1", "entry-2", "engine-1-agent")],
           0, "passed")
     audit(deployment, [log, "--replay"], 0, "passed")  # contracts from the store's history
+    sent = {"window": 1, "lines": [reports[0]], "late": [{"window": 0, "lines": [reports[1]]}]}
+    audit(deployment, [*good[:-1], write_json(deployment, "sent.json", [sent, sent])], 0, "passed")
+    changed = {"window": 1, "lines": reports, "late": []}
+    audit(deployment, [*good[:-1], write_json(deployment, "twice.json", [sent, changed])], 1, "different figures")
     reports[0]["output_tokens"] += 1
     audit(deployment, [*good[:-1], write_json(deployment, "wrong.json", reports)], 1, "USAGE jordan chat")
     with open(log) as file:
@@ -205,11 +209,15 @@
         assert tool(deployment, "key", "withdraw", withdrawn).returncode == 0
         assert tool(deployment, "key", "withdraw", withdrawn).returncode == 0  # a repetition changes nothing
         assert deployment.ctl("key", "list", "--account", "jordan").stdout.count("withdrawn") == 1
-        finished, refused = traffic(deployment, key, withdrawn)
+        finished, refused, running = traffic(deployment, key, withdrawn)
         deployment.ctl("contract", "history", "jordan", "--export", os.path.join(deployment.dir, "history"))
         deployment.ctl("usage")
         explain(deployment, refused)
         deployment.processes["engine"].kill()
+        for stream in running:
+            stream.join()
+            finished["chat"][0] += 1
+            finished["chat"][1] += len(stream.text.split())
         position = deployment.status("entry-1")["log"]
         for name in deployment.entries:
             deployment.stop(name)
