--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -62,8 +62,6 @@
         return "view_fresh";
     case Event::StoreDownForAll:
         return "store_down_for_all";
-    case Event::RequestPreempted:
-        return "request_preempted";
     case Event::UsageCounted:
         return "usage_counted";
     case Event::EndpointAdded:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -40,7 +40,6 @@
     ViewStale = 342,
     ViewFresh = 343,
     StoreDownForAll = 344,
-    RequestPreempted = 345,
     UsageCounted = 346,
     EndpointAdded = 400,
     EndpointRemoved = 401,
