--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -31,6 +31,9 @@
     std::uint64_t prefixHash = 0;
     /// Services only; empty if there is none.
     std::string idempotencyKey;
+    Tokens prefixTokens { 0 };
+    /// A later attempt can go on from the tokens delivered.
+    bool resumable = false;
     std::shared_ptr<Exchange> exchange;
 };
 
@@ -67,7 +70,11 @@
     /// Authenticates, classifies and schedules a request; the outcome goes to its exchange.
     void submit(ArrivedRequest request);
     /// Reports how an attempt ended.
-    void attemptEnded(const RequestId& request, AttemptEnd end);
+    /// @param output tokens that the caller has over all attempts
+    void attemptEnded(const RequestId& request, AttemptEnd end, Tokens output);
+    /// Output arrived; to be called for the first token and then now and then.
+    /// @param output tokens over all attempts
+    void progressed(const RequestId& request, Tokens output);
     /// An agent rejected an at-most-once call and may have named the owner of its partition.
     void onceRejected(const RequestId& request, const wire::Rejected& rejected);
     /// Takes in a load report.
@@ -95,6 +102,8 @@
         double weight = 1.0;
         Revision contractRevision;
         std::uint32_t attempts = 0;
+        /// Attempts that failed or were rejected.
+        std::uint32_t failures = 0;
         /// An attempt may have run, in part or as a whole.
         bool mayHaveRun = false;
         EndpointId lastEndpoint;
@@ -116,7 +125,9 @@
     void endAllStale();
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
-    void place(LiveRequest& request);
+    void place(LiveRequest& request, Placement placement, Tokens delivered);
+    void attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output);
+    void logHealthChanges();
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
     OnceRoute onceRoute(const LiveRequest& request, const EndpointId& dispatched) const;
