--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -91,15 +91,19 @@
     Tokens tokens { 0 };
     /// Tokens of earlier attempts.
     Tokens resumed { 0 };
+    /// Usage of a finished request.
+    std::optional<UsageFigures> billed;
 };
 
 CallerHandler::CallerHandler(boost::asio::io_context& io, std::shared_ptr<EntryControl> control,
-    std::shared_ptr<AgentLinks> links, std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log)
+    std::shared_ptr<AgentLinks> links, std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log,
+    std::shared_ptr<UsageReporter> usage)
     : m_io(io)
     , m_control(std::move(control))
     , m_links(std::move(links))
     , m_metrics(std::move(metrics))
     , m_log(std::move(log))
+    , m_usage(std::move(usage))
 {
 }
 
@@ -192,8 +196,11 @@
     ArrivedRequest arrived;
     arrived.id = id;
     arrived.key = key;
-    arrived.shape = { TargetId(name), std::string(request.method_string()), path, std::nullopt };
+    // The query takes no part in the classification, so it does not have to be logged.
+    arrived.shape
+        = { TargetId(name), std::string(request.method_string()), path.substr(0, path.find('?')), std::nullopt };
     arrived.exchange = call.exchange;
+    arrived.idempotencyKey = std::string(idempotencyKey);
     m_control->submit(std::move(arrived));
     co_return co_await run(call);
 }
@@ -202,6 +209,11 @@
 {
     call.arrived = bootTimeNow();
     call.created = wallClockMilliseconds() / 1000;
+    // Work for a caller that has gone is wasted: a stream finds out when it writes, the rest here.
+    call.writer->onPeerClose([exchange = std::weak_ptr<Exchange>(call.exchange)] {
+        if (auto open = exchange.lock())
+            open->push(CallerGone {});
+    });
     while (true) {
         ExchangeEvent event = co_await call.exchange->next(eventTimeout);
         auto result = co_await on(call, event);
@@ -223,24 +235,24 @@
             error = attemptFailed(call, "chunk " + std::to_string(call.nextChunk) + " is missing", false);
         } else {
             auto delivered = co_await deliver(call, *chunk);
-            if (!delivered) {
-                // The caller is gone.
-                m_links->end(call.id, true);
-                m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
-                ended(call, "caller_gone");
-                co_return HandlerResult(StreamWritten { false });
-            }
+            if (!delivered)
+                co_return callerGone(call);
         }
     } else if (auto* finished = std::get_if<wire::Finished>(&event)) {
         if (finished->chunks() == call.nextChunk)
             co_return co_await finish(call, *finished);
         error = attemptFailed(call, "answer is truncated", false);
     } else if (auto* rejected = std::get_if<wire::Rejected>(&event)) {
+        if (call.admitted->atMostOnce)
+            m_control->onceRejected(call.id, *rejected);
         error = attemptFailed(call, rejected->reason(), true);
     } else if (auto* failed = std::get_if<wire::Failed>(&event)) {
-        error = attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
+        error = failed->http_status() ? finalFailure(call, *failed)
+                                      : attemptFailed(call, failed->reason(), failed->outcome() == wire::NOT_RUN);
     } else if (std::holds_alternative<AgentLost>(event)) {
         error = attemptFailed(call, "the agent does not answer", false);
+    } else if (std::holds_alternative<CallerGone>(event)) {
+        co_return callerGone(call);
     } else if (std::holds_alternative<Preempted>(event)) {
         if (call.attemptOpen) {
             m_links->end(call.id, true);
@@ -252,6 +264,10 @@
         error->outcome = call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun;
         m_links->end(call.id, true);
         m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
+    } else if (std::holds_alternative<ViewStale>(event)) {
+        error = viewStaleError(call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun);
+        m_links->end(call.id, true);
+        m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
     } else if (std::holds_alternative<TimedOut>(event)) {
         error = ApiError { http::status::gateway_timeout, "api_error", "timeout", "no answer in time",
             call.admitted ? RunOutcome::Unknown : RunOutcome::NotRun, std::nullopt };
@@ -263,6 +279,14 @@
     co_return co_await failCall(call, std::move(*error));
 }
 
+HandlerResult CallerHandler::callerGone(const Call& call)
+{
+    m_links->end(call.id, true);
+    m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
+    ended(call, "caller_gone");
+    return StreamWritten { false };
+}
+
 void CallerHandler::startAttempt(Call& call, const Admitted& admitted)
 {
     call.admitted = admitted;
@@ -275,6 +299,7 @@
     call.submit.set_priority(static_cast<std::int32_t>(admitted.tier) * 1000 + admitted.priority.value());
     call.submit.set_tier(static_cast<std::uint32_t>(admitted.tier));
     call.submit.set_at_most_once(admitted.atMostOnce);
+    call.submit.set_once_mode(admitted.onceMode);
     call.submit.set_resume_text(call.text);
     call.submit.set_resume_tokens(static_cast<std::uint64_t>(call.tokens.value()));
     call.attemptOpen = true;
@@ -285,6 +310,20 @@
     }
 }
 
+ApiError CallerHandler::finalFailure(const Call& call, const wire::Failed& failed)
+{
+    m_links->end(call.id, false);
+    m_control->attemptEnded(call.id, AttemptEnd::GivenUp, call.tokens);
+    auto status = static_cast<http::status>(failed.http_status());
+    bool callersFault = status == http::status::conflict || status == http::status::unprocessable_entity;
+    ApiError error { status, callersFault ? "invalid_request_error" : "overloaded_error", failed.code(),
+        failed.reason(), failed.outcome() == wire::NOT_RUN ? RunOutcome::NotRun : RunOutcome::Unknown, std::nullopt };
+    bool retryHelps = status == http::status::service_unavailable || failed.code() == "call_running";
+    if (retryHelps)
+        error.retryAfter = std::chrono::seconds(1);
+    return error;
+}
+
 std::optional<ApiError> CallerHandler::attemptFailed(Call& call, const std::string& reason, bool neverRan)
 {
     m_links->end(call.id, true);
@@ -293,7 +332,8 @@
         { { "request", call.id.value() }, { "attempt", call.admitted->attempt },
             { "endpoint", call.admitted->endpoint.value() }, { "reason", reason }, { "never_ran", neverRan } });
     bool repeatable = neverRan || !call.admitted->atMostOnce;
-    m_control->attemptEnded(call.id, repeatable ? AttemptEnd::PlaceAgain : AttemptEnd::GivenUp, call.tokens);
+    AttemptEnd again = neverRan ? AttemptEnd::NeverRan : AttemptEnd::PlaceAgain;
+    m_control->attemptEnded(call.id, repeatable ? again : AttemptEnd::GivenUp, call.tokens);
     if (repeatable)
         return std::nullopt;
     return ApiError { http::status::bad_gateway, "api_error", "outcome_unknown",
@@ -327,6 +367,9 @@
 {
     m_links->end(call.id, false);
     m_control->attemptEnded(call.id, AttemptEnd::Finished, call.tokens);
+    TokenUsage usage = usageOf(finished, call.resumed);
+    call.billed
+        = { 1, usage.prompt, usage.cached, usage.output, Duration(static_cast<std::int64_t>(finished.endpoint_us())) };
     ended(call, "finished");
     if (!call.chat) {
         auto status = static_cast<http::status>(finished.http_status());
@@ -334,7 +377,6 @@
         response.set("x-request-id", call.id.value());
         co_return response;
     }
-    TokenUsage usage = usageOf(finished, call.resumed);
     if (!call.chat->stream) {
         HttpResponse response = makeHttpResponse(http::status::ok,
             completionBody(call.id, call.chat->model, call.created, call.text, finished.finish_reason(), usage));
@@ -380,6 +422,9 @@
     Duration total = bootTimeNow() - call.arrived;
     m_metrics->requestEnded(account, requestClass, outcome);
     m_metrics->outputTokens(account, requestClass, call.tokens);
+    // Of a request without its end only the delivered tokens are known.
+    UsageFigures delivered { 1, Tokens(0), Tokens(0), call.tokens, Duration(0) };
+    m_usage->count(account, requestClass, call.billed.value_or(delivered));
     if (outcome != "finished")
         return;
     m_metrics->totalTime(account, requestClass, total);
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -2,11 +2,14 @@
 
 #include "event_log.h"
 #include "exchange.h"
+#include "freshness_watch.h"
 #include "instance_list.h"
+#include "once_router.h"
 #include "settings.h"
 #include "store_client.h"
 #include "wisteriayard/scheduler.h"
 #include "wisteriayard/view.h"
+#include "wisteriayard/zone_planner.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -29,6 +32,8 @@
     Tokens prefixTokens { 0 };
     /// A later attempt can go on from the tokens delivered.
     bool resumable = false;
+    /// Services only; empty if there is none.
+    std::string idempotencyKey;
     std::shared_ptr<Exchange> exchange;
 };
 
@@ -36,7 +41,7 @@
 enum class AttemptEnd {
     /// The caller has its whole answer.
     Finished,
-    /// It failed; the request has to be placed again.
+    /// It failed and may have run in part; the request has to be placed again.
     PlaceAgain,
     /// It was rejected and never ran; the request has to be placed again.
     NeverRan,
@@ -70,6 +75,8 @@
     /// Output arrived; to be called for the first token and then now and then.
     /// @param output tokens over all attempts
     void progressed(const RequestId& request, Tokens output);
+    /// An agent rejected an at-most-once call and may have named the owner of its partition.
+    void onceRejected(const RequestId& request, const wire::Rejected& rejected);
     /// Takes in a load report.
     void endpointReported(const EndpointId& endpoint, const EndpointLoad& load);
     /// An agent is silent or restarted.
@@ -77,13 +84,17 @@
     /// Models that an account may use, for `GET /v1/models`; the answer is called on the control thread.
     void listModels(const KeyHash& key, std::function<void(Result<std::vector<TargetId>>)> answer);
 
-    /// The view is loaded and the process does not shut down. Any thread.
-    bool ready() const { return m_ready; }
-    void stopBeingReady() { m_ready = false; }
+    /// The view is loaded and not stale, and the process does not shut down. Control thread only.
+    bool ready() const;
+    void stopBeingReady() { m_stopping = true; }
+    /// Load of the targets in the entry's zone, as agents reported it. Control thread only.
+    std::vector<TargetLoad> zoneLoads() const;
     /// State as JSON. Control thread only.
     std::string statusJson(TimePoint now) const;
 
 private:
+    using Json = nlohmann::json;
+
     struct LiveRequest {
         ArrivedRequest arrived;
         AccountId account;
@@ -93,10 +104,16 @@
         std::uint32_t attempts = 0;
         /// Attempts that failed or were rejected.
         std::uint32_t failures = 0;
+        /// An attempt may have run, in part or as a whole.
+        bool mayHaveRun = false;
+        EndpointId lastEndpoint;
+        /// When it was submitted for the present attempt.
+        TimePoint submittedAt {};
     };
     struct KnownEndpoint {
         ListedEndpoint listed;
         bool lost = false;
+        EndpointLoad load;
     };
 
     boost::asio::awaitable<void> followStore();
@@ -105,16 +122,19 @@
     boost::asio::awaitable<void> sleepFor(Duration time);
     void applyItem(const StoreItem& item);
     void revoke(const KeyHash& key);
+    void endAllStale();
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
-    void place(const LiveRequest& request, Placement placement, Tokens delivered);
+    void place(LiveRequest& request, Placement placement, Tokens delivered);
     void attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output);
     void logHealthChanges();
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
+    OnceRoute onceRoute(const LiveRequest& request, const EndpointId& dispatched) const;
     void carryOut(const Refusal& refusal);
     void carryOut(const Preempt& preempt);
-    void refuse(const ArrivedRequest& request, ApiError error);
+    /// @param inputs what the decision is based on, for the log
+    void refuse(const ArrivedRequest& request, ApiError error, Json inputs = Json::object());
     void forgetRequest(const RequestId& id);
     Result<AccountId> authenticate(const KeyHash& key) const;
 
@@ -125,10 +145,13 @@
     StoreClient m_store;
     ConfigView m_view;
     Scheduler m_scheduler;
+    OnceRouter m_onceRouter;
     std::map<EndpointId, KnownEndpoint> m_endpoints;
     std::map<RequestId, LiveRequest> m_requests;
     std::map<KeyHash, std::set<RequestId>> m_requestsByKey;
-    std::atomic<bool> m_ready { false };
+    std::shared_ptr<FreshnessWatch> m_freshness;
+    std::atomic<bool> m_loaded { false };
+    std::atomic<bool> m_stopping { false };
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/exchange.h
+++ b/src/wisteriayardd/exchange.h
@@ -28,6 +28,7 @@
     Tier tier = Tier::Bulk;
     Priority priority { 0 };
     bool atMostOnce = false;
+    wire::OnceMode onceMode = wire::ONCE_REDIRECT;
 };
 
 /// The control thread refused the request.
@@ -38,9 +39,15 @@
 /// The caller's key was withdrawn.
 struct KeyRevoked { };
 
+/// The entry's view of contracts and keys is stale, so the key may have been withdrawn.
+struct ViewStale { };
+
 /// The agent of the running attempt is gone or silent.
 struct AgentLost { };
 
+/// The caller closed its connection.
+struct CallerGone { };
+
 /// The attempt has to end in favour of a higher tier; the request goes on elsewhere or later.
 struct Preempted { };
 
@@ -48,8 +55,8 @@
 struct TimedOut { };
 
 /// What may happen to a request while its caller waits.
-using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, AgentLost, Preempted, TimedOut, wire::Accepted,
-    wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
+using ExchangeEvent = std::variant<Admitted, Refused, KeyRevoked, ViewStale, AgentLost, CallerGone, Preempted, TimedOut,
+    wire::Accepted, wire::Rejected, wire::Chunk, wire::Finished, wire::Failed>;
 
 /// Mailbox of one request: other threads post events, the request's coroutine takes them in order.
 class Exchange : public std::enable_shared_from_this<Exchange> {
