--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -453,6 +453,7 @@
         forgetRequest(id);
         return;
     }
+    it->second.mayHaveRun = it->second.mayHaveRun || end == AttemptEnd::PlaceAgain;
     // A preemption is no failure of the attempt and does not use one up.
     if (end == AttemptEnd::Preempted && it->second.failures < maxAttempts) {
         place(it->second, Placement::Preempted, output);
