Pass contracts and keys on through two relays in each zone

Each entry held a watch of its own, so the store's calls grew with the fleet.

The two first entries of a zone by rendezvous weight hold the watch and send updates to the others over a peer port (--peer, field peer of the instance list, which is required for entries). The third hears both relays and takes the place of a silent one after 0.9 s; an entry that hears none for 1 s watches the store itself. Freshness counts from the receiver's own question and from when the relay asked the store; watch progress no longer counts as fresh, because it may have lain in a buffer.

--- a/src/libstore/store_client.cpp
+++ b/src/libstore/store_client.cpp
@@ -99,7 +99,7 @@
 }
 
 awaitable<Error> StoreClient::watch(std::string first, std::string rangeEnd, Revision start, Duration silence,
-    std::function<void(const WatchBatch&)> handler)
+    std::function<void(const WatchBatch&)> handler, std::function<bool()> wanted)
 {
     HttpConnection connection(m_executor, m_server, maxResponse);
     auto request = makeHttpRequest(http::verb::post, "/v3/watch", watchRequestJson(first, rangeEnd, start));
@@ -124,6 +124,8 @@
             handler(batch.value());
         }
         pending.erase(0, begin);
+        if (!wanted())
+            co_return Error { Errc::Unavailable, "the watch is no longer wanted" };
         if (pending.size() > maxWatchLine)
             co_return Error { Errc::Protocol, "store: watch line is too long" };
     }
--- a/src/libstore/store_client.h
+++ b/src/libstore/store_client.h
@@ -35,9 +35,11 @@
 
     /// Watches a range from a revision on and hands over each batch until an error ends it.
     /// @param silence longest time without a batch; the store sends progress more often
+    /// @param wanted asked after each batch; the watch ends when it says no
     /// @return why it ended
-    boost::asio::awaitable<Error> watch(std::string first, std::string rangeEnd, Revision start, Duration silence,
-        std::function<void(const WatchBatch&)> handler);
+    boost::asio::awaitable<Error> watch(
+        std::string first, std::string rangeEnd, Revision start, Duration silence,
+        std::function<void(const WatchBatch&)> handler, std::function<bool()> wanted = [] { return true; });
 
 private:
     boost::asio::awaitable<Result<std::string>> call(std::string path, std::string body);
--- a/src/libwire/wire_socket.cpp
+++ b/src/libwire/wire_socket.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-WireSocket::WireSocket(boost::asio::io_context& io, zmq::context_t& context, Kind kind, Handler handler)
+WireSocket::WireSocket(boost::asio::io_context& io, zmq::context_t& context, Kind kind, Handler handler, bool heartbeat)
     : m_kind(kind)
     , m_socket(context, kind == Kind::Router ? zmq::socket_type::router : zmq::socket_type::dealer)
     , m_descriptor(io)
@@ -28,8 +28,10 @@
     m_socket.set(zmq::sockopt::sndhwm, highWaterMark);
     m_socket.set(zmq::sockopt::rcvhwm, highWaterMark);
     m_socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
-    m_socket.set(zmq::sockopt::heartbeat_ivl, heartbeatInterval);
-    m_socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeout);
+    if (heartbeat) {
+        m_socket.set(zmq::sockopt::heartbeat_ivl, heartbeatInterval);
+        m_socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeout);
+    }
     m_socket.set(zmq::sockopt::reconnect_ivl, reconnectInterval);
     m_socket.set(zmq::sockopt::reconnect_ivl_max, reconnectIntervalMax);
     if (kind == Kind::Router)
--- a/src/libwire/wire_socket.h
+++ b/src/libwire/wire_socket.h
@@ -24,7 +24,8 @@
         Dealer,
     };
 
-    WireSocket(boost::asio::io_context& io, zmq::context_t& context, Kind kind, Handler handler);
+    /// @param heartbeat replace a connection that is silent; costs messages while it is idle
+    WireSocket(boost::asio::io_context& io, zmq::context_t& context, Kind kind, Handler handler, bool heartbeat = true);
     WireSocket(const WireSocket&) = delete;
     WireSocket& operator=(const WireSocket&) = delete;
     ~WireSocket();
--- /dev/null
+++ b/src/wisteriayardd/config_feed.cpp
@@ -0,0 +1,173 @@
+#include "config_feed.h"
+
+#include "clock.h"
+#include "store_json.h"
+#include "wisteriayard/view.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wisteriayard {
+
+namespace {
+
+    constexpr Duration storeRetry = std::chrono::milliseconds(200);
+    /// The store sends watch progress more often than this; a watch silent for longer is replaced.
+    constexpr Duration watchSilence = std::chrono::seconds(2);
+    constexpr Duration tickInterval = std::chrono::milliseconds(50);
+    /// How often a relay asks the store for its revision. Progress on the watch may have lain in a buffer, so it
+    /// does not tell how old the state is.
+    constexpr Duration probeInterval = std::chrono::seconds(1);
+    /// Longest wait for the first instance list; without it this entry can't know the relays.
+    constexpr Duration placeWait = std::chrono::seconds(1);
+
+    std::vector<ConfigItem> configItems(const std::vector<StoreItem>& items)
+    {
+        std::vector<ConfigItem> result;
+        for (const StoreItem& item : items)
+            result.push_back({ item.key, item.value, item.modRevision });
+        return result;
+    }
+
+} // namespace
+
+ConfigFeed::ConfigFeed(boost::asio::io_context& io, const CommonSettings& settings, std::shared_ptr<EventLog> log,
+    PeerLinks& peers, Handlers handlers)
+    : m_io(io)
+    , m_settings(settings)
+    , m_log(std::move(log))
+    , m_peers(peers)
+    , m_handlers(std::move(handlers))
+    , m_store(io.get_executor(), settings.store, settings.storeTimeout)
+    , m_fanout(settings.zone, settings.instance, bootTimeNow())
+{
+}
+
+void ConfigFeed::start()
+{
+    auto self = shared_from_this();
+    boost::asio::co_spawn(
+        m_io, [self] { return self->watchForever(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_io, [self] { return self->probeForever(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_io, [self] { return self->tickForever(); }, boost::asio::detached);
+}
+
+boost::asio::awaitable<void> ConfigFeed::sleepFor(Duration time)
+{
+    boost::asio::steady_timer timer(m_io, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+boost::asio::awaitable<void> ConfigFeed::watchForever()
+{
+    TimePoint began = bootTimeNow();
+    while (!m_placed && bootTimeNow() - began < placeWait)
+        co_await sleepFor(tickInterval);
+    while (true) {
+        if (m_fanout.watches()) {
+            m_log->write(Event::WatchStarted, { { "rank", m_fanout.rank() } });
+            while (m_fanout.watches())
+                co_await watchOnce();
+            std::string source = m_fanout.source() ? m_fanout.source()->value() : "";
+            m_log->write(Event::WatchReleased, { { "rank", m_fanout.rank() }, { "source", source } });
+        }
+        co_await sleepFor(tickInterval);
+    }
+}
+
+boost::asio::awaitable<void> ConfigFeed::watchOnce()
+{
+    // One watch covers contracts and keys.
+    const std::string first(contractPrefix);
+    const std::string end = prefixEnd(std::string(keyPrefix));
+    TimePoint asked = bootTimeNow();
+    auto range = co_await m_store.range(first, end);
+    if (!range) {
+        m_log->write(Event::WatchEnded, { { "error", range.error().message } });
+        co_await sleepFor(storeRetry);
+        co_return;
+    }
+    Revision revision = range.value().revision;
+    carryOut(m_fanout.storeSnapshot(configItems(range.value().items), revision, asked, bootTimeNow()));
+    auto onBatch = [this](const WatchBatch& batch) {
+        carryOut(m_fanout.storeChanges(configItems(batch.items), batch.revision, bootTimeNow()));
+    };
+    auto wanted = [this] { return m_fanout.watches(); };
+    Error ended = co_await m_store.watch(first, end, revision + Revision(1), watchSilence, onBatch, wanted);
+    if (!m_fanout.watches())
+        co_return;
+    m_log->write(Event::WatchEnded, { { "error", ended.message } });
+    co_await sleepFor(storeRetry);
+}
+
+boost::asio::awaitable<void> ConfigFeed::probeForever()
+{
+    while (true) {
+        co_await sleepFor(probeInterval);
+        if (!m_fanout.watches() || m_fanout.revision() == Revision(0))
+            continue;
+        // No contract has this key; the answer is the store's revision only.
+        TimePoint asked = bootTimeNow();
+        auto answer = co_await m_store.range(std::string(contractPrefix), "");
+        if (answer)
+            carryOut(m_fanout.storeProbed(answer.value().revision, asked, bootTimeNow()));
+    }
+}
+
+boost::asio::awaitable<void> ConfigFeed::tickForever()
+{
+    while (true) {
+        co_await sleepFor(tickInterval);
+        carryOut(m_fanout.tick(bootTimeNow()));
+    }
+}
+
+void ConfigFeed::membersChanged(std::vector<InstanceId> members)
+{
+    m_placed = true;
+    carryOut(m_fanout.membersChanged(std::move(members), bootTimeNow()));
+}
+
+void ConfigFeed::received(const InstanceId& from, const wire::Envelope& envelope)
+{
+    TimePoint now = bootTimeNow();
+    if (envelope.has_view_digest()) {
+        ViewDigest digest { envelope.view_digest().sequence(), Revision(envelope.view_digest().revision()) };
+        carryOut(m_fanout.received(from, digest, now));
+    } else if (envelope.has_view_update()) {
+        auto update = m_assemblers[from].add(envelope.view_update());
+        if (update)
+            carryOut(m_fanout.received(from, *update, now));
+    }
+}
+
+void ConfigFeed::carryOut(const FanoutResult& result)
+{
+    for (const ConfigItem& item : result.changed)
+        m_handlers.changed(item);
+    for (const FanoutSend& each : result.sends)
+        send(each);
+    if (m_fanout.confirmedAt())
+        m_handlers.confirmed(m_fanout.revision(), *m_fanout.confirmedAt());
+}
+
+void ConfigFeed::send(const FanoutSend& send)
+{
+    if (const auto* update = std::get_if<ViewUpdate>(&send.message)) {
+        for (const wire::Envelope& envelope : packUpdate(*update))
+            m_peers.answer(send.to, envelope);
+        return;
+    }
+    const auto& digest = std::get<ViewDigest>(send.message);
+    wire::Envelope envelope;
+    envelope.mutable_view_digest()->set_sender(m_settings.instance.value());
+    envelope.mutable_view_digest()->set_sequence(digest.sequence);
+    envelope.mutable_view_digest()->set_revision(digest.revision.value());
+    m_peers.request(send.to, envelope, bootTimeNow());
+}
+
+} // namespace wisteriayard
--- a/src/wisteriayardd/entry.cpp
+++ b/src/wisteriayardd/entry.cpp
@@ -47,7 +47,7 @@
             EntryControl::EndpointHandlers handlers;
             handlers.added = [this](const EndpointId& id, const std::string& address) { endpointAdded(id, address); };
             handlers.removed = [this](const EndpointId& id) { endpointRemoved(id); };
-            m_control = std::make_shared<EntryControl>(m_controlIo, m_settings, m_log, std::move(handlers));
+            m_control = std::make_shared<EntryControl>(m_controlIo, m_zmq, m_settings, m_log, std::move(handlers));
             for (int i = 0; i < m_settings.trafficThreads; ++i) {
                 BOOST_OUTCOME_TRY(addTrafficThread());
             }
@@ -55,7 +55,7 @@
                 { [this] { return m_control->ready(); }, [this] { return m_metrics->text(); },
                     [this] { return m_control->statusJson(bootTimeNow()); } });
             BOOST_OUTCOME_TRY(m_admin->listen(m_settings.common.admin));
-            m_control->start();
+            BOOST_OUTCOME_TRY(m_control->start());
             return boost::outcome_v2::success();
         }
 
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -1,7 +1,7 @@
 #include "entry_control.h"
 
+#include "address.h"
 #include "clock.h"
-#include "store_json.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,9 +17,6 @@
 
 namespace {
 
-    constexpr Duration storeRetry = std::chrono::milliseconds(200);
-    /// The store sends watch progress more often than this; a watch silent for longer is replaced.
-    constexpr Duration watchSilence = std::chrono::seconds(2);
     constexpr Duration instancePoll = std::chrono::milliseconds(500);
     constexpr Duration instanceTimeout = std::chrono::seconds(2);
     constexpr Duration tickInterval = std::chrono::milliseconds(10);
@@ -56,25 +53,30 @@
 
 } // namespace
 
-EntryControl::EntryControl(boost::asio::io_context& io, const EntrySettings& settings, std::shared_ptr<EventLog> log,
-    EndpointHandlers handlers)
+EntryControl::EntryControl(boost::asio::io_context& io, zmq::context_t& context, const EntrySettings& settings,
+    std::shared_ptr<EventLog> log, EndpointHandlers handlers)
     : m_io(io)
     , m_settings(settings)
     , m_log(std::move(log))
     , m_handlers(std::move(handlers))
-    , m_store(io.get_executor(), settings.common.store, settings.common.storeTimeout)
+    , m_peers(io, context,
+          [this](const InstanceId& from, const wire::Envelope& envelope) { m_feed->received(from, envelope); })
+    , m_feed(std::make_shared<ConfigFeed>(io, settings.common, m_log, m_peers,
+          ConfigFeed::Handlers { [this](const ConfigItem& item) { applyItem(item); },
+              [this](Revision revision, TimePoint at) { viewConfirmed(revision, at); } }))
     , m_scheduler(settings.common.zone, settings.common.region)
 {
 }
 
-void EntryControl::start()
+Status EntryControl::start()
 {
-    boost::asio::co_spawn(
-        m_io, [self = shared_from_this()] { return self->followStore(); }, boost::asio::detached);
+    BOOST_OUTCOME_TRY(m_peers.listen(formatAddress(m_settings.peer)));
+    m_feed->start();
     boost::asio::co_spawn(
         m_io, [self = shared_from_this()] { return self->followInstances(); }, boost::asio::detached);
     boost::asio::co_spawn(
         m_io, [self = shared_from_this()] { return self->tickForever(); }, boost::asio::detached);
+    return boost::outcome_v2::success();
 }
 
 boost::asio::awaitable<void> EntryControl::sleepFor(Duration time)
@@ -83,43 +85,22 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
-boost::asio::awaitable<void> EntryControl::followStore()
+void EntryControl::viewConfirmed(Revision revision, TimePoint at)
 {
-    // One watch covers contracts and keys.
-    const std::string first(contractPrefix);
-    const std::string end = prefixEnd(std::string(keyPrefix));
-    while (true) {
-        TimePoint asked = bootTimeNow();
-        auto range = co_await m_store.range(first, end);
-        if (!range) {
-            m_log->write(Event::WatchEnded, { { "error", range.error().message } });
-            co_await sleepFor(storeRetry);
-            continue;
-        }
-        for (const StoreItem& item : range.value().items)
-            applyItem(item);
-        m_view.confirmed(range.value().revision, asked);
-        if (!m_ready)
-            m_log->write(Event::ViewLoaded, { { "revision", range.value().revision.value() } });
-        m_ready = true;
-        Revision next = range.value().revision + Revision(1);
-        auto onBatch = [this](const WatchBatch& batch) {
-            for (const StoreItem& item : batch.items)
-                applyItem(item);
-            m_view.confirmed(batch.revision, bootTimeNow());
-        };
-        Error ended = co_await m_store.watch(first, end, next, watchSilence, onBatch);
-        m_log->write(Event::WatchEnded, { { "error", ended.message } });
-        co_await sleepFor(storeRetry);
-    }
+    m_view.confirmed(revision, at);
+    if (m_loaded)
+        return;
+    m_log->write(Event::ViewLoaded, { { "revision", revision.value() } });
+    m_loaded = true;
+    m_ready = true;
 }
 
-void EntryControl::applyItem(const StoreItem& item)
+void EntryControl::applyItem(const ConfigItem& item)
 {
-    auto change = m_view.apply(item.key, item.value, item.modRevision);
+    auto change = m_view.apply(item.key, item.value, item.revision);
     if (!change) {
         m_log->write(Event::ConfigRejected,
-            { { "key", item.key }, { "revision", item.modRevision.value() }, { "error", change.error().message } });
+            { { "key", item.key }, { "revision", item.revision.value() }, { "error", change.error().message } });
         return;
     }
     if (auto* contract = std::get_if<ContractChanged>(&change.value()))
@@ -160,8 +141,25 @@
     }
 }
 
+void EntryControl::applyPeers(const InstanceList& list)
+{
+    const InstanceId& self = m_settings.common.instance;
+    std::map<InstanceId, std::string> addresses;
+    std::vector<InstanceId> zone;
+    for (const ListedEntry& entry : list.entries) {
+        if (entry.instance == self || entry.leaving)
+            continue;
+        addresses[entry.instance] = entry.peerAddress;
+        if (entry.zone == m_settings.common.zone)
+            zone.push_back(entry.instance);
+    }
+    m_peers.setPeers(std::move(addresses));
+    m_feed->membersChanged(std::move(zone));
+}
+
 void EntryControl::applyInstances(const InstanceList& list)
 {
+    applyPeers(list);
     TimePoint now = bootTimeNow();
     std::set<EndpointId> live;
     for (const ListedEndpoint& listed : list.endpoints) {
@@ -195,7 +193,9 @@
 {
     while (true) {
         co_await sleepFor(tickInterval);
-        carryOut(m_scheduler.tick(bootTimeNow()));
+        TimePoint now = bootTimeNow();
+        carryOut(m_scheduler.tick(now));
+        m_peers.tick(now);
     }
 }
 
@@ -401,7 +401,8 @@
     Json status = { { "instance", m_settings.common.instance.value() }, { "zone", m_settings.common.zone.value() },
         { "role", "entry" }, { "ready", m_ready.load() }, { "view_revision", m_view.revision().value() },
         { "view_age_ms", age }, { "queued", m_scheduler.queued() }, { "running", m_scheduler.running() },
-        { "endpoints", endpoints } };
+        { "endpoints", endpoints }, { "rank_in_zone", m_feed->fanout().rank() },
+        { "watches_store", m_feed->fanout().watches() }, { "peer_links", m_peers.links() } };
     return status.dump();
 }
 
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "config_feed.h"
 #include "event_log.h"
 #include "exchange.h"
 #include "instance_list.h"
 #include "settings.h"
-#include "store_client.h"
 #include "wisteriayard/scheduler.h"
 #include "wisteriayard/view.h"
 
@@ -49,11 +49,12 @@
         std::function<void(const EndpointId&)> removed;
     };
 
-    EntryControl(boost::asio::io_context& io, const EntrySettings& settings, std::shared_ptr<EventLog> log,
-        EndpointHandlers handlers);
+    EntryControl(boost::asio::io_context& io, zmq::context_t& context, const EntrySettings& settings,
+        std::shared_ptr<EventLog> log, EndpointHandlers handlers);
 
-    /// Starts to read the store and the instance list.
-    void start();
+    /// Starts to listen for other entries and to read the configuration and the instance list.
+    /// @return Unavailable if the peer port is in use
+    Status start();
 
     /// Authenticates, classifies and schedules a request; the outcome goes to its exchange.
     void submit(ArrivedRequest request);
@@ -86,11 +87,12 @@
         bool lost = false;
     };
 
-    boost::asio::awaitable<void> followStore();
     boost::asio::awaitable<void> followInstances();
     boost::asio::awaitable<void> tickForever();
     boost::asio::awaitable<void> sleepFor(Duration time);
-    void applyItem(const StoreItem& item);
+    void applyItem(const ConfigItem& item);
+    void viewConfirmed(Revision revision, TimePoint at);
+    void applyPeers(const InstanceList& list);
     void revoke(const KeyHash& key);
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
@@ -106,13 +108,15 @@
     EntrySettings m_settings;
     std::shared_ptr<EventLog> m_log;
     EndpointHandlers m_handlers;
-    StoreClient m_store;
     ConfigView m_view;
+    PeerLinks m_peers;
+    std::shared_ptr<ConfigFeed> m_feed;
     Scheduler m_scheduler;
     std::map<EndpointId, KnownEndpoint> m_endpoints;
     std::map<RequestId, LiveRequest> m_requests;
     std::map<KeyHash, std::set<RequestId>> m_requestsByKey;
     std::atomic<bool> m_ready { false };
+    bool m_loaded = false;
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -37,6 +37,10 @@
         return "view_loaded";
     case Event::WatchEnded:
         return "watch_ended";
+    case Event::WatchStarted:
+        return "watch_started";
+    case Event::WatchReleased:
+        return "watch_released";
     case Event::EndpointAdded:
         return "endpoint_added";
     case Event::EndpointRemoved:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -30,6 +30,8 @@
     ConfigRejected = 302,
     ViewLoaded = 303,
     WatchEnded = 304,
+    WatchStarted = 310,
+    WatchReleased = 311,
     EndpointAdded = 400,
     EndpointRemoved = 401,
     AgentLost = 402,
--- a/src/wisteriayardd/instance_list.cpp
+++ b/src/wisteriayardd/instance_list.cpp
@@ -53,6 +53,7 @@
         BOOST_OUTCOME_TRY(auto id, text(json, "instance"));
         BOOST_OUTCOME_TRY(auto zone, text(json, "zone"));
         BOOST_OUTCOME_TRY(entry.adminAddress, address(json, "admin"));
+        BOOST_OUTCOME_TRY(entry.peerAddress, address(json, "peer"));
         entry.instance = InstanceId(id);
         entry.zone = ZoneId(zone);
         return entry;
--- a/src/wisteriayardd/instance_list.h
+++ b/src/wisteriayardd/instance_list.h
@@ -25,6 +25,8 @@
     ZoneId zone;
     /// `IP:port` of its admin port.
     std::string adminAddress;
+    /// `IP:port` for other entries.
+    std::string peerAddress;
     bool leaving = false;
 };
 
--- a/src/wisteriayardd/settings.cpp
+++ b/src/wisteriayardd/settings.cpp
@@ -28,6 +28,7 @@
         add("zone", po::value<std::string>(), "availability zone of this instance");
         add("region", po::value<std::string>(), "region of this instance");
         add("listen", po::value<std::string>(), "IP:port for callers (entry) or for entries (agent)");
+        add("peer", po::value<std::string>(), "entry: IP:port for other entries");
         add("admin", po::value<std::string>(), "IP:port for health, readiness and metrics");
         add("store", po::value<std::string>(), "IP:port of the key-value store");
         add("platform", po::value<std::string>(), "IP:port of the platform's instance list");
@@ -138,6 +139,7 @@
         EntrySettings entry;
         entry.common = readCommon(reader, variables);
         entry.listen = reader.address("listen");
+        entry.peer = reader.address("peer");
         entry.trafficThreads = static_cast<int>(reader.integer("traffic-threads", 1, 64));
         entry.maxConnections = static_cast<int>(reader.integer("max-connections", 1, 1'000'000));
         entry.maxBody = Bytes(reader.integer("max-body-bytes", 1024, 8 * 1024 * 1024));
--- a/src/wisteriayardd/settings.h
+++ b/src/wisteriayardd/settings.h
@@ -35,6 +35,8 @@
     CommonSettings common;
     /// Callers' HTTP.
     boost::asio::ip::tcp::endpoint listen;
+    /// ZeroMQ address for other entries.
+    boost::asio::ip::tcp::endpoint peer;
     int trafficThreads = 2;
     int maxConnections = 10'000;
     Bytes maxBody { 8 * 1024 * 1024 };
--- a/src/wisteriayardd/settings_test.cpp
+++ b/src/wisteriayardd/settings_test.cpp
@@ -13,7 +13,7 @@
 std::vector<const char*> entryArguments()
 {
     return { "wisteriayardd", "--role=entry", "--instance=i", "--zone=z", "--region=r", "--listen=127.0.0.1:1",
-        "--admin=127.0.0.1:2", "--store=127.0.0.1:3", "--platform=127.0.0.1:4" };
+        "--admin=127.0.0.1:2", "--peer=127.0.0.1:5", "--store=127.0.0.1:3", "--platform=127.0.0.1:4" };
 }
 
 struct BadCase {
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -114,7 +114,7 @@
         self.processes = {}
         self.settings = settings or {}
         self.instances = []
-        self.entries, self.admins = {}, {}
+        self.entries, self.admins, self.peers = {}, {}, {}
 
     def __enter__(self):
         return self
@@ -163,11 +163,12 @@
 
     def start_entry(self, name, zone, region, *extra):
         self.entries.setdefault(name, f"127.0.0.1:{free_port()}")
+        self.peers.setdefault(name, f"127.0.0.1:{free_port()}")
         self.start(name, "wisteriayardd", "--role", "entry", "--listen", self.entries[name],
-                   *self.common(name, zone, region), *extra)
+                   "--peer", self.peers[name], *self.common(name, zone, region), *extra)
         if not any(each["instance"] == name for each in self.instances):
             self.instances.append({"instance": name, "role": "entry", "zone": zone, "region": region,
-                                   "admin": self.admins[name], "state": "live"})
+                                   "admin": self.admins[name], "peer": self.peers[name], "state": "live"})
 
     def start_agent(self, name, zone, region, target, kind, endpoint_address, slots=8, agent=None):
         agent = agent or f"127.0.0.1:{free_port()}"
@@ -203,8 +204,8 @@
             raise AssertionError(f"{arguments}: exit {result.returncode}: {result.stderr}{result.stdout}")
         return result
 
-    def issue_key(self, account):
-        return json.loads(self.ctl("--json", "key", "issue", account).stdout)["key"]
+    def issue_key(self, account, check=True):
+        return json.loads(self.ctl("--json", "key", "issue", account, check=check).stdout)["key"]
 
     def stop(self, name, sig=signal.SIGTERM):
         self.processes[name].send_signal(sig)
