--- a/src/wisteriayardd/entry.cpp
+++ b/src/wisteriayardd/entry.cpp
@@ -49,7 +49,7 @@
             EntryControl::EndpointHandlers handlers;
             handlers.added = [this](const EndpointId& id, const std::string& address) { endpointAdded(id, address); };
             handlers.removed = [this](const EndpointId& id) { endpointRemoved(id); };
-            m_control = std::make_shared<EntryControl>(m_controlIo, m_settings, m_log, std::move(handlers));
+            m_control = std::make_shared<EntryControl>(m_controlIo, m_zmq, m_settings, m_log, std::move(handlers));
             m_usage = std::make_shared<UsageReporter>(m_controlIo, m_settings, m_log);
             m_planner = std::make_shared<Planner>(
                 m_controlIo, m_settings, m_log, [control = m_control] { return control->zoneLoads(); });
@@ -60,7 +60,7 @@
                 { [this] { return m_control->ready(); }, [this] { return m_metrics->text(); },
                     [this] { return statusJson(); } });
             BOOST_OUTCOME_TRY(m_admin->listen(m_settings.common.admin));
-            m_control->start();
+            BOOST_OUTCOME_TRY(m_control->start());
             m_usage->start();
             m_planner->start();
             return boost::outcome_v2::success();
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "config_feed.h"
 #include "event_log.h"
 #include "exchange.h"
 #include "freshness_watch.h"
 #include "instance_list.h"
 #include "once_router.h"
 #include "settings.h"
-#include "store_client.h"
 #include "wisteriayard/scheduler.h"
 #include "wisteriayard/view.h"
 #include "wisteriayard/zone_planner.h"
@@ -61,11 +61,12 @@
         std::function<void(const EndpointId&)> removed;
     };
 
-    EntryControl(boost::asio::io_context& io, const EntrySettings& settings, std::shared_ptr<EventLog> log,
-        EndpointHandlers handlers);
+    EntryControl(boost::asio::io_context& io, zmq::context_t& context, const EntrySettings& settings,
+        std::shared_ptr<EventLog> log, EndpointHandlers handlers);
 
-    /// Starts to read the store and the instance list.
-    void start();
+    /// Starts to listen for other entries and to read the configuration and the instance list.
+    /// @return Unavailable if the peer port is in use
+    Status start();
 
     /// Authenticates, classifies and schedules a request; the outcome goes to its exchange.
     void submit(ArrivedRequest request);
@@ -116,11 +117,12 @@
         EndpointLoad load;
     };
 
-    boost::asio::awaitable<void> followStore();
     boost::asio::awaitable<void> followInstances();
     boost::asio::awaitable<void> tickForever();
     boost::asio::awaitable<void> sleepFor(Duration time);
-    void applyItem(const StoreItem& item);
+    void applyItem(const ConfigItem& item);
+    void viewConfirmed(Revision revision, TimePoint at);
+    void applyPeers(const InstanceList& list);
     void revoke(const KeyHash& key);
     void endAllStale();
     void applyInstances(const InstanceList& list);
@@ -142,8 +144,9 @@
     EntrySettings m_settings;
     std::shared_ptr<EventLog> m_log;
     EndpointHandlers m_handlers;
-    StoreClient m_store;
     ConfigView m_view;
+    PeerLinks m_peers;
+    std::shared_ptr<ConfigFeed> m_feed;
     Scheduler m_scheduler;
     OnceRouter m_onceRouter;
     std::map<EndpointId, KnownEndpoint> m_endpoints;
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -64,6 +64,10 @@
         return "store_down_for_all";
     case Event::UsageCounted:
         return "usage_counted";
+    case Event::WatchStarted:
+        return "watch_started";
+    case Event::WatchReleased:
+        return "watch_released";
     case Event::EndpointAdded:
         return "endpoint_added";
     case Event::EndpointRemoved:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -41,6 +41,8 @@
     ViewFresh = 343,
     StoreDownForAll = 344,
     UsageCounted = 346,
+    WatchStarted = 310,
+    WatchReleased = 311,
     EndpointAdded = 400,
     EndpointRemoved = 401,
     AgentLost = 402,
--- a/src/wisteriayardd/freshness_watch.cpp
+++ b/src/wisteriayardd/freshness_watch.cpp
@@ -119,7 +119,7 @@
     while (true) {
         TimePoint now = bootTimeNow();
         Duration age = m_view.age(now);
-        if ((m_watching || age > probeAge) && !m_probing && now - probedAt >= probeInterval) {
+        if (age > probeAge && !m_probing && now - probedAt >= probeInterval) {
             probedAt = now;
             m_probing = true;
             boost::asio::co_spawn(
--- a/src/wisteriayardd/freshness_watch.h
+++ b/src/wisteriayardd/freshness_watch.h
@@ -30,9 +30,6 @@
     void start();
     /// Takes in the entries on the platform's list.
     void peersListed(const std::vector<ListedEntry>& entries);
-    /// Whether this entry watches the store itself. It then asks the store for its revision every second, because
-    /// what a watch delivers may have been on its way for long.
-    void setWatching(bool watching) { m_watching = watching; }
     /// Takes in the outcome of a store call of this entry.
     void storeCalled(bool answered, TimePoint now);
     /// Whether new requests have to be refused now.
@@ -60,7 +57,6 @@
     std::size_t m_nextPeer = 0;
     Serving m_serving = Serving::Serve;
     bool m_started = false;
-    bool m_watching = false;
     bool m_probing = false;
     bool m_asking = false;
     bool m_lastCallFailed = false;
--- a/src/wisteriayardd/instance_list.h
+++ b/src/wisteriayardd/instance_list.h
@@ -27,6 +27,8 @@
     RegionId region;
     /// `IP:port` of its admin port.
     std::string adminAddress;
+    /// `IP:port` for other entries.
+    std::string peerAddress;
     bool leaving = false;
 };
 
