Enforce the limits of accounts over all entries in the daemon

Contracts stated limits that no entry enforced. The test of Retry-After advances its clock by the shortest time between two asks, which did not exist before.

--- a/src/include/wisteriayard/limits.h
+++ b/src/include/wisteriayard/limits.h
@@ -31,6 +31,9 @@
 inline constexpr Duration leaseRenewal = std::chrono::milliseconds(1500);
 /// Shortest time between two asks for one account when its credit is used up early.
 inline constexpr Duration earlyRenewal = std::chrono::milliseconds(250);
+/// The same if the home had all that was asked for of what is used up. Without any such time, an ask that the home
+/// meets and that still does not suffice would be repeated at once without end.
+inline constexpr Duration nextRenewal = std::chrono::milliseconds(10);
 /// An ask without an answer for so long is given up.
 inline constexpr Duration askTimeout = std::chrono::milliseconds(500);
 /// Unused requests and tokens are kept for this long at most.
@@ -140,6 +143,15 @@
 /// grant is in, or after firstGrantWait.
 struct BudgetPending { };
 
+/// Which try of a request this is.
+enum class BudgetAttempt {
+    First,
+    /// It was pending and a grant came in.
+    AfterGrant,
+    /// It was pending for firstGrantWait and is decided now.
+    Last,
+};
+
 using BudgetDecision = std::variant<BudgetAdmitted, BudgetRefused, BudgetPending>;
 
 /// Longest wait of a request for a grant; above a round trip between regions.
@@ -166,12 +178,11 @@
     {
     }
 
-    /// The set of live entries changed; this entry is always one of them.
+    /// The set of live entries changed. It is not empty; an entry that leaves is not one of them.
     void membersChanged(std::vector<InstanceId> members);
     /// Decides about a request and reserves what it is estimated to use.
-    /// @param mayWait the request may be kept until a grant; false if it was pending before
-    BudgetDecision admit(
-        const AccountId& account, const AccountLimits& limits, const BudgetUse& estimate, bool mayWait, TimePoint now);
+    BudgetDecision admit(const AccountId& account, const AccountLimits& limits, const BudgetUse& estimate,
+        BudgetAttempt attempt, TimePoint now);
     /// A request ended: corrects the reservation to what was used.
     void release(const AccountId& account, const BudgetUse& estimate, const BudgetUse& used);
     /// Takes in a grant; one that answers no open ask is dropped.
@@ -200,6 +211,14 @@
         bool homeSilent = false;
         bool fallback = false;
         bool contended = false;
+        /// What the open ask wants in addition to the balance, and whether the last grant held all of it: then the
+        /// home may have more of that kind.
+        Credits missing {};
+        std::array<bool, creditKinds> met {};
+        bool slotsMet = false;
+        std::int64_t missingSlots = 0;
+        /// The next ask need not wait for earlyRenewal.
+        bool askSoon = false;
         TimePoint askedAt {};
         TimePoint leaseEnd {};
         TimePoint filledAt {};
@@ -212,7 +231,12 @@
     std::int64_t slots(const Account& account) const;
     BudgetAsk makeAsk(const AccountId& id, Account& account, TimePoint now) const;
     void stateWants(BudgetAsk& ask, Account& account, double elapsed) const;
-    static bool hasCredit(const Account& account);
+    static void noteDemand(Account& account, const Credits& use);
+    /// Whether there is credit of a kind for a use.
+    static bool hasCredit(const Account& account, const Credits& use, std::size_t kind);
+    /// Whether the home may have more of everything that is used up here.
+    bool mayHaveMore(const Account& account, const Credits& use) const;
+    bool slotFree(const Account& account) const;
     static bool needsRenewal(const Account& account);
     Duration retryAfter(const Account& account, TimePoint now) const;
 
--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -153,12 +153,14 @@
             lent += each.lent[kind];
         }
         double missing = std::max(0.0, ask.wanted[kind] - ask.balance[kind]);
+        // Parts of a request can't be spent, and parts at many entries would use up the budget.
+        if (kind == requests)
+            missing = std::floor(missing);
         double free
             = std::min(account.available[kind], lentCapacity(static_cast<CreditKind>(kind), *rates[kind]) - lent);
         double proportional = wantedByAll > 0 ? free * ask.wanted[kind] / wantedByAll : free;
         double fair = std::max({ 1.0, proportional, free * freePart });
         double granted = std::max(0.0, std::min({ missing, fair, free }));
-        // Parts of a request can't be spent, and parts at many entries would use up the budget.
         if (kind == requests)
             granted = std::floor(granted);
         account.available[kind] -= granted;
@@ -204,8 +206,6 @@
 void BudgetLease::membersChanged(std::vector<InstanceId> members)
 {
     m_members = std::move(members);
-    if (std::find(m_members.begin(), m_members.end(), m_self) == m_members.end())
-        m_members.push_back(m_self);
     for (auto& [id, account] : m_accounts) {
         InstanceId former = account.home;
         locate(id, account);
@@ -278,8 +278,15 @@
     return wait;
 }
 
+void BudgetLease::noteDemand(Account& account, const Credits& use)
+{
+    for (std::size_t kind = 0; kind < creditKinds; ++kind)
+        account.used[kind] += use[kind];
+    account.peakRunning = std::max(account.peakRunning, account.running + 1);
+}
+
 BudgetDecision BudgetLease::admit(
-    const AccountId& id, const AccountLimits& limits, const BudgetUse& estimate, bool mayWait, TimePoint now)
+    const AccountId& id, const AccountLimits& limits, const BudgetUse& estimate, BudgetAttempt attempt, TimePoint now)
 {
     auto [it, inserted] = m_accounts.try_emplace(id);
     Account& account = it->second;
@@ -291,22 +298,28 @@
     account.lastDemand = now;
     passTime(account, now);
     bool leased = now < account.leaseEnd;
-    if (!leased && !account.fallback && !mayWait) {
+    if (!leased && !account.fallback && attempt == BudgetAttempt::Last) {
         account.homeSilent = true;
         passTime(account, now);
     }
     Credits use = asCredits(estimate);
-    if (mayWait) {
-        for (std::size_t kind = 0; kind < creditKinds; ++kind)
-            account.used[kind] += use[kind];
-        account.peakRunning = std::max(account.peakRunning, account.running + 1);
-    }
+    if (attempt == BudgetAttempt::First)
+        noteDemand(account, use);
     bool usable = leased || account.fallback;
-    if (!usable || !hasCredit(account) || (limits.concurrent && account.running >= slots(account))) {
+    bool enough = slotFree(account);
+    for (std::size_t kind = 0; kind < creditKinds; ++kind)
+        enough = enough && hasCredit(account, use, kind);
+    if (!usable || !enough) {
+        bool more = mayHaveMore(account, use);
         // An answer of the home that is older says nothing on what is free now.
-        bool askable = account.askOpen || now - account.askedAt >= earlyRenewal;
-        if (mayWait && !account.fallback && askable) {
+        bool askable = account.askOpen || more || now - account.askedAt >= earlyRenewal;
+        bool hopeful = attempt == BudgetAttempt::First || more || !leased;
+        if (attempt != BudgetAttempt::Last && !account.fallback && askable && hopeful) {
             account.askWanted = true;
+            account.askSoon = account.askSoon || more;
+            // A request that goes on waiting was part of the last ask only.
+            if (attempt == BudgetAttempt::AfterGrant)
+                noteDemand(account, use);
             return BudgetPending {};
         }
         return BudgetRefused { retryAfter(account, now) };
@@ -318,16 +331,27 @@
     return BudgetAdmitted {};
 }
 
-bool BudgetLease::hasCredit(const Account& account)
+bool BudgetLease::hasCredit(const Account& account, const Credits& use, std::size_t kind)
 {
-    auto rates = creditRates(account.limits);
-    bool enough = true;
-    for (std::size_t kind = 0; kind < creditKinds; ++kind) {
-        // Tokens and spend are estimates: what is left over decides, and what is used too much is paid back first.
-        bool has = kind == requests ? account.balance[kind] >= 1.0 : account.balance[kind] > 0.0;
-        enough = enough && (!rates[kind] || has);
-    }
-    return enough;
+    if (!creditRates(account.limits)[kind])
+        return true;
+    // Tokens and spend are estimates: what is left over decides, and what is used too much is paid back first.
+    bool has = kind == requests ? account.balance[kind] >= 1.0 : account.balance[kind] > 0.0;
+    // Calls of plain services use no tokens.
+    return has || (kind == tokens && use[kind] == 0.0);
+}
+
+bool BudgetLease::slotFree(const Account& account) const
+{
+    return !account.limits.concurrent || account.running < slots(account);
+}
+
+bool BudgetLease::mayHaveMore(const Account& account, const Credits& use) const
+{
+    bool more = slotFree(account) || account.slotsMet;
+    for (std::size_t kind = 0; kind < creditKinds; ++kind)
+        more = more && (account.met[kind] || hasCredit(account, use, kind));
+    return more;
 }
 
 void BudgetLease::release(const AccountId& id, const BudgetUse& estimate, const BudgetUse& used)
@@ -373,6 +397,9 @@
         account.balance[kind] += grant.credits[kind];
     account.slots = grant.slots;
     account.contended = grant.contended;
+    for (std::size_t kind = 0; kind < creditKinds; ++kind)
+        account.met[kind] = grant.credits[kind] >= account.missing[kind];
+    account.slotsMet = grant.slots >= account.missingSlots;
     account.leaseEnd = account.askedAt + leasePeriod;
     account.retryAt = now + grant.retryAfter;
 }
@@ -417,6 +444,12 @@
         balance -= ask.returned[kind];
         ask.balance[kind] = std::min(balance, std::max(0.0, lent));
     }
+    for (std::size_t kind = 0; kind < creditKinds; ++kind)
+        account.missing[kind] = std::max(0.0, ask.wanted[kind] - ask.balance[kind]);
+    // The home lends whole requests only.
+    account.missing[requests] = std::floor(account.missing[requests]);
+    account.missingSlots = ask.wantedSlots;
+    account.askSoon = false;
     ask.running = account.running;
     // It starts no more than it asks for until the answer, so that the home can lend the rest.
     account.slots = std::min(account.slots, ask.wantedSlots);
@@ -449,7 +482,8 @@
             continue;
         }
         Duration since = now - account.askedAt;
-        bool due = account.askWanted ? since >= earlyRenewal : since >= leaseRenewal && needsRenewal(account);
+        bool due = account.askWanted ? since >= (account.askSoon ? nextRenewal : earlyRenewal)
+                                     : since >= leaseRenewal && needsRenewal(account);
         if (!account.askOpen && due)
             asks.push_back({ account.home, makeAsk(it->first, account, now) });
         ++it;
--- a/src/libwisteriayard/limits_test.cpp
+++ b/src/libwisteriayard/limits_test.cpp
@@ -36,10 +36,10 @@
     {
         int admitted = 0;
         for (int i = 0; i < count; ++i) {
-            auto decision = lease.admit(account, limits, use, true, now);
+            auto decision = lease.admit(account, limits, use, BudgetAttempt::First, now);
             if (std::holds_alternative<BudgetPending>(decision)) {
                 exchange(now);
-                decision = lease.admit(account, limits, use, false, now);
+                decision = lease.admit(account, limits, use, BudgetAttempt::Last, now);
             }
             admitted += std::holds_alternative<BudgetAdmitted>(decision);
         }
@@ -67,7 +67,8 @@
     Pair pair(limitsOf(50, 1000));
     int admitted = 0;
     TimePoint now = start + std::chrono::seconds(10);
-    BOOST_TEST(std::holds_alternative<BudgetPending>(pair.lease.admit(account, pair.limits, use, true, now)));
+    BOOST_TEST(
+        std::holds_alternative<BudgetPending>(pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now)));
     for (int step = 0; step < 1000; ++step, now += std::chrono::milliseconds(10)) {
         pair.exchange(now);
         int now10ms = pair.admitMany(2, now);
@@ -85,7 +86,7 @@
 {
     Pair pair(limitsOf(1000, 7));
     TimePoint now = start + std::chrono::seconds(10);
-    pair.lease.admit(account, pair.limits, use, true, now);
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
     int running = 0;
     for (int step = 0; step < 300; ++step, now += std::chrono::milliseconds(10)) {
         pair.exchange(now);
@@ -114,15 +115,55 @@
     }
 }
 
+// Guards against calls of plain services that are refused because nobody asked for tokens for them.
+BOOST_AUTO_TEST_CASE(call_without_tokens_needs_none)
+{
+    AccountLimits limits = limitsOf(50, 10);
+    limits.tokensPerSecond = 1000;
+    limits.spendEndpointSecondsPerDay = 86'400;
+    Pair pair(limits);
+    TimePoint now = start + std::chrono::seconds(10);
+    const BudgetUse call {};
+    for (int i = 0; i < 5; ++i, now += std::chrono::milliseconds(300)) {
+        pair.lease.admit(account, limits, call, BudgetAttempt::First, now);
+        pair.exchange(now);
+        auto decision = pair.lease.admit(account, limits, call, BudgetAttempt::Last, now);
+        BOOST_REQUIRE(std::holds_alternative<BudgetAdmitted>(decision));
+        pair.lease.release(account, call, { Tokens(0), 0.01 });
+    }
+}
+
+// Guards against a first burst that is within the limit and refused because the first ask was for less.
+BOOST_AUTO_TEST_CASE(burst_behind_one_ask_is_admitted)
+{
+    Pair pair(limitsOf(20, 40));
+    pair.lease.membersChanged({ home, InstanceId("b"), InstanceId("c") });
+    TimePoint now = start + std::chrono::seconds(10);
+    for (int i = 0; i < 10; ++i)
+        pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
+    int admitted = 0;
+    for (int step = 0; step < 3; ++step, now += nextRenewal) {
+        pair.exchange(now);
+        while (admitted < 10
+            && std::holds_alternative<BudgetAdmitted>(
+                pair.lease.admit(account, pair.limits, use, BudgetAttempt::AfterGrant, now)))
+            ++admitted;
+    }
+    BOOST_TEST(admitted == 10);
+}
+
 // Guards against a refusal without a time after which a retry is useful.
 BOOST_AUTO_TEST_CASE(refusal_states_when_credit_returns)
 {
     Pair pair(limitsOf(0.1, 10));
     TimePoint now = start + std::chrono::seconds(20);
-    pair.lease.admit(account, pair.limits, use, true, now);
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
     pair.exchange(now);
     BOOST_TEST(pair.admitMany(1, now) == 1);
-    auto decision = pair.lease.admit(account, pair.limits, use, true, now);
+    now += nextRenewal;
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
+    pair.exchange(now);
+    auto decision = pair.lease.admit(account, pair.limits, use, BudgetAttempt::AfterGrant, now);
     BOOST_REQUIRE(std::holds_alternative<BudgetRefused>(decision));
     BOOST_TEST(std::get<BudgetRefused>(decision).retryAfter.count() >= 9'000'000);
     BOOST_TEST(std::get<BudgetRefused>(decision).retryAfter.count() <= 20'000'000);
@@ -133,7 +174,7 @@
 {
     Pair pair(limitsOf(40, 1000));
     TimePoint now = start + std::chrono::seconds(10);
-    pair.lease.admit(account, pair.limits, use, true, now);
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
     pair.exchange(now);
     BOOST_TEST(pair.admitMany(1, now) == 1);
     pair.lease.membersChanged({ home, InstanceId("b"), InstanceId("c"), InstanceId("d") });
@@ -155,12 +196,12 @@
 {
     Pair pair(limitsOf(10, 1000));
     TimePoint now = start + std::chrono::seconds(10);
-    pair.lease.admit(account, pair.limits, use, true, now);
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
     auto first = pair.lease.dueAsks(now);
     BOOST_REQUIRE(first.size() == 1);
     BudgetGrant late = pair.budget.ask(home, first[0].ask, pair.limits, now);
     now += askTimeout;
-    pair.lease.admit(account, pair.limits, use, false, now);
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::Last, now);
     BOOST_REQUIRE(pair.lease.dueAsks(now).size() == 1);
     late.credits[0] = 1000;
     pair.lease.granted(late, now);
@@ -189,7 +230,7 @@
     limits.tokensPerSecond = 1000;
     Pair pair(limits);
     TimePoint now = start + std::chrono::seconds(10);
-    pair.lease.admit(account, limits, use, true, now);
+    pair.lease.admit(account, limits, use, BudgetAttempt::First, now);
     double real = 0;
     for (int step = 0; step < 2000; ++step, now += std::chrono::milliseconds(10)) {
         pair.exchange(now);
--- a/src/limits_bench/fleet.cpp
+++ b/src/limits_bench/fleet.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    /// Above the longest run of a request.
+    constexpr Duration drainTime = std::chrono::seconds(5);
     constexpr Duration churnInterval = std::chrono::seconds(5);
     /// One way between entries: within a zone to between regions.
     constexpr Duration leastDelay = std::chrono::milliseconds(1);
@@ -74,9 +76,9 @@
 {
     node.up = !crash;
     auto it = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto& each) { return each.get() == &node; });
-    // A leaving entry answers until all have read the list without it.
+    // A leaving entry takes no new request; it goes on until its requests have ended.
     if (!crash)
-        at(m_now + listSpread, [leaving = *it] { leaving->up = false; });
+        at(m_now + drainTime, [leaving = *it] { leaving->up = false; });
     m_nodes.erase(it);
     publish(crash ? listLag : Duration(0));
 }
@@ -143,9 +145,7 @@
         return;
     flush(node);
     node.home->tick(m_now);
-    auto it = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto& each) { return each.get() == &node; });
-    if (it != m_nodes.end())
-        at(m_now + tickInterval, [this, self = *it] { tick(*self); });
+    at(m_now + tickInterval, [this, self = m_everyNode.at(node.id)] { tick(*self); });
 }
 
 void Fleet::flush(Node& node)
@@ -186,7 +186,7 @@
                     auto waiting = std::move(sender->pending[AccountId(grant.account())]);
                     sender->pending.erase(AccountId(grant.account()));
                     for (auto& each : waiting)
-                        each();
+                        each(BudgetAttempt::AfterGrant);
                 }
             });
         });
@@ -205,25 +205,24 @@
     BudgetUse real;
     real.tokens = Tokens(std::uniform_int_distribution<std::int64_t>(model.fewestTokens, model.mostTokens)(m_random));
     real.endpointSeconds = std::uniform_real_distribution<double>(0, model.mostEndpointSeconds)(m_random);
-    decide(*node, index, estimate, real, true, m_now);
+    decide(*node, index, estimate, real, BudgetAttempt::First, m_now);
 }
 
-void Fleet::decide(
-    Node& node, std::size_t index, const BudgetUse& estimate, const BudgetUse& real, bool mayWait, TimePoint arrived)
+void Fleet::decide(Node& node, std::size_t index, const BudgetUse& estimate, const BudgetUse& real,
+    BudgetAttempt attempt, TimePoint arrived)
 {
     if (!node.up)
         return;
     const AccountModel& model = m_accounts[index];
-    BudgetDecision decision = node.lease->admit(model.id, model.limits, estimate, mayWait, m_now);
+    BudgetDecision decision = node.lease->admit(model.id, model.limits, estimate, attempt, m_now);
     if (std::holds_alternative<BudgetPending>(decision)) {
         auto done = std::make_shared<bool>(false);
-        auto again = [this, &node, index, estimate, real, arrived, done] {
-            if (!*done)
-                decide(node, index, estimate, real, false, arrived);
-            *done = true;
+        auto again = [this, &node, index, estimate, real, arrived, done](BudgetAttempt next) {
+            if (!std::exchange(*done, true))
+                decide(node, index, estimate, real, next, arrived);
         };
         node.pending[model.id].push_back(again);
-        at(m_now + firstGrantWait, again);
+        at(std::max(m_now, arrived + firstGrantWait), [again] { again(BudgetAttempt::Last); });
         flush(node);
         return;
     }
--- a/src/limits_bench/fleet.h
+++ b/src/limits_bench/fleet.h
@@ -76,7 +76,7 @@
         std::uint64_t bytes = 0;
         std::uint64_t messages = 0;
         /// Requests that wait for the first grant, by account.
-        std::map<AccountId, std::vector<std::function<void()>>> pending;
+        std::map<AccountId, std::vector<std::function<void(BudgetAttempt)>>> pending;
     };
     struct Event {
         TimePoint at;
@@ -102,8 +102,8 @@
     void tick(Node& node);
     void flush(Node& node);
     void arrive(std::size_t account);
-    void decide(Node& node, std::size_t account, const BudgetUse& estimate, const BudgetUse& real, bool mayWait,
-        TimePoint arrived);
+    void decide(Node& node, std::size_t account, const BudgetUse& estimate, const BudgetUse& real,
+        BudgetAttempt attempt, TimePoint arrived);
     void start(Node& node, std::size_t account, const BudgetUse& estimate, const BudgetUse& real);
     void track(std::size_t account, std::size_t kind, double amount);
 
--- /dev/null
+++ b/src/wisteriayardd/budget_control.cpp
@@ -0,0 +1,138 @@
+#include "budget_control.h"
+
+#include "budget_messages.h"
+
+#include <map>
+
+namespace wisteriayard {
+
+BudgetControl::BudgetControl(InstanceId self, PeerLinks& peers, Handlers handlers, TimePoint now)
+    : m_self(self)
+    , m_peers(peers)
+    , m_handlers(std::move(handlers))
+    , m_lease(self)
+    , m_home(std::move(self), now)
+    , m_members { m_self }
+{
+}
+
+void BudgetControl::membersChanged(const std::vector<InstanceId>& members, TimePoint now)
+{
+    if (members == m_members)
+        return;
+    m_members = members;
+    m_lease.membersChanged(members);
+    m_home.membersChanged(members, now);
+}
+
+void BudgetControl::request(const RequestId& id, const AccountId& account, const AccountLimits& limits,
+    const BudgetUse& estimate, TimePoint now)
+{
+    decide(account, { id, limits, estimate, now + firstGrantWait }, BudgetAttempt::First, now);
+    // The new ask may go to this entry itself, which then decides at once.
+    if (m_waiting.count(account))
+        sendAsks(now);
+}
+
+void BudgetControl::decide(const AccountId& account, Waiter waiter, BudgetAttempt attempt, TimePoint now)
+{
+    BudgetDecision decision = m_lease.admit(account, waiter.limits, waiter.estimate, attempt, now);
+    if (std::holds_alternative<BudgetPending>(decision)) {
+        m_waiting[account].push_back(std::move(waiter));
+        return;
+    }
+    if (auto* refused = std::get_if<BudgetRefused>(&decision)) {
+        m_handlers.refused(waiter.id, refused->retryAfter);
+        return;
+    }
+    m_reservations[waiter.id] = { account, waiter.estimate };
+    m_handlers.admitted(waiter.id);
+}
+
+void BudgetControl::decideWaiting(const AccountId& account, BudgetAttempt attempt, TimePoint now)
+{
+    auto it = m_waiting.find(account);
+    if (it == m_waiting.end())
+        return;
+    std::vector<Waiter> due;
+    std::vector<Waiter> rest;
+    for (Waiter& waiter : it->second)
+        (attempt == BudgetAttempt::AfterGrant || waiter.deadline <= now ? due : rest).push_back(std::move(waiter));
+    it->second = std::move(rest);
+    if (it->second.empty())
+        m_waiting.erase(it);
+    for (Waiter& waiter : due)
+        decide(account, std::move(waiter), attempt, now);
+}
+
+void BudgetControl::ended(const RequestId& id, const BudgetUse& used)
+{
+    auto reservation = m_reservations.find(id);
+    if (reservation != m_reservations.end()) {
+        m_lease.release(reservation->second.account, reservation->second.estimate, used);
+        m_reservations.erase(reservation);
+        return;
+    }
+    for (auto& [account, waiters] : m_waiting)
+        std::erase_if(waiters, [&](const Waiter& waiter) { return waiter.id == id; });
+    std::erase_if(m_waiting, [](const auto& each) { return each.second.empty(); });
+}
+
+void BudgetControl::tick(TimePoint now)
+{
+    m_home.tick(now);
+    sendAsks(now);
+    std::vector<AccountId> accounts;
+    for (const auto& [account, waiters] : m_waiting)
+        accounts.push_back(account);
+    for (const AccountId& account : accounts)
+        decideWaiting(account, BudgetAttempt::Last, now);
+}
+
+void BudgetControl::sendAsks(TimePoint now)
+{
+    std::map<InstanceId, wire::Envelope> requests;
+    for (const auto& due : m_lease.dueAsks(now)) {
+        wire::BudgetRequest& request = *requests[due.home].mutable_budget_request();
+        request.set_sender(m_self.value());
+        packAsk(due.ask, *request.add_asks());
+    }
+    for (const auto& [home, envelope] : requests) {
+        if (home == m_self)
+            take(answer(m_self, envelope.budget_request(), now).budget_grant(), now);
+        else
+            m_peers.request(home, envelope, now);
+    }
+}
+
+wire::Envelope BudgetControl::answer(const InstanceId& from, const wire::BudgetRequest& request, TimePoint now)
+{
+    wire::Envelope envelope;
+    wire::BudgetGrant& answer = *envelope.mutable_budget_grant();
+    for (const wire::AccountAsk& message : request.asks()) {
+        BudgetAsk ask = unpackAsk(message);
+        auto limits = m_handlers.limitsOf(ask.account);
+        if (limits)
+            packGrant(m_home.ask(from, ask, *limits, now), *answer.add_grants());
+    }
+    return envelope;
+}
+
+void BudgetControl::take(const wire::BudgetGrant& message, TimePoint now)
+{
+    for (const wire::AccountGrant& each : message.grants()) {
+        BudgetGrant grant = unpackGrant(each);
+        m_lease.granted(grant, now);
+        decideWaiting(grant.account, BudgetAttempt::AfterGrant, now);
+    }
+}
+
+void BudgetControl::received(const InstanceId& from, const wire::Envelope& envelope, TimePoint now)
+{
+    if (envelope.has_budget_request())
+        m_peers.answer(from, answer(from, envelope.budget_request(), now));
+    else if (envelope.has_budget_grant())
+        take(envelope.budget_grant(), now);
+}
+
+} // namespace wisteriayard
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -365,7 +365,8 @@
 awaitable<HandlerResult> CallerHandler::finish(Call& call, const wire::Finished& finished)
 {
     m_links->end(call.id, false);
-    m_control->attemptEnded(call.id, AttemptEnd::Finished, call.tokens);
+    m_control->attemptEnded(
+        call.id, AttemptEnd::Finished, call.tokens, Duration(static_cast<std::int64_t>(finished.endpoint_us())));
     TokenUsage usage = usageOf(finished, call.resumed);
     call.billed
         = { 1, usage.prompt, usage.cached, usage.output, Duration(static_cast<std::int64_t>(finished.endpoint_us())) };
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -69,7 +69,15 @@
     , m_log(std::move(log))
     , m_handlers(std::move(handlers))
     , m_peers(io, context,
-          [this](const InstanceId& from, const wire::Envelope& envelope) { m_feed->received(from, envelope); })
+          [this](const InstanceId& from, const wire::Envelope& envelope) {
+              m_feed->received(from, envelope);
+              m_budgets.received(from, envelope, bootTimeNow());
+          })
+    , m_budgets(settings.common.instance, m_peers,
+          BudgetControl::Handlers { [this](const AccountId& account) { return limitsOf(account); },
+              [this](const RequestId& id) { budgetDecided(id, std::nullopt); },
+              [this](const RequestId& id, Duration retryAfter) { budgetDecided(id, retryAfter); } },
+          bootTimeNow())
     , m_feed(std::make_shared<ConfigFeed>(io, settings.common, m_log, m_peers,
           ConfigFeed::Handlers { [this](const ConfigItem& item) { applyItem(item); },
               [this](Revision revision, TimePoint at) { viewConfirmed(revision, at); },
@@ -176,14 +184,23 @@
     const InstanceId& self = m_settings.common.instance;
     std::map<InstanceId, std::string> addresses;
     std::vector<InstanceId> zone;
+    std::vector<InstanceId> all;
+    bool leaving = false;
     for (const ListedEntry& entry : list.entries) {
+        leaving = leaving || (entry.instance == self && entry.leaving);
         if (entry.instance == self || entry.leaving)
             continue;
         addresses[entry.instance] = entry.peerAddress;
+        all.push_back(entry.instance);
         if (entry.zone == m_settings.common.zone)
             zone.push_back(entry.instance);
     }
+    // The list lags, so this entry may not be on it yet.
+    if (!leaving || all.empty())
+        all.push_back(self);
+    std::sort(all.begin(), all.end());
     m_peers.setPeers(std::move(addresses));
+    m_budgets.membersChanged(all, bootTimeNow());
     m_feed->membersChanged(std::move(zone));
 }
 
@@ -228,6 +245,7 @@
         co_await sleepFor(tickInterval);
         TimePoint now = bootTimeNow();
         carryOut(m_scheduler.tick(now));
+        m_budgets.tick(now);
         m_peers.tick(now);
         logHealthChanges();
     }
@@ -287,11 +305,30 @@
     inputs["rule"] = "first_matching_class";
     m_log->write(Event::RequestClassified, inputs);
     LiveRequest live { std::move(request), account.value(), *requestClass, contract->weight,
-        m_view.contractRevision(account.value()), 0, 0, false, {}, {} };
+        m_view.contractRevision(account.value()), 0, 0, false, {}, {}, {} };
     RequestId id = live.arrived.id;
     m_requestsByKey[live.arrived.key].insert(id);
     auto inserted = m_requests.emplace(id, std::move(live)).first;
-    place(inserted->second, Placement::First, Tokens(0));
+    const LiveRequest& accepted = inserted->second;
+    BudgetUse estimate { accepted.arrived.promptTokens + accepted.requestClass.expectedOutput, 0.0 };
+    m_budgets.request(id, accepted.account, contract->limits, estimate, bootTimeNow());
+}
+
+std::optional<AccountLimits> EntryControl::limitsOf(const AccountId& account) const
+{
+    auto contract = m_view.contract(account);
+    return contract ? std::optional(contract->limits) : std::nullopt;
+}
+
+void EntryControl::budgetDecided(const RequestId& id, std::optional<Duration> retryAfter)
+{
+    auto it = m_requests.find(id);
+    if (it == m_requests.end())
+        return;
+    if (retryAfter)
+        carryOut(Refusal { id, RefusalReason::LimitExceeded, *retryAfter });
+    else
+        place(it->second, Placement::First, Tokens(0));
 }
 
 void EntryControl::place(LiveRequest& request, Placement placement, Tokens delivered)
@@ -430,12 +467,14 @@
     request.exchange->post(Refused { std::move(error) });
 }
 
-void EntryControl::attemptEnded(const RequestId& id, AttemptEnd end, Tokens output)
+void EntryControl::attemptEnded(const RequestId& id, AttemptEnd end, Tokens output, Duration endpointTime)
 {
-    boost::asio::post(m_io, [self = shared_from_this(), id, end, output] { self->attemptEndedNow(id, end, output); });
+    boost::asio::post(m_io, [self = shared_from_this(), id, end, output, endpointTime] {
+        self->attemptEndedNow(id, end, output, endpointTime);
+    });
 }
 
-void EntryControl::attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output)
+void EntryControl::attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output, Duration endpointTime)
 {
     TimePoint now = bootTimeNow();
     carryOut(m_scheduler.cancelled(id, now));
@@ -443,7 +482,9 @@
     auto it = m_requests.find(id);
     if (it == m_requests.end())
         return;
-    it->second.mayHaveRun = it->second.mayHaveRun || end == AttemptEnd::PlaceAgain;
+    if (it->second.attempts > 0)
+        it->second.used = { it->second.arrived.promptTokens + output,
+            it->second.used.endpointSeconds + std::chrono::duration<double>(endpointTime).count() };
     if (end == AttemptEnd::Finished || end == AttemptEnd::GivenUp) {
         forgetRequest(id);
         return;
@@ -479,6 +520,7 @@
     auto it = m_requests.find(id);
     if (it == m_requests.end())
         return;
+    m_budgets.ended(id, it->second.used);
     auto byKey = m_requestsByKey.find(it->second.arrived.key);
     byKey->second.erase(id);
     if (byKey->second.empty())
@@ -573,7 +615,8 @@
         { "role", "entry" }, { "ready", ready() }, { "view_revision", m_view.revision().value() },
         { "view_age_ms", age }, { "queued", m_scheduler.queued() }, { "running", m_scheduler.running() },
         { "endpoints", endpoints }, { "rank_in_zone", m_feed->fanout().rank() },
-        { "watches_store", m_feed->fanout().watches() }, { "peer_links", m_peers.links() } };
+        { "watches_store", m_feed->fanout().watches() }, { "peer_links", m_peers.links() },
+        { "homed_accounts", m_budgets.homedAccounts() } };
     AuditAnchor position = m_log->position();
     status["log"]
         = { { "incarnation", position.incarnation }, { "sequence", position.sequence }, { "hash", position.hash } };
--- a/src/wisteriayardd/entry_control.h
+++ b/src/wisteriayardd/entry_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget_control.h"
 #include "config_feed.h"
 #include "event_log.h"
 #include "exchange.h"
@@ -72,7 +73,8 @@
     void submit(ArrivedRequest request);
     /// Reports how an attempt ended.
     /// @param output tokens that the caller has over all attempts
-    void attemptEnded(const RequestId& request, AttemptEnd end, Tokens output);
+    /// @param endpointTime time that the endpoint worked on it in this attempt, if that is known
+    void attemptEnded(const RequestId& request, AttemptEnd end, Tokens output, Duration endpointTime = Duration(0));
     /// Output arrived; to be called for the first token and then now and then.
     /// @param output tokens over all attempts
     void progressed(const RequestId& request, Tokens output);
@@ -110,6 +112,8 @@
         EndpointId lastEndpoint;
         /// When it was submitted for the present attempt.
         TimePoint submittedAt {};
+        /// What it used of the account's limits so far.
+        BudgetUse used;
     };
     struct KnownEndpoint {
         ListedEndpoint listed;
@@ -128,7 +132,9 @@
     void applyInstances(const InstanceList& list);
     void submitNow(ArrivedRequest request);
     void place(LiveRequest& request, Placement placement, Tokens delivered);
-    void attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output);
+    std::optional<AccountLimits> limitsOf(const AccountId& account) const;
+    void budgetDecided(const RequestId& id, std::optional<Duration> retryAfter);
+    void attemptEndedNow(const RequestId& id, AttemptEnd end, Tokens output, Duration endpointTime);
     void logHealthChanges();
     void carryOut(const Scheduler::Decisions& decisions);
     void carryOut(const Dispatch& dispatch);
@@ -146,6 +152,7 @@
     EndpointHandlers m_handlers;
     ConfigView m_view;
     PeerLinks m_peers;
+    BudgetControl m_budgets;
     std::shared_ptr<ConfigFeed> m_feed;
     Scheduler m_scheduler;
     OnceRouter m_onceRouter;
--- a/testsuite/peers/run.py
+++ b/testsuite/peers/run.py
@@ -1,16 +1,26 @@
 #!/usr/bin/env python3
-"""Configuration reaches all entries of a zone through its relays, also while one of them is stopped."""
+"""Entries that act together: an account's limit over all of them, and configuration through a zone's relays."""
 
 import argparse
 import json
 import os
 import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from harness import Deployment, call, wait_until  # noqa: E402
 
+RATE = 20
+LIMITED_S = 8
+# Bounds of docs/decisions/limits-over-entries.md: 4 s of the rate, and for a change of the home its period, twice the
+# time in which entries read different lists (the poll of 0.5 s and its call), and 0.3 s.
+STEADY_EXCESS_S = 4
+LIST_SPREAD_S = 1
+HOME_EXCESS_S = 2 + 2 * LIST_SPREAD_S + 0.3
+
+
 def contract(account, **limits):
     return {"account": account, "weight": 1, "limits": limits, "classes": [
         {"name": "stock", "tier": "interactive", "match": {"target": "counter"}, "targets": {"attainment": 0.9},
@@ -24,6 +34,87 @@
     return deployment.ctl("--json", "--wait-ms", str(wait_ms), "contract", "put", path, check=False)
 
 
+class Load:
+    """Sends requests to the entries in turn, faster than the limit allows."""
+
+    def __init__(self, entries, key, threads=8):
+        self.entries, self.key = list(entries), key
+        self.admitted, self.refused = [], []
+        self.stopped = False
+        self.threads = [threading.Thread(target=self._run, args=(i,), daemon=True) for i in range(threads)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, turn):
+        while not self.stopped:
+            turn += 1
+            began = time.monotonic()
+            try:
+                reply = call(self.entries[turn % len(self.entries)], "GET", "/services/counter/stock", key=self.key)
+            except OSError:
+                continue  # the killed entry
+            now = time.monotonic()
+            if reply.status == 200:
+                self.admitted.append(now)
+            else:
+                self.refused.append((now - began, reply))
+            time.sleep(0.02)
+
+    def stop(self):
+        self.stopped = True
+        for thread in self.threads:
+            thread.join()
+
+    def excess(self):
+        """Most admitted requests above the rate over all intervals."""
+        level, last, most = 0, None, 0
+        for at in sorted(self.admitted):
+            level = max(0, level - RATE * (at - last)) + 1 if last is not None else 1
+            last, most = at, max(most, level)
+        return most
+
+
+def check_refusals(load):
+    assert load.refused, "the demand was not above the limit"
+    for _, reply in load.refused:
+        error = reply.json()["error"]
+        assert reply.status == 429 and error["outcome"] == "not_run", (reply.status, reply.body)
+        assert int(reply.headers["Retry-After"]) >= 1, reply.headers
+
+
+def limit_over_entries(deployment):
+    assert put(deployment, contract("shop", requests_per_s=RATE)).returncode == 0
+    key = deployment.issue_key("shop")
+    load = Load(deployment.entries.values(), key)
+    began = time.monotonic()
+    time.sleep(LIMITED_S)
+    load.stop()
+    took = time.monotonic() - began
+    check_refusals(load)
+    excess, count = load.excess(), len(load.admitted)
+    print(f"3 entries: {count} admitted in {took:.1f} s, {len(load.refused)} refused, excess {excess:.0f}")
+    assert excess <= STEADY_EXCESS_S * RATE, excess
+    assert count >= 0.5 * RATE * took, "the limit is not used"
+
+    asks = {name: deployment.status(name)["homed_accounts"] for name in deployment.entries}
+    homes = [name for name, accounts in asks.items() if accounts]
+    assert len(homes) == 1, asks
+    load = Load(deployment.entries.values(), key)
+    time.sleep(2)
+    deployment.processes[homes[0]].kill()
+    time.sleep(2)
+    deployment.instances = [each for each in deployment.instances if each["instance"] != homes[0]]
+    deployment.publish_instances()
+    time.sleep(LIMITED_S)
+    load.stop()
+    check_refusals(load)
+    late = [at for at in load.admitted if at > time.monotonic() - 4]
+    excess = load.excess()
+    print(f"home killed: {len(load.admitted)} admitted in 12 s, {len(late)} in the last 4 s, excess {excess:.0f}")
+    assert excess <= (STEADY_EXCESS_S + HOME_EXCESS_S) * RATE, excess
+    assert len(late) >= 0.5 * RATE * 4, "the limit is not used after the home was lost"
+
+
 def watches(deployment):
     return call(deployment.store, "GET", "/fake/stats").json()["watches"]
 
@@ -83,6 +174,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--bin", required=True)
     binaries = os.path.abspath(parser.parse_args().bin)
+    with Deployment(binaries) as deployment:
+        start(deployment, [("entry-a", "amman-a"), ("entry-b", "amman-a"), ("entry-c", "amman-b")])
+        limit_over_entries(deployment)
     with Deployment(binaries) as deployment:
         start(deployment, [(f"entry-{index}", "amman-a") for index in range(5)])
         config_through_relays(deployment)
