--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -4,9 +4,11 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -73,7 +75,7 @@
         os.environ.update(self._environment)
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, *failure):
         for variable in self._environment:
             del os.environ[variable]
 
@@ -178,13 +180,17 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, *failure):
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        if not any(failure):
+            shutil.rmtree(self.dir)
+        else:
+            print(f"output of the programs: {self.dir}", file=sys.stderr)
 
     def start(self, name, program, *arguments):
         log = open(os.path.join(self.dir, name + ".out"), "ab")
--- a/testsuite/usage_windows/run.py
+++ b/testsuite/usage_windows/run.py
@@ -153,6 +153,8 @@
     assert killed or not inside, "paused right before a report, and lived"
     if not killed:
         wait_until(lambda: deployment.status(old)["usage"]["lease"] == "free", "the old holder to notice")
+        # After the pause its view is stale, and it refuses until it has heard of the store again.
+        wait_until(lambda: deployment.ready(old), "the old holder to be ready")
     wait_reported(deployment, tokens)
     print(f"holder {old} paused {'right before a report' if inside else 'at any step'}: {new} took over, "
           f"{'the kernel killed' if killed else 'no report came from'} the old holder")
