--- a/src/bench/world.h
+++ b/src/bench/world.h
@@ -13,6 +13,11 @@
 
 namespace wisteriayard::bench {
 
+/// Time until a broken connection or a failed connect is noticed.
+inline constexpr Duration failureNotice = std::chrono::milliseconds(100);
+/// The link between regions, each way: 30 Mbit/s.
+inline constexpr double linkBytesPerSecond = 30e6 / 8;
+
 enum class PolicyKind {
     Core,
     FifoRoundRobin,
--- a/src/wisteriayardd/api_error.h
+++ b/src/wisteriayardd/api_error.h
@@ -2,6 +2,7 @@
 
 #include "http_server.h"
 #include "wisteriayard/ids.h"
+#include "wisteriayard/scheduler.h"
 
 #include <optional>
 #include <string>
@@ -31,6 +32,9 @@
 /// The error of an entry whose view of contracts and keys is stale.
 ApiError viewStaleError(RunOutcome outcome);
 
+/// The error for a request that the scheduler or a limit refused.
+ApiError refusalError(RefusalReason reason, Duration retryAfter);
+
 /// The error object as JSON.
 std::string apiErrorJson(const ApiError& error, const RequestId& request);
 
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -22,7 +22,7 @@
     The block lies below the range from which the system takes ports of outgoing connections.
     """
 
-    FIRST, SIZE, COUNT = 10_000, 200, 100
+    FIRST, SIZE, COUNT = 10_000, 1000, 20
 
     def __init__(self):
         for index in random.sample(range(self.COUNT), self.COUNT):
