Keep long prompts on engines of their own; refuse streams that a stopping entry can't end

Ruled out: waiting for the first event, preemption (none). PrefillPool sizes the part of the engines for long prompts by the engine time that each kind asks for over all entries. Entries now tell each other since when they hear the store.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -79,8 +79,10 @@
         endpoint.region = region->second;
     endpoint.slots = record.slots;
     auto target = m_targets.find(record.target);
-    if (target != m_targets.end() && target->second.engine)
+    if (target != m_targets.end() && target->second.engine) {
         endpoint.memory = target->second.engine->cacheCapacity;
+        endpoint.tokensPerEvent = target->second.engine->tokensPerEvent;
+    }
     return endpoint;
 }
 
@@ -135,6 +137,23 @@
     return use;
 }
 
+std::map<TargetId, WorkRates> EndpointDirectory::ownWork(TimePoint now)
+{
+    std::map<TargetId, WorkRates> work;
+    for (auto& [target, placement] : m_placements)
+        work[target] = placement->ownWork(now);
+    return work;
+}
+
+void EndpointDirectory::peerWork(const InstanceId& peer, const std::map<TargetId, WorkRates>& work, TimePoint now)
+{
+    for (const auto& [target, rates] : work) {
+        auto known = m_placements.find(target);
+        if (known != m_placements.end())
+            known->second->peerWork(peer, rates, now);
+    }
+}
+
 EndpointPlacement& EndpointDirectory::placement(const TargetId& target)
 {
     auto& placement = m_placements[target];
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -25,12 +25,21 @@
     void apply(const WatchBatch& batch, TimePoint now);
     /// Removes endpoints that did not come back after an outage of the store.
     void removeLapsed(TimePoint now);
+    /// Another entry has heard the store without an outage since a point in time.
+    void storeWasUpSince(TimePoint since, TimePoint now) { m_membership.storeWasUpSince(since, now); }
+    /// Since when this entry has heard the store without an outage.
+    std::optional<TimePoint> contactSince() const { return m_membership.contactSince(); }
     /// An endpoint's address answered for another endpoint: it is not used until its entry changes.
     void misdirected(const EndpointId& id);
     /// Takes the engines' traits from a new configuration.
     void configure(const RoutingConfig& config);
     /// Takes in the load that another entry puts on endpoints.
     void peerUse(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now);
+    /// @name Engine time that requests ask for, by service
+    /// @{
+    std::map<TargetId, WorkRates> ownWork(TimePoint now);
+    void peerWork(const InstanceId& peer, const std::map<TargetId, WorkRates>& work, TimePoint now);
+    /// @}
     /// Load by this entry on all endpoints.
     std::map<EndpointId, EndpointUse> ownUse() const;
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -10,6 +10,11 @@
     /// Share of the platform's retry allowance that is used: the windows of the entries and of the platform differ.
     constexpr double usedRetryShare = 0.7;
 
+    /// Streams last for seconds; one that begins later than this after SIGTERM would be cut.
+    constexpr Duration lastStreamStart = std::chrono::milliseconds(2900);
+    /// Other requests end within a second.
+    constexpr Duration lastRequestStart = std::chrono::milliseconds(5500);
+
 } // namespace
 
 GatewayState::GatewayState(boost::asio::io_context& loop, GatewaySettings initial, const PlatformPort& port,
@@ -40,6 +45,12 @@
     metrics.configVersion(version.value());
 }
 
+bool GatewayState::hasTimeFor(RequestKind kind, TimePoint now) const
+{
+    Duration last = kind == RequestKind::Stream ? lastStreamStart : lastRequestStart;
+    return !drainingSince || now - *drainingSince < last;
+}
+
 RetryBudget& GatewayState::retryBudget(const TargetId& target)
 {
     RetryBudget& budget = retries[target];
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -49,6 +49,8 @@
     RetryBudget& retryBudget(const TargetId& target);
     /// Writes a line about a request unless the rate of such lines is used up.
     void logRequest(Event event, nlohmann::json fields, TimePoint now);
+    /// Whether a new request can end before a shutdown that has begun.
+    bool hasTimeFor(RequestKind kind, TimePoint now) const;
     bool isReady() const { return routes && directory.isLoaded() && !drainingSince; }
 };
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -128,12 +128,26 @@
     Json loads = Json::array();
     for (const auto& [id, use] : m_state.directory.ownUse())
         loads.push_back(Json::array({ id.value(), use.running, use.prefillTokens, use.memoryTokens }));
-    std::int64_t time = m_state.clock.milliseconds(wallClockMilliseconds(), bootTimeNow());
-    Json message = Json::array({ m_state.settings.instance.value(), time, std::move(loads) });
+    TimePoint now = bootTimeNow();
+    Json work = Json::array();
+    for (const auto& [target, rates] : m_state.directory.ownWork(now))
+        work.push_back(Json::array({ target.value(), rates.longPrompts, rates.shortPrompts }));
+    std::int64_t time = m_state.clock.milliseconds(wallClockMilliseconds(), now);
+    std::int64_t contact = contactMilliseconds(now);
+    Json message = Json::array({ m_state.settings.instance.value(), time, contact, std::move(loads), std::move(work) });
     std::vector<std::uint8_t> bytes = Json::to_cbor(message);
     return std::string(bytes.begin(), bytes.end());
 }
 
+std::int64_t PeerExchange::contactMilliseconds(TimePoint now) const
+{
+    bool inOutage = now - m_state.endpointsHeardAt >= MembershipTimes().outage;
+    auto since = m_state.directory.contactSince();
+    if (!since || inOutage)
+        return 0;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count();
+}
+
 awaitable<void> PeerExchange::sendLoads()
 {
     boost::asio::steady_timer timer(m_state.io);
@@ -171,8 +185,9 @@
 void PeerExchange::receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now)
 {
     Json message = Json::from_cbor(datagram.begin(), datagram.end(), true, false);
-    bool isMessage = message.is_array() && message.size() == 3 && message[0].is_string()
-        && message[1].is_number_integer() && message[2].is_array();
+    bool isMessage = message.is_array() && message.size() == 5 && message[0].is_string()
+        && message[1].is_number_integer() && message[2].is_number_integer() && message[3].is_array()
+        && message[4].is_array();
     if (!isMessage)
         return;
     InstanceId peer(message[0].get<std::string>());
@@ -182,8 +197,10 @@
     std::int64_t correction = m_state.clock.peerTime(peer, message[1].get<std::int64_t>(), now);
     if (correction != 0)
         m_state.log->write(Event::ClockCorrected, { { "milliseconds", correction }, { "cause", "peers" } });
+    auto contact = std::chrono::milliseconds(message[2].get<std::int64_t>());
+    m_state.directory.storeWasUpSince(now - contact, now);
     std::map<EndpointId, EndpointUse> use;
-    for (const Json& row : message[2]) {
+    for (const Json& row : message[3]) {
         bool wellFormed = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer()
             && row[2].is_number_integer() && row[3].is_number_integer();
         if (!wellFormed)
@@ -195,6 +212,15 @@
         use[EndpointId(row[0].get<std::string>())] = each;
     }
     m_state.directory.peerUse(peer, use, now);
+    std::map<TargetId, WorkRates> work;
+    for (const Json& row : message[4]) {
+        bool wellFormed
+            = row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_number() && row[2].is_number();
+        if (!wellFormed)
+            return;
+        work[TargetId(row[0].get<std::string>())] = WorkRates { row[1].get<double>(), row[2].get<double>() };
+    }
+    m_state.directory.peerWork(peer, work, now);
 }
 
 } // namespace wisteriayard
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -39,6 +39,8 @@
     void countEntries();
     void receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now);
     std::string message();
+    /// Time for which this entry has heard the store without an outage; 0 during one.
+    std::int64_t contactMilliseconds(TimePoint now) const;
 
     GatewayState& m_state;
     std::unique_ptr<StoreClient> m_store;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -104,6 +104,8 @@
         m_account = owner->account;
         m_priority = enginePriority(owner->priority, m_route->priority);
     }
+    if (!m_state.hasTimeFor(m_route->kind, m_request.arrivedAt))
+        return OwnAnswer { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
     m_target = RouteTable::pickTarget(*m_route, m_traits.id);
     auto target = m_routes->config().targets.find(m_target);
     m_isEngine = target != m_routes->config().targets.end() && target->second.engine.has_value();
@@ -148,6 +150,7 @@
     m_state.retryBudget(m_target).request(bootTimeNow());
     while (true) {
         TimePoint now = bootTimeNow();
+        m_state.directory.removeLapsed(now);
         auto& placement = m_state.directory.placement(m_target);
         auto decision = placement.choose(placementRequest(now), m_tried, now);
         if (auto* refused = std::get_if<Refused>(&decision)) {
@@ -411,7 +414,9 @@
 awaitable<Status> RequestRun::passEvents(EndpointExchange& exchange, EventStream& events, Placement& placement)
 {
     std::string text;
+    std::size_t count = 0;
     while (auto event = events.next()) {
+        ++count;
         if (event->id && m_lastEvent && *event->id <= *m_lastEvent)
             continue; // the caller has it from the attempt before
         if (event->id)
@@ -421,15 +426,18 @@
     if (text.empty())
         co_return boost::outcome_v2::success();
     std::string output;
+    TimePoint now = bootTimeNow();
+    if (placement.firstEventSeen)
+        m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
+    m_lastEventAt = now;
     if (!m_headSent) {
-        TimePoint now = bootTimeNow();
         m_state.metrics.firstEvent(m_route->name, now - m_request.arrivedAt);
         m_state.directory.placement(m_target).firstEvent(placement, now);
         m_headSent = true;
         BodyFraming framing = m_request.takesChunks ? BodyFraming::Chunked : BodyFraming::UntilClose;
         output = callerAnswerHead(exchange.head(), framing, 0, m_request.keepOpen && !m_state.drainingSince);
     } else {
-        m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
+        m_state.directory.placement(m_target).firstEvent(placement, now);
     }
     output += m_request.takesChunks ? chunkText(text) : text;
     bool written = co_await write(std::move(output));
@@ -548,7 +556,8 @@
     m_state.logRequest(Event::RequestAdmitted,
         { { "request", m_traits.id.value() }, { "route", m_route->name }, { "target", m_target.value() },
             { "account", m_account ? m_account->value() : std::string() }, { "endpoint", endpoint.value() },
-            { "attempt", m_offers + 1 }, { "priority", m_priority.value() }, { "expected_ms", placement.expectedFirstEvent.count() / 1000 },
+            { "attempt", m_offers + 1 }, { "priority", m_priority.value() },
+            { "expected_ms", placement.expectedFirstEvent.count() / 1000 },
             { "uncached_tokens", placement.uncachedTokens }, { "tokens_ahead", placement.tokensAhead },
             { "config_version", m_routes->config().version.value() },
             { "endpoints_age_ms", (now - m_state.endpointsHeardAt).count() / 1000 },
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -120,6 +120,7 @@
     bool m_usageCounted = false;
     bool m_headSent = false;
     std::optional<std::int64_t> m_lastEvent;
+    TimePoint m_lastEventAt {};
     int m_attempts = 0;
     int m_offers = 0;
     int m_connectFailures = 0;
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wisteriayard/ids.h"
+#include "wisteriayard/prefill_pool.h"
 #include "wisteriayard/units.h"
 
 #include <cstdint>
@@ -39,6 +40,8 @@
     int slots = 1;
     /// Tokens that running requests and cached prompt parts share; 0 for an endpoint that is no engine.
     Tokens memory { 0 };
+    /// Output tokens of one event of a stream.
+    int tokensPerEvent = 1;
 };
 
 /// Load of an endpoint by the requests of one entry.
@@ -64,6 +67,10 @@
     double memoryShare = 0.85;
     /// Cost of placing a request where its tokens don't fit.
     Duration memoryCost = std::chrono::milliseconds(1500);
+    /// Cost of a long prompt outside of the engines for long prompts: it makes the streams there late.
+    Duration longOutsideCost = std::chrono::milliseconds(500);
+    /// Cost of a short prompt on an engine for long prompts: its own stream will be late.
+    Duration shortInsideCost = std::chrono::milliseconds(250);
     /// A request is refused if its first event is expected later than this share of the time it has left.
     double latestShare = 0.8;
     /// Loads that other entries told longer ago than this are not counted.
@@ -146,9 +153,17 @@
     void started(const Placement& placement, const PlacementRequest& request, TimePoint now);
     /// The first event or the head of the answer arrived.
     void firstEvent(Placement& placement, TimePoint now);
+    /// Whole events arrived; tells how fast the endpoint decodes.
+    void eventsArrived(const Placement& placement, std::size_t count, Duration sincePrevious);
     /// The request left the endpoint.
     HealthChange ended(const Placement& placement, EndpointOutcome outcome, TimePoint now);
 
+    /// Engine time that the requests of this entry ask for.
+    WorkRates ownWork(TimePoint now) { return m_pool.own(now); }
+    /// Takes in what another entry told of its requests.
+    void peerWork(const InstanceId& peer, const WorkRates& rates, TimePoint now) { m_pool.peer(peer, rates, now); }
+    /// Engines that long prompts are kept on at present.
+    std::size_t prefillEngines(TimePoint now) { return m_pool.size(m_index.size(), now); }
     /// Load by requests of this entry; endpoints without any are left out.
     std::map<EndpointId, EndpointUse> ownUse() const;
     /// Takes in what another entry told of its requests.
@@ -162,6 +177,8 @@
     struct State {
         PlacementEndpoint info;
         std::uint64_t hash = 0;
+        /// Place in the order in which engines are given to long prompts.
+        std::size_t position = 0;
         std::uint64_t generation = 0;
         bool present = false;
         EndpointUse own;
@@ -189,9 +206,12 @@
         double firstEvent = 0;
     };
 
-    std::size_t home(const PlacementRequest& request) const;
+    std::size_t home(const PlacementRequest& request, std::size_t poolSize) const;
     std::int64_t uncachedTokens(const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const;
-    Candidate evaluate(std::size_t index, const PlacementRequest& request, bool isHome, TimePoint now);
+    Candidate evaluate(
+        std::size_t index, const PlacementRequest& request, bool isHome, std::size_t poolSize, TimePoint now);
+    void orderEndpoints();
+    Duration expectedWork(const State& state, const Placement& placement, const PlacementRequest& request) const;
     void sumPeers(State& state, TimePoint now) const;
     bool isUsable(const State& state, TimePoint now) const;
     double tokenTime(const State& state) const;
@@ -206,6 +226,9 @@
     std::vector<State> m_states;
     std::unordered_map<EndpointId, std::size_t> m_index;
     std::uint64_t m_generation = 0;
+    PrefillPool m_pool;
+    /// Moving average of the time between two events of a stream, in microseconds.
+    double m_eventTime;
     /// Moving average over all endpoints of the time to compute one prompt token, in microseconds.
     double m_tokenTime;
     double m_requestTime;
--- a/src/include/wisteriayard/membership.h
+++ b/src/include/wisteriayard/membership.h
@@ -29,6 +29,11 @@
 
     /// The store was heard.
     void heard(TimePoint now);
+    /// Another entry has heard the store without an outage since a point in time. If that covers the last outage here,
+    /// the store was up, and entries that are missing have been removed by their owners.
+    void storeWasUpSince(TimePoint since, TimePoint now);
+    /// Since when the store has been heard without an outage.
+    std::optional<TimePoint> contactSince() const { return m_contactSince; }
     /// An entry is listed.
     void listed(const EndpointId& id);
     /// An entry was removed or is missing from a complete list.
@@ -43,6 +48,9 @@
     std::set<EndpointId> m_members;
     std::map<EndpointId, TimePoint> m_lapsed;
     std::optional<TimePoint> m_lastHeard;
+    std::optional<TimePoint> m_contactSince;
+    /// Start of the last outage.
+    TimePoint m_outageBegan {};
     /// Removals until then may be due to an outage.
     TimePoint m_graceEnds {};
 };
--- a/src/include/wisteriayard/route_table.h
+++ b/src/include/wisteriayard/route_table.h
@@ -63,6 +63,8 @@
     int slots = 1;
     /// Tokens that running requests and cached prompt parts share.
     Tokens cacheCapacity { 0 };
+    /// Output tokens of one event of a stream.
+    int tokensPerEvent = 1;
 };
 
 /// A service that requests are routed to.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -16,6 +16,11 @@
     /// Prompts below this say little about the time per token: their first event waits for the batch.
     constexpr std::int64_t leastMeasuredTokens = 2000;
     constexpr double averageWeight = 0.1;
+    /// Time between two events of a stream, in microseconds.
+    constexpr double initialEventTime = 40'000;
+    constexpr double eventWeight = 0.02;
+    /// Share of an engine's slots that are in use when it is well used.
+    constexpr double usedSlots = 0.75;
     /// Time of a plain request before the first answer, in microseconds.
     constexpr double initialRequestTime = 20'000;
 
@@ -71,6 +76,7 @@
     : m_policy(policy)
     , m_zone(std::move(zone))
     , m_region(std::move(region))
+    , m_eventTime(initialEventTime)
     , m_tokenTime(initialTokenTime)
     , m_requestTime(initialRequestTime)
 {
@@ -94,6 +100,25 @@
     state.present = true;
     m_states[index] = std::move(state);
     m_index[endpoint.id] = index;
+    orderEndpoints();
+}
+
+void EndpointPlacement::orderEndpoints()
+{
+    // By hash, but zone by zone in turn, so that any first part of the order covers all zones.
+    std::map<ZoneId, std::vector<std::size_t>> zones;
+    for (const auto& [id, index] : m_index)
+        zones[m_states[index].info.zone].push_back(index);
+    std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, std::size_t>> order;
+    for (auto& [zone, members] : zones) {
+        std::sort(members.begin(), members.end(),
+            [this](std::size_t a, std::size_t b) { return m_states[a].hash < m_states[b].hash; });
+        for (std::size_t i = 0; i < members.size(); ++i)
+            order.push_back({ { i, m_states[members[i]].hash }, members[i] });
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t i = 0; i < order.size(); ++i)
+        m_states[order[i].second].position = i;
 }
 
 void EndpointPlacement::remove(const EndpointId& id)
@@ -103,17 +128,21 @@
         return;
     m_states[known->second] = State();
     m_index.erase(known);
+    orderEndpoints();
 }
 
-std::size_t EndpointPlacement::home(const PlacementRequest& request) const
+std::size_t EndpointPlacement::home(const PlacementRequest& request, std::size_t poolSize) const
 {
     constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
     if (request.prompt.size() < 2)
         return none;
     std::uint64_t key = request.prompt[request.prompt.size() - 2].id;
+    bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
     std::size_t best = none;
     std::uint64_t bestWeight = 0;
     for (const auto& [id, index] : m_index) {
+        if (poolSize > 0 && (m_states[index].position < poolSize) != isLong)
+            continue;
         std::uint64_t weight = mixHash(key ^ m_states[index].hash);
         if (best == none || weight > bestWeight) {
             best = index;
@@ -158,7 +187,7 @@
 }
 
 EndpointPlacement::Candidate EndpointPlacement::evaluate(
-    std::size_t index, const PlacementRequest& request, bool isHome, TimePoint now)
+    std::size_t index, const PlacementRequest& request, bool isHome, std::size_t poolSize, TimePoint now)
 {
     State& state = m_states[index];
     sumPeers(state, now);
@@ -180,6 +209,9 @@
         std::int64_t recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
         charge += (m_policy.recomputeFactor - 1) * tokenTime(state) * static_cast<double>(recomputed);
         charge += microseconds(m_policy.runningCost) * running;
+        bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
+        if (poolSize > 0 && (state.position < poolSize) != isLong)
+            charge += microseconds(isLong ? m_policy.longOutsideCost : m_policy.shortInsideCost);
         auto memory = static_cast<double>(state.own.memoryTokens + state.others.memoryTokens);
         double need = static_cast<double>(promptTokens(request) + request.output.value());
         if (memory + need > m_policy.memoryShare * static_cast<double>(state.info.memory.value()))
@@ -207,7 +239,8 @@
 PlacementDecision EndpointPlacement::choose(
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
-    std::size_t homeIndex = home(request);
+    std::size_t poolSize = m_pool.size(m_index.size(), now);
+    std::size_t homeIndex = home(request, poolSize);
     std::optional<Candidate> best;
     Refused refused;
     for (const auto& [id, index] : m_index) {
@@ -217,7 +250,7 @@
             refused.reason = PlacementRefusal::AllEjected;
             continue;
         }
-        Candidate candidate = evaluate(index, request, index == homeIndex, now);
+        Candidate candidate = evaluate(index, request, index == homeIndex, poolSize, now);
         // Equal costs are settled by name, so that the choice does not depend on the map's order.
         bool better = !best || candidate.cost < best->cost
             || (candidate.cost == best->cost && id < m_states[best->index].info.id);
@@ -272,11 +305,29 @@
     state->probing = state->ejected;
     if (state->info.memory.value() == 0)
         return;
+    m_pool.note(Tokens(promptTokens(request)), expectedWork(*state, placement, request), now);
     forgetOldParts(*state, now);
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
         state->parts[request.prompt[i].id] = now;
 }
 
+Duration EndpointPlacement::expectedWork(
+    const State& state, const Placement& placement, const PlacementRequest& request) const
+{
+    double prefill = tokenTime(state) * static_cast<double>(placement.uncachedTokens);
+    double events = static_cast<double>(request.output.value()) / std::max(1, state.info.tokensPerEvent);
+    double decode = events * m_eventTime / (usedSlots * state.info.slots);
+    return Duration(static_cast<std::int64_t>(prefill + decode));
+}
+
+void EndpointPlacement::eventsArrived(const Placement& placement, std::size_t count, Duration sincePrevious)
+{
+    if (!find(placement) || count == 0)
+        return;
+    double sample = microseconds(sincePrevious) / static_cast<double>(count);
+    m_eventTime += eventWeight * (sample - m_eventTime);
+}
+
 void EndpointPlacement::firstEvent(Placement& placement, TimePoint now)
 {
     State* state = find(placement);
--- a/src/libwisteriayard/membership.cpp
+++ b/src/libwisteriayard/membership.cpp
@@ -4,11 +4,25 @@
 
 void Membership::heard(TimePoint now)
 {
-    if (m_lastHeard && now - *m_lastHeard >= m_times.outage)
+    if (!m_contactSince)
+        m_contactSince = now;
+    if (m_lastHeard && now - *m_lastHeard >= m_times.outage) {
         m_graceEnds = now + m_times.returnGrace;
+        m_outageBegan = *m_lastHeard;
+        m_contactSince = now;
+    }
     m_lastHeard = now;
 }
 
+void Membership::storeWasUpSince(TimePoint since, TimePoint now)
+{
+    if (now >= m_graceEnds || since > m_outageBegan)
+        return;
+    m_graceEnds = now;
+    for (auto& [id, until] : m_lapsed)
+        until = now;
+}
+
 void Membership::listed(const EndpointId& id)
 {
     m_members.insert(id);
--- /dev/null
+++ b/src/libwisteriayard/prefill_pool.cpp
@@ -0,0 +1,69 @@
+#include "wisteriayard/prefill_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriayard {
+
+namespace {
+
+    /// Below this much engine time a second, a kind of prompts gets no engines of its own.
+    constexpr double leastWork = 0.02;
+    constexpr std::size_t leastEngines = 3;
+
+    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
+void PrefillPool::decay(TimePoint now)
+{
+    double passed = std::max(0.0, seconds(now - m_last));
+    double kept = std::exp(-passed / seconds(m_policy.averaging));
+    m_own.longPrompts *= kept;
+    m_own.shortPrompts *= kept;
+    m_last = now;
+}
+
+void PrefillPool::note(Tokens prompt, Duration work, TimePoint now)
+{
+    decay(now);
+    double rate = seconds(work) / seconds(m_policy.averaging);
+    (isLong(prompt) ? m_own.longPrompts : m_own.shortPrompts) += rate;
+}
+
+WorkRates PrefillPool::own(TimePoint now)
+{
+    decay(now);
+    return m_own;
+}
+
+void PrefillPool::peer(const InstanceId& peer, const WorkRates& rates, TimePoint now)
+{
+    m_peers[peer] = { rates, now };
+}
+
+std::size_t PrefillPool::size(std::size_t engines, TimePoint now)
+{
+    decay(now);
+    WorkRates sum = m_own;
+    std::erase_if(m_peers, [&](const auto& each) { return now - each.second.toldAt > m_policy.peerLifetime; });
+    for (const auto& [peer, told] : m_peers) {
+        sum.longPrompts += told.rates.longPrompts;
+        sum.shortPrompts += told.rates.shortPrompts;
+    }
+    if (engines < leastEngines || sum.longPrompts < leastWork || sum.shortPrompts < leastWork) {
+        m_size = 0;
+        return m_size;
+    }
+    double longNeed = sum.longPrompts / m_policy.longUtilization;
+    double shortNeed = sum.shortPrompts / m_policy.shortUtilization;
+    double share = static_cast<double>(engines) * longNeed / (longNeed + shortNeed);
+    bool settled
+        = m_size > 0 && m_engines == engines && std::abs(share - static_cast<double>(m_size)) <= m_policy.hysteresis;
+    if (!settled)
+        m_size = std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(share)), 1, engines - 1);
+    m_engines = engines;
+    return m_size;
+}
+
+} // namespace wisteriayard
