Write usage through a peer when the store is out of reach; tests of the gateway's core and the adapter

Log: two entries are cut off from the store for 12 s and their usage_part_failed lines cover the missing requests; a further part were streams that callers gave up before the first event, which were counted. Ruled out: the lease (one holder), the platform's refusals (retried in time). An entry passes its parts on to a peer that hears the store.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -245,6 +245,9 @@
                 return sendUsage(keeper, window, record);
             };
             parts.clock = [this] { return guardedTime(); };
+            parts.passOn = [this](WindowId window, const IncarnationId& entry, const UsagePart& part) {
+                m_peers.passOnUsage(window, entry, part);
+            };
             m_state.usage = std::make_shared<UsageReporter>(m_io, std::move(parts), m_state.log);
             m_state.usage->start([this] { return m_peers.isLeaseCandidate(); });
         }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -5,6 +5,8 @@
 #include "store_json.h"
 #include "wisteriayard/rendezvous.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -204,9 +206,46 @@
     }
 }
 
+void PeerExchange::passOnUsage(WindowId window, const IncarnationId& entry, const UsagePart& part)
+{
+    std::vector<boost::asio::ip::udp::endpoint> helpers;
+    for (const auto& [instance, address] : m_peers) {
+        if (m_inContact.count(instance) > 0)
+            helpers.push_back(address);
+    }
+    if (helpers.empty())
+        return;
+    Json message = Json::array({ window.value(), entry.value(), usagePartJson(part) });
+    std::vector<std::uint8_t> bytes = Json::to_cbor(message);
+    boost::system::error_code ignored; // tried again with the next part, by another peer
+    m_socket.send_to(boost::asio::buffer(bytes), helpers[m_nextHelper++ % helpers.size()], 0, ignored);
+}
+
+void PeerExchange::receiveUsage(const Json& message)
+{
+    bool wellFormed = message.size() == 3 && message[0].is_number_integer() && message[1].is_string()
+        && message[2].is_string();
+    if (!wellFormed || !m_state.usage)
+        return;
+    auto part = parseUsagePart(message[2].get_ref<const std::string&>());
+    if (!part)
+        return;
+    WindowId window(message[0].get<std::int64_t>());
+    IncarnationId entry(message[1].get<std::string>());
+    auto write = [usage = m_state.usage, window, entry, part = part.value()] {
+        return usage->writeFor(window, entry, part);
+    };
+    boost::asio::co_spawn(m_state.io, std::move(write), boost::asio::detached);
+}
+
 void PeerExchange::receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now)
 {
     Json message = Json::from_cbor(datagram.begin(), datagram.end(), true, false);
+    auto fromPeer = [&](const auto& each) { return each.second == sender; };
+    if (message.is_array() && message.size() == 3 && std::any_of(m_peers.begin(), m_peers.end(), fromPeer)) {
+        receiveUsage(message);
+        return;
+    }
     bool isMessage = message.is_array() && message.size() == 5 && message[0].is_string()
         && message[1].is_number_integer() && message[2].is_number_integer() && message[3].is_array()
         && message[4].is_array();
@@ -221,6 +260,10 @@
         m_state.log->write(Event::ClockCorrected, { { "milliseconds", correction }, { "cause", "peers" } });
     auto contact = std::chrono::milliseconds(message[2].get<std::int64_t>());
     m_state.directory.storeWasUpSince(now - contact, now);
+    if (contact > Duration(0))
+        m_inContact.insert(peer);
+    else
+        m_inContact.erase(peer);
     std::map<EndpointId, EndpointUse> use;
     for (const Json& row : message[3]) {
         bool wellFormed = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer()
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace wisteriayard {
 
@@ -28,6 +29,8 @@
 
     /// Reads the registrations until the loop ends.
     boost::asio::awaitable<void> followRegistrations();
+    /// Asks another entry to write a part of this entry's usage.
+    void passOnUsage(WindowId window, const IncarnationId& entry, const UsagePart& part);
     /// Whether this entry is one of the few that ask for a free lease.
     bool isLeaseCandidate() const;
     static std::string registrationPrefix() { return "member/"; }
@@ -38,6 +41,7 @@
     void takeIn(const StoreItem& item);
     void countEntries();
     void receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now);
+    void receiveUsage(const nlohmann::json& message);
     std::string message();
     /// Time for which this entry has heard the store without an outage; 0 during one.
     std::int64_t contactMilliseconds(TimePoint now) const;
@@ -46,9 +50,13 @@
     std::unique_ptr<StoreClient> m_store;
     boost::asio::ip::udp::socket m_socket;
     std::map<InstanceId, boost::asio::ip::udp::endpoint> m_peers;
+    /// Peers that heard the store when they last told.
+    std::set<InstanceId> m_inContact;
     LeaseId m_lease {};
     bool m_leaving = false;
     bool m_idleSent = false;
+    /// Peers in turn are asked to write usage.
+    std::size_t m_nextHelper = 0;
 };
 
 } // namespace wisteriayard
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -335,14 +335,19 @@
     if (!read) {
         exchange.close();
         ++m_attempts;
-        noteRan();
+        m_mayHaveRun = true;
+        // A stream begins with its first event; one that was given up before has not been used.
+        bool begun = m_route->kind != RequestKind::Stream || !interruption();
+        if (begun)
+            countUsage();
         co_return MayHaveRun { read.error().message };
     }
     connection->idleLimit = traits.idleTimeout.value_or(defaultIdleLimit);
     bool claimsNotRun = traits.claim == AnswerClaim::NotRun || traits.claim == AnswerClaim::Misdirected;
     if (!claimsNotRun) {
         ++m_attempts;
-        noteRan();
+        m_mayHaveRun = true;
+        countUsage();
     }
     AttemptOutcome outcome = MayHaveRun { "the answer has no receipt" };
     bool success = isSuccess(exchange.head());
@@ -540,9 +545,8 @@
     return std::nullopt;
 }
 
-void RequestRun::noteRan()
+void RequestRun::countUsage()
 {
-    m_mayHaveRun = true;
     if (m_usageCounted || !m_account || !m_state.usage)
         return;
     m_usageCounted = true;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -89,7 +89,8 @@
     std::optional<AttemptOutcome> interruption() const;
     bool mayRepeat(const AttemptOutcome& outcome, TimePoint now);
     EndpointOutcome healthOf(const AttemptOutcome& outcome) const;
-    void noteRan();
+    /// Counts the request in the usage of its account, once.
+    void countUsage();
     Duration timeLeft(TimePoint now) const { return m_deadline - now; }
     PlacementRequest placementRequest(TimePoint now) const;
     OfferHeaders offerHeaders(const EndpointRecord& record, TimePoint now) const;
--- /dev/null
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -0,0 +1,215 @@
+#define BOOST_TEST_MODULE endpoint_placement
+#include "wisteriayard/endpoint_placement.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int engines = 6;
+
+TimePoint at(Duration time) { return TimePoint(seconds(100) + time); }
+
+PlacementEndpoint engine(int number)
+{
+    PlacementEndpoint endpoint;
+    endpoint.id = EndpointId("e" + std::to_string(number));
+    endpoint.zone = ZoneId(number % 2 == 0 ? "near" : "far");
+    endpoint.region = RegionId("r");
+    endpoint.slots = 32;
+    endpoint.memory = Tokens(400'000);
+    return endpoint;
+}
+
+EndpointPlacement makeFleet(int count = engines)
+{
+    EndpointPlacement fleet(PlacementPolicy(), ZoneId("near"), RegionId("r"));
+    for (int i = 0; i < count; ++i)
+        fleet.put(engine(i));
+    return fleet;
+}
+
+PlacementRequest makeRequest(std::uint64_t shared, std::int64_t sharedTokens, std::int64_t ownTokens)
+{
+    PlacementRequest request;
+    request.prompt = { { shared, Tokens(sharedTokens) }, { shared * 1000 + 7, Tokens(ownTokens) } };
+    request.output = Tokens(50);
+    request.timeLeft = seconds(4);
+    request.objective = milliseconds(400);
+    return request;
+}
+
+Placement place(EndpointPlacement& fleet, const PlacementRequest& request, TimePoint now)
+{
+    auto decision = fleet.choose(request, {}, now);
+    BOOST_REQUIRE(std::holds_alternative<Placement>(decision));
+    Placement placement = std::get<Placement>(decision);
+    fleet.started(placement, request, now);
+    return placement;
+}
+
+void finish(EndpointPlacement& fleet, Placement placement, EndpointOutcome outcome, TimePoint now)
+{
+    fleet.firstEvent(placement, now);
+    fleet.ended(placement, outcome, now);
+}
+
+struct FailureCase {
+    std::vector<EndpointOutcome> outcomes;
+    bool ejected;
+};
+std::ostream& operator<<(std::ostream& out, const FailureCase& each) { return out << each.outcomes.size(); }
+
+const FailureCase failureCases[] = {
+    { { EndpointOutcome::Failed, EndpointOutcome::Failed }, false },
+    { { EndpointOutcome::Failed, EndpointOutcome::Failed, EndpointOutcome::Failed }, true },
+    { { EndpointOutcome::Failed, EndpointOutcome::Neutral, EndpointOutcome::Failed, EndpointOutcome::Neutral }, false },
+    { { EndpointOutcome::Failed, EndpointOutcome::Failed, EndpointOutcome::Succeeded, EndpointOutcome::Failed },
+        false },
+};
+
+} // namespace
+
+// Pattern: many requests share a long prompt part. Guards against computing the part on every engine.
+BOOST_AUTO_TEST_CASE(requests_with_a_shared_part_meet)
+{
+    EndpointPlacement fleet = makeFleet();
+    std::set<std::size_t> used;
+    for (int i = 0; i < 20; ++i) {
+        TimePoint now = at(milliseconds(100 * i));
+        Placement placement = place(fleet, makeRequest(42, 6000, 300), now);
+        used.insert(placement.endpoint);
+        finish(fleet, placement, EndpointOutcome::Succeeded, now + milliseconds(60));
+    }
+    BOOST_TEST(used.size() == 1u);
+}
+
+// Pattern: one key gets much of the traffic. Guards against a queue at its home while other engines are idle.
+BOOST_AUTO_TEST_CASE(hot_key_spreads_under_load)
+{
+    EndpointPlacement fleet = makeFleet();
+    std::set<std::size_t> used;
+    for (int i = 0; i < 60; ++i)
+        used.insert(place(fleet, makeRequest(42, 3000, 3000), at(milliseconds(i))).endpoint);
+    BOOST_TEST(used.size() >= 3u);
+}
+
+// Guards against two entries that both see an engine as idle because each knows its own requests only.
+BOOST_AUTO_TEST_CASE(load_of_other_entries_counts_for_its_lifetime)
+{
+    EndpointPlacement fleet = makeFleet(2);
+    PlacementRequest request = makeRequest(1, 0, 500);
+    std::size_t idleChoice = place(fleet, request, at(milliseconds(0))).endpoint;
+    EndpointId chosen = fleet.endpoint(idleChoice).id;
+    fleet.peerUse(InstanceId("peer"), { { chosen, EndpointUse { 20, 50'000, 100'000 } } }, at(milliseconds(10)));
+    BOOST_TEST(place(fleet, request, at(milliseconds(20))).endpoint != idleChoice);
+    // Two requests of this entry on one, one on the other, and the peer's report is too old.
+    BOOST_TEST(place(fleet, request, at(seconds(3))).expectedFirstEvent.count() < 100'000);
+}
+
+// Guards against an ejected endpoint that gets requests, and against ejection for single or harmless failures.
+BOOST_DATA_TEST_CASE(failing_endpoint_is_ejected, data::make(failureCases), each)
+{
+    EndpointPlacement fleet = makeFleet(4);
+    PlacementRequest request = makeRequest(5, 3000, 10);
+    std::size_t home = place(fleet, request, at(milliseconds(0))).endpoint;
+    HealthChange last = HealthChange::None;
+    for (std::size_t i = 0; i < each.outcomes.size(); ++i) {
+        auto decision = fleet.choose(request, {}, at(milliseconds(i + 1)));
+        Placement placement = std::get<Placement>(decision);
+        placement.endpoint = home;
+        placement.generation = home + 1;
+        fleet.started(placement, request, at(milliseconds(i + 1)));
+        HealthChange change = fleet.ended(placement, each.outcomes[i], at(milliseconds(i + 1)));
+        last = change == HealthChange::None ? last : change;
+    }
+    BOOST_TEST((last == HealthChange::Ejected) == each.ejected);
+    auto next = std::get<Placement>(fleet.choose(request, {}, at(milliseconds(50))));
+    BOOST_TEST((next.endpoint != home) == each.ejected);
+}
+
+// Guards against a service that loses all its endpoints to ejection when it fails as a whole.
+BOOST_AUTO_TEST_CASE(at_most_half_of_the_endpoints_are_ejected)
+{
+    EndpointPlacement fleet = makeFleet(4);
+    int ejected = 0;
+    for (int i = 0; i < 100; ++i) {
+        PlacementRequest request = makeRequest(static_cast<std::uint64_t>(i), 0, 10);
+        auto decision = fleet.choose(request, {}, at(milliseconds(i)));
+        BOOST_REQUIRE(std::holds_alternative<Placement>(decision));
+        Placement placement = std::get<Placement>(decision);
+        fleet.started(placement, request, at(milliseconds(i)));
+        if (fleet.ended(placement, EndpointOutcome::Failed, at(milliseconds(i))) == HealthChange::Ejected)
+            ++ejected;
+    }
+    BOOST_TEST(ejected == 2);
+}
+
+// Guards against a request that waits for an engine that can't begin in time, and against a Retry-After of zero.
+BOOST_AUTO_TEST_CASE(hopeless_request_is_refused_with_a_time_to_return)
+{
+    EndpointPlacement fleet = makeFleet(2);
+    std::map<EndpointId, EndpointUse> load;
+    for (int i = 0; i < 2; ++i)
+        load[engine(i).id] = EndpointUse { 10, 1'000'000, 100'000 };
+    fleet.peerUse(InstanceId("peer"), load, at(milliseconds(0)));
+    auto decision = fleet.choose(makeRequest(1, 0, 500), {}, at(milliseconds(1)));
+    BOOST_REQUIRE(std::holds_alternative<Refused>(decision));
+    BOOST_TEST((std::get<Refused>(decision).reason == PlacementRefusal::Overloaded));
+    BOOST_TEST((std::get<Refused>(decision).retryAfter >= milliseconds(100)));
+}
+
+// Guards against a second attempt at the endpoint that has just failed.
+BOOST_AUTO_TEST_CASE(excluded_endpoints_are_not_chosen)
+{
+    EndpointPlacement fleet = makeFleet(2);
+    PlacementRequest request = makeRequest(1, 0, 500);
+    auto decision = fleet.choose(request, { engine(0).id }, at(milliseconds(0)));
+    BOOST_TEST(fleet.endpoint(std::get<Placement>(decision).endpoint).id.value() == "e1");
+    decision = fleet.choose(request, { engine(0).id, engine(1).id }, at(milliseconds(0)));
+    BOOST_TEST((std::get<Refused>(decision).reason == PlacementRefusal::NoEndpoint));
+}
+
+// Guards against figures of a removed endpoint that change the one that took its index.
+BOOST_AUTO_TEST_CASE(placement_at_a_removed_endpoint_changes_nothing)
+{
+    EndpointPlacement fleet = makeFleet(1);
+    PlacementRequest request = makeRequest(1, 0, 500);
+    Placement placement = place(fleet, request, at(milliseconds(0)));
+    fleet.remove(engine(0).id);
+    fleet.put(engine(1));
+    fleet.ended(placement, EndpointOutcome::Failed, at(milliseconds(5)));
+    BOOST_TEST(fleet.ownUse().empty());
+}
+
+// Pattern: long prompts beside short streams. Guards against prefills in the batches of short streams.
+BOOST_AUTO_TEST_CASE(long_prompts_keep_to_their_engines)
+{
+    EndpointPlacement fleet = makeFleet();
+    std::set<std::size_t> longUsed;
+    std::set<std::size_t> shortUsed;
+    for (int i = 0; i < 200; ++i) {
+        TimePoint now = at(milliseconds(50 * i));
+        auto id = static_cast<std::uint64_t>(i);
+        Placement longOne = place(fleet, makeRequest(id, 6000, 3000), now);
+        Placement shortOne = place(fleet, makeRequest(id + 5000, 200, 300), now);
+        if (i >= 100) {
+            longUsed.insert(longOne.endpoint);
+            shortUsed.insert(shortOne.endpoint);
+        }
+        finish(fleet, longOne, EndpointOutcome::Succeeded, now + milliseconds(40));
+        finish(fleet, shortOne, EndpointOutcome::Succeeded, now + milliseconds(20));
+    }
+    std::vector<std::size_t> both;
+    std::set_intersection(
+        longUsed.begin(), longUsed.end(), shortUsed.begin(), shortUsed.end(), std::back_inserter(both));
+    BOOST_TEST(both.empty());
+    BOOST_TEST(longUsed.size() >= 2u);
+}
--- /dev/null
+++ b/src/libwisteriayard/membership_test.cpp
@@ -0,0 +1,77 @@
+#define BOOST_TEST_MODULE membership
+#include "wisteriayard/membership.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const EndpointId id("e1");
+const TimePoint start(seconds(50));
+
+struct OutageCase {
+    /// Time without contact before the entry is found missing.
+    Duration silence;
+    /// Another entry heard the store all the time.
+    bool peerHeard;
+    bool leavesAtOnce;
+};
+std::ostream& operator<<(std::ostream& out, const OutageCase& each) { return out << each.silence.count(); }
+
+const OutageCase outageCases[] = {
+    { milliseconds(0), false, true },
+    { milliseconds(3100), false, true },
+    { milliseconds(4500), false, false },
+    { milliseconds(12000), true, true },
+};
+
+} // namespace
+
+// Guards against dropping all endpoints whose entries lapsed with the store, and against keeping those that left
+// while only this entry was cut off (DRAIN on scale-2, seed 617213339173).
+BOOST_DATA_TEST_CASE(missing_entries_get_grace_after_an_outage_only, data::make(outageCases), each)
+{
+    Membership membership;
+    membership.heard(start);
+    membership.listed(id);
+    TimePoint back = start + each.silence;
+    membership.heard(back);
+    if (each.peerHeard)
+        membership.storeWasUpSince(start - seconds(20), back);
+    BOOST_TEST(membership.unlisted(id, back) == each.leavesAtOnce);
+    BOOST_TEST(membership.due(back + milliseconds(1900)).empty());
+    BOOST_TEST(membership.due(back + milliseconds(2200)).empty() == each.leavesAtOnce);
+}
+
+// Guards against dropping an endpoint that has come back.
+BOOST_AUTO_TEST_CASE(returned_entry_stays)
+{
+    Membership membership;
+    membership.heard(start);
+    membership.listed(id);
+    membership.heard(start + seconds(8));
+    BOOST_TEST(!membership.unlisted(id, start + seconds(8)));
+    membership.listed(id);
+    BOOST_TEST(membership.due(start + seconds(20)).empty());
+    BOOST_TEST(membership.members().count(id) == 1u);
+}
+
+// Guards against a peer's word that arrives after the entry was found missing being ignored.
+BOOST_AUTO_TEST_CASE(peer_ends_a_grace_that_has_begun)
+{
+    Membership membership;
+    membership.heard(start);
+    membership.listed(id);
+    TimePoint back = start + seconds(8);
+    membership.heard(back);
+    BOOST_TEST(!membership.unlisted(id, back));
+    membership.storeWasUpSince(start + seconds(4), back + milliseconds(50));
+    BOOST_TEST(membership.due(back + milliseconds(50)).empty());
+    membership.storeWasUpSince(start - seconds(4), back + milliseconds(50));
+    BOOST_TEST(membership.due(back + milliseconds(50)).size() == 1u);
+}
--- /dev/null
+++ b/src/libwisteriayard/prefill_pool_test.cpp
@@ -0,0 +1,79 @@
+#define BOOST_TEST_MODULE prefill_pool
+#include "wisteriayard/prefill_pool.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Tokens longPrompt(9000);
+const Tokens shortPrompt(800);
+
+struct SizeCase {
+    /// Engine time a second that each kind asks for.
+    double longWork;
+    double shortWork;
+    std::size_t engines;
+    std::size_t least;
+    std::size_t most;
+};
+std::ostream& operator<<(std::ostream& out, const SizeCase& each)
+{
+    return out << each.longWork << '/' << each.shortWork << " of " << each.engines;
+}
+
+const SizeCase sizeCases[] = {
+    { 0, 2, 12, 0, 0 },
+    { 2, 0, 12, 0, 0 },
+    { 1, 1, 2, 0, 0 },
+    { 1.5, 2, 12, 5, 6 },
+    { 6, 1, 12, 10, 11 },
+    { 0.05, 6, 12, 1, 1 },
+};
+
+} // namespace
+
+// Pattern: the load of each kind changes over the day. Guards against a fixed share that starves one kind.
+BOOST_DATA_TEST_CASE(size_follows_the_work_of_each_kind, data::make(sizeCases), each)
+{
+    PrefillPool pool;
+    TimePoint now(seconds(10));
+    for (int i = 0; i < 300; ++i, now += milliseconds(50)) {
+        if (each.longWork > 0)
+            pool.note(longPrompt, Duration(static_cast<std::int64_t>(each.longWork * 50'000)), now);
+        if (each.shortWork > 0)
+            pool.note(shortPrompt, Duration(static_cast<std::int64_t>(each.shortWork * 50'000)), now);
+    }
+    std::size_t size = pool.size(each.engines, now);
+    BOOST_TEST(size >= each.least);
+    BOOST_TEST(size <= each.most);
+}
+
+// Guards against entries that split the engines differently because each sees its own callers only.
+BOOST_AUTO_TEST_CASE(work_of_other_entries_counts_until_it_is_old)
+{
+    PrefillPool pool;
+    TimePoint now(seconds(10));
+    pool.note(shortPrompt, seconds(3), now);
+    pool.peer(InstanceId("p"), WorkRates { 1, 0 }, now);
+    BOOST_TEST(pool.size(12, now) > 0u);
+    BOOST_TEST(pool.size(12, now + seconds(5)) == 0u);
+}
+
+// Guards against a split that follows noise: each change moves prompt parts to engines that don't have them.
+BOOST_AUTO_TEST_CASE(small_changes_keep_the_size)
+{
+    PrefillPool pool;
+    TimePoint now(seconds(10));
+    pool.peer(InstanceId("p"), WorkRates { 1, 1.2 }, now);
+    std::size_t before = pool.size(12, now);
+    pool.peer(InstanceId("p"), WorkRates { 1.1, 1.2 }, now);
+    BOOST_TEST(pool.size(12, now) == before);
+    pool.peer(InstanceId("p"), WorkRates { 4, 1.2 }, now);
+    BOOST_TEST(pool.size(12, now) > before);
+}
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -27,6 +27,7 @@
     , m_times(parts.times)
     , m_reports(parts.reports)
     , m_clock(std::move(parts.clock))
+    , m_passOn(std::move(parts.passOn))
     , m_log(std::move(log))
     , m_self(parts.instance.value() + "." + randomHex(incarnationBytes))
     , m_store(std::move(parts.store))
@@ -90,7 +91,12 @@
             if (!result) {
                 m_log->write(
                     Event::UsagePartFailed, { { "window", window.value() }, { "error", result.error().message } });
-                co_return false;
+                if (!m_passOn)
+                    co_return false;
+                // Each open window: the one that ends soon must not wait for the others.
+                m_passOn(window, m_self, *part);
+                complete = false;
+                continue;
             }
             refused = !result.value().succeeded;
             if (!refused)
@@ -104,6 +110,14 @@
     co_return complete;
 }
 
+awaitable<void> UsageReporter::writeFor(WindowId window, IncarnationId entry, UsagePart part)
+{
+    auto result = co_await m_store->transact(partTransaction(window, entry, part));
+    if (!result)
+        m_log->write(Event::UsagePartFailed,
+            { { "window", window.value() }, { "entry", entry.value() }, { "error", result.error().message } });
+}
+
 awaitable<bool> UsageReporter::settle(WindowId window)
 {
     auto record = co_await readWindowRecord(*m_store, window);
--- a/src/wisteriayardd/usage_reporter.h
+++ b/src/wisteriayardd/usage_reporter.h
@@ -24,6 +24,8 @@
         std::unique_ptr<StoreClient> store;
         UsageReportSender sender;
         WallClock clock;
+        /// Takes a part that could not be written, so that another entry may write it; may be empty.
+        std::function<void(WindowId window, const IncarnationId& entry, const UsagePart& part)> passOn;
     };
 
     UsageReporter(boost::asio::io_context& io, Parts parts, std::shared_ptr<EventLog> log);
@@ -34,6 +36,8 @@
     void count(const AccountId& account, const ClassId& requestClass, const UsageFigures& figures);
     /// Writes everything that is counted and gives the lease up, for shutdown.
     boost::asio::awaitable<void> flush();
+    /// Writes a part of another entry that can't reach the store.
+    boost::asio::awaitable<void> writeFor(WindowId window, IncarnationId entry, UsagePart part);
     /// State as JSON. Control thread only.
     nlohmann::json status() const;
 
@@ -49,6 +53,7 @@
     UsageTimes m_times;
     bool m_reports;
     WallClock m_clock;
+    std::function<void(WindowId, const IncarnationId&, const UsagePart&)> m_passOn;
     std::shared_ptr<EventLog> m_log;
     IncarnationId m_self;
     std::unique_ptr<StoreClient> m_store;
