Keep shared prompt parts at two homes, refuse what can't begin near its objective

Log of request_admitted: long prompts on 35 to 45 of 50 engines with 5,000 to 6,500 uncached tokens each. Ruled out: the time per token (11 to 16 us, now measured apart from the base time, which alone changed nothing). What the first home can't take goes to the second; a late first event and recomputed parts cost more; a request whose first event is expected after 1.4 objectives is refused with a time to return. prefill_pool_resized is logged.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -154,6 +154,19 @@
     }
 }
 
+void EndpointDirectory::logPools(TimePoint now)
+{
+    for (auto& [target, placement] : m_placements) {
+        std::size_t engines = placement->prefillEngines(now);
+        if (std::exchange(m_loggedPools[target], engines) == engines)
+            continue;
+        WorkRates work = placement->ownWork(now);
+        m_log->write(Event::PrefillPoolResized,
+            { { "target", target.value() }, { "engines", engines }, { "of", placement->size() },
+                { "long_work", work.longPrompts }, { "short_work", work.shortPrompts } });
+    }
+}
+
 EndpointPlacement& EndpointDirectory::placement(const TargetId& target)
 {
     auto& placement = m_placements[target];
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -40,6 +40,8 @@
     std::map<TargetId, WorkRates> ownWork(TimePoint now);
     void peerWork(const InstanceId& peer, const std::map<TargetId, WorkRates>& work, TimePoint now);
     /// @}
+    /// Logs services for which another number of engines is kept for long prompts than at the last call.
+    void logPools(TimePoint now);
     /// Load by this entry on all endpoints.
     std::map<EndpointId, EndpointUse> ownUse() const;
 
@@ -65,6 +67,7 @@
     std::unordered_map<EndpointId, EndpointRecord> m_records;
     std::map<TargetId, std::unique_ptr<EndpointPlacement>> m_placements;
     std::map<TargetId, TargetInfo> m_targets;
+    std::map<TargetId, std::size_t> m_loggedPools;
     bool m_loaded = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -305,6 +305,7 @@
                 TimePoint now = bootTimeNow();
                 m_state.pool.expire(now);
                 m_state.directory.removeLapsed(now);
+                m_state.directory.logPools(now);
                 std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
                 std::uint64_t suppressed = m_state.requestLines.takeSuppressed();
                 if (suppressed > 0 || m_sink->dropped() > dropped)
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -37,6 +37,8 @@
     constexpr int maxForeignAnswers = 2;
     /// Largest answer that is kept in memory until it is whole.
     constexpr std::size_t maxWholeAnswer = 8 * 1024 * 1024;
+    /// Time that a caller waits if it does not say, until its route is known.
+    constexpr Duration defaultTimeLeft = std::chrono::seconds(5);
     /// Retry-After of requests that could not be placed for want of a view or an endpoint.
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Callers come back after at most this share of the time they have left.
@@ -86,6 +88,7 @@
     if (!traits)
         return OwnAnswer { 400, "bad_request", traits.error().message, std::nullopt };
     m_traits = std::move(traits.value());
+    m_deadline = m_request.arrivedAt + m_traits.timeLeft.value_or(defaultTimeLeft);
     if (!m_routes)
         return OwnAnswer { 503, "no_configuration", "the configuration is not known yet", defaultRetryAfter };
     auto host = m_request.head.find(http::field::host);
@@ -109,9 +112,7 @@
     m_target = RouteTable::pickTarget(*m_route, m_traits.id);
     auto target = m_routes->config().targets.find(m_target);
     m_isEngine = target != m_routes->config().targets.end() && target->second.engine.has_value();
-    Duration wait = m_route->timeout;
-    if (m_traits.timeLeft)
-        wait = std::min(wait, *m_traits.timeLeft);
+    Duration wait = std::min(m_route->timeout, m_traits.timeLeft.value_or(m_route->timeout));
     m_deadline = m_request.arrivedAt + wait;
     return std::nullopt;
 }
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -61,8 +61,15 @@
     Duration regionCost = std::chrono::milliseconds(25);
     /// Slower decoding for all by one more request of the batch.
     Duration runningCost = std::chrono::milliseconds(2);
-    /// A shared token that is computed again counts this many times: it also displaces cached parts.
-    double recomputeFactor = 2.0;
+    /// A shared token that is computed again counts this many times: it displaces cached parts and takes engine time
+    /// that other requests need.
+    double recomputeFactor = 5.0;
+    /// The same at the endpoint with the second highest weight, so that what the first can't take meets there.
+    double secondRecomputeFactor = 2.0;
+    /// Cost of a first event that is expected after its objective.
+    Duration lateCost = std::chrono::milliseconds(700);
+    /// Share of the objective that the expected first event may take.
+    double objectiveShare = 0.8;
     /// Share of the memory that running requests may take, so that growing answers do not preempt each other.
     double memoryShare = 0.85;
     /// Cost of placing a request where its tokens don't fit.
@@ -73,6 +80,9 @@
     Duration shortInsideCost = std::chrono::milliseconds(250);
     /// A request is refused if its first event is expected later than this share of the time it has left.
     double latestShare = 0.8;
+    /// A request is also refused if its first event is expected later than this many objectives: a longer queue would
+    /// make all that come after it late too.
+    double mostObjectives = 1.4;
     /// Loads that other entries told longer ago than this are not counted.
     Duration peerLoadLifetime = std::chrono::milliseconds(1500);
     /// A part is taken as cached for so long after its last use.
@@ -206,10 +216,17 @@
         double firstEvent = 0;
     };
 
-    std::size_t home(const PlacementRequest& request, std::size_t poolSize) const;
+    /// Endpoints with the highest and the second highest weight for the last shared prompt part.
+    struct Homes {
+        std::size_t first = none;
+        std::size_t second = none;
+    };
+    static constexpr std::size_t none = static_cast<std::size_t>(-1);
+
+    Homes homes(const PlacementRequest& request, std::size_t poolSize) const;
     std::int64_t uncachedTokens(const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const;
     Candidate evaluate(
-        std::size_t index, const PlacementRequest& request, bool isHome, std::size_t poolSize, TimePoint now);
+        std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now);
     void orderEndpoints();
     Duration expectedWork(const State& state, const Placement& placement, const PlacementRequest& request) const;
     void sumPeers(State& state, TimePoint now) const;
@@ -231,6 +248,8 @@
     double m_eventTime;
     /// Moving average over all endpoints of the time to compute one prompt token, in microseconds.
     double m_tokenTime;
+    /// Moving average of the time to the first event without prompt tokens to compute, in microseconds.
+    double m_baseTime;
     double m_requestTime;
 };
 
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -15,6 +15,12 @@
     constexpr double maxTokenTime = 300;
     /// Prompts below this say little about the time per token: their first event waits for the batch.
     constexpr std::int64_t leastMeasuredTokens = 2000;
+    /// Prompts up to this show the time that does not depend on tokens.
+    constexpr std::int64_t mostBaseTokens = 1000;
+    /// Time to the first event without prompt tokens to compute, in microseconds.
+    constexpr double initialBaseTime = 60'000;
+    constexpr double minBaseTime = 5'000;
+    constexpr double maxBaseTime = 200'000;
     constexpr double averageWeight = 0.1;
     /// Time between two events of a stream, in microseconds.
     constexpr double initialEventTime = 40'000;
@@ -78,6 +84,7 @@
     , m_region(std::move(region))
     , m_eventTime(initialEventTime)
     , m_tokenTime(initialTokenTime)
+    , m_baseTime(initialBaseTime)
     , m_requestTime(initialRequestTime)
 {
 }
@@ -131,25 +138,30 @@
     orderEndpoints();
 }
 
-std::size_t EndpointPlacement::home(const PlacementRequest& request, std::size_t poolSize) const
+EndpointPlacement::Homes EndpointPlacement::homes(const PlacementRequest& request, std::size_t poolSize) const
 {
-    constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
+    Homes homes;
     if (request.prompt.size() < 2)
-        return none;
+        return homes;
     std::uint64_t key = request.prompt[request.prompt.size() - 2].id;
     bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
-    std::size_t best = none;
-    std::uint64_t bestWeight = 0;
+    std::uint64_t firstWeight = 0;
+    std::uint64_t secondWeight = 0;
     for (const auto& [id, index] : m_index) {
         if (poolSize > 0 && (m_states[index].position < poolSize) != isLong)
             continue;
         std::uint64_t weight = mixHash(key ^ m_states[index].hash);
-        if (best == none || weight > bestWeight) {
-            best = index;
-            bestWeight = weight;
+        if (homes.first == none || weight > firstWeight) {
+            homes.second = homes.first;
+            secondWeight = firstWeight;
+            homes.first = index;
+            firstWeight = weight;
+        } else if (homes.second == none || weight > secondWeight) {
+            homes.second = index;
+            secondWeight = weight;
         }
     }
-    return best;
+    return homes;
 }
 
 std::int64_t EndpointPlacement::uncachedTokens(
@@ -187,7 +199,7 @@
 }
 
 EndpointPlacement::Candidate EndpointPlacement::evaluate(
-    std::size_t index, const PlacementRequest& request, bool isHome, std::size_t poolSize, TimePoint now)
+    std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now)
 {
     State& state = m_states[index];
     sumPeers(state, now);
@@ -202,12 +214,13 @@
     double wait = 0;
     double charge = distance;
     if (state.info.memory.value() > 0) {
-        candidate.uncached = uncachedTokens(state, request, isHome, now);
+        candidate.uncached = uncachedTokens(state, request, index == homes.first, now);
         std::int64_t ahead = state.own.prefillTokens + state.others.prefillTokens;
-        wait = tokenTime(state) * static_cast<double>(ahead + candidate.uncached);
+        wait = m_baseTime + tokenTime(state) * static_cast<double>(ahead + candidate.uncached);
         std::int64_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens.value();
         std::int64_t recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
-        charge += (m_policy.recomputeFactor - 1) * tokenTime(state) * static_cast<double>(recomputed);
+        double factor = index == homes.second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
+        charge += (factor - 1) * tokenTime(state) * static_cast<double>(recomputed);
         charge += microseconds(m_policy.runningCost) * running;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
         if (poolSize > 0 && (state.position < poolSize) != isLong)
@@ -225,6 +238,8 @@
         charge += time * running / state.info.slots;
     }
     candidate.firstEvent = wait + distance;
+    if (candidate.firstEvent > m_policy.objectiveShare * microseconds(request.objective))
+        charge += microseconds(m_policy.lateCost);
     candidate.cost = wait + charge;
     return candidate;
 }
@@ -240,7 +255,7 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     std::size_t poolSize = m_pool.size(m_index.size(), now);
-    std::size_t homeIndex = home(request, poolSize);
+    Homes homeEndpoints = homes(request, poolSize);
     std::optional<Candidate> best;
     Refused refused;
     for (const auto& [id, index] : m_index) {
@@ -250,7 +265,7 @@
             refused.reason = PlacementRefusal::AllEjected;
             continue;
         }
-        Candidate candidate = evaluate(index, request, index == homeIndex, poolSize, now);
+        Candidate candidate = evaluate(index, request, homeEndpoints, poolSize, now);
         // Equal costs are settled by name, so that the choice does not depend on the map's order.
         bool better = !best || candidate.cost < best->cost
             || (candidate.cost == best->cost && id < m_states[best->index].info.id);
@@ -261,7 +276,9 @@
         refused.retryAfter = firstEjection;
         return refused;
     }
-    if (best->firstEvent > m_policy.latestShare * microseconds(request.timeLeft)) {
+    double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
+        m_policy.mostObjectives * microseconds(request.objective));
+    if (best->firstEvent > latest) {
         refused.reason = PlacementRefusal::Overloaded;
         auto excess = Duration(static_cast<std::int64_t>(best->firstEvent)) - request.objective;
         refused.retryAfter = std::max(leastRetryAfter, excess);
@@ -336,9 +353,14 @@
     placement.firstEventSeen = true;
     state->own.prefillTokens -= placement.uncachedTokens;
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
+    double elapsed = microseconds(now - placement.placedAt);
+    if (state->info.memory.value() > 0 && tokens <= mostBaseTokens) {
+        double base = elapsed - tokenTime(*state) * static_cast<double>(tokens);
+        average(m_baseTime, std::clamp(base, minBaseTime, maxBaseTime));
+    }
     if (tokens < leastMeasuredTokens)
         return;
-    double sample = microseconds(now - placement.placedAt) / static_cast<double>(tokens);
+    double sample = std::max(0.0, elapsed - m_baseTime) / static_cast<double>(tokens);
     sample = std::clamp(sample, minTokenTime, maxTokenTime);
     if (state->tokenTime == 0)
         state->tokenTime = m_tokenTime;
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -122,6 +122,8 @@
         return "clock_corrected";
     case Event::LinesSuppressed:
         return "lines_suppressed";
+    case Event::PrefillPoolResized:
+        return "prefill_pool_resized";
     }
     return "unknown";
 }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -73,6 +73,7 @@
     ProcessPaused = 703,
     ClockCorrected = 704,
     LinesSuppressed = 705,
+    PrefillPoolResized = 706,
 };
 
 /// Name of an event as in the catalogue, or `unknown`.
--- /dev/null
+++ b/testsuite/gateway/run.py
@@ -0,0 +1,170 @@
+"""Gateways on stand-ins of the users' platform: what callers, endpoints and the platform see.
+
+Each case guards against the failure that its name denies.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
+from platform_deployment import KEY, SECOND_KEY, Deployment, wait_until  # noqa: E402
+
+
+def nothing_is_served_before_a_configuration(bin_folder):
+    with Deployment(bin_folder).start(1, configured=False) as deployment:
+        gateway = deployment.gateways[0]
+        wait_until(lambda: gateway.call("/lookup/1").status == 503, "the gateway to refuse")
+        assert not gateway.ready()
+        assert float(gateway.call("/lookup/1").headers["Retry-After"]) > 0
+        deployment.configure()
+        wait_until(gateway.ready, "the gateway to be ready")
+        assert gateway.call("/lookup/1").status == 200
+
+
+def requests_run_by_route_and_key(deployment):
+    gateway = deployment.gateways[0]
+    for path, key, status in (("/nowhere/1", KEY, 404), ("/lookup/1", "wrong", 401), ("/lookup/1", None, 401),
+                              ("/lookup/1", KEY, 200), ("/charge/1", SECOND_KEY, 200), ("/chat/1", KEY, 200)):
+        answer = gateway.call(path, key=key, headers={"Tenant": "forged", "Hold": "1"})
+        assert answer.status == status, (path, key, answer.status)
+        if status != 200:
+            assert deployment.runs(answer.request) == 0
+            continue
+        assert answer.headers["Response-Seal"] == "seal-" + answer.request
+        tenants = {endpoint.tenants[answer.request] for endpoint in deployment.endpoints if
+                   answer.request in endpoint.tenants}
+        assert tenants == {"acme" if key == KEY else "bolt"}, tenants
+    assert not any(endpoint.seen_keys for endpoint in deployment.endpoints)
+
+
+def idempotent_requests_are_tried_elsewhere(deployment):
+    failing = deployment.endpoints[0]
+    failing.fail = 1.0
+    answers = [deployment.gateways[0].call("/lookup/1") for _ in range(10)]
+    charges = [deployment.gateways[0].call("/charge/1") for _ in range(10)]
+    failing.fail = 0.0
+    assert all(answer.status == 200 for answer in answers), [answer.status for answer in answers]
+    assert all(deployment.runs(answer.request) == 1 for answer in charges)
+    # The endpoint's own failure is passed on with its receipt.
+    assert all("Response-Seal" in answer.headers for answer in charges)
+
+
+def broken_streams_go_on_elsewhere(deployment):
+    for endpoint in deployment.endpoints[2:4]:
+        endpoint.break_after = 3
+    answers = [deployment.gateways[0].call("/match/1") for _ in range(12)]
+    chats = [deployment.gateways[0].call("/chat/1") for _ in range(12)]
+    for endpoint in deployment.endpoints[2:4]:
+        endpoint.break_after = None
+    for answer in answers:
+        assert answer.status is None or answer.body == b"".join(
+            b"id: %d\ndata: %s %d\n\n" % (number, answer.request.encode(), number) for number in range(1, 7))
+    assert sum(answer.status == 200 for answer in answers) >= 10, [answer.status for answer in answers]
+    # A stream that may not be resumed never looks complete when it is not.
+    assert all(answer.status is None or answer.body.count(b"id:") == 6 for answer in chats)
+    assert all(deployment.runs(answer.request) == 1 for answer in chats)
+
+
+def leaving_endpoint_gets_no_new_requests(deployment):
+    leaving = deployment.endpoints[1]
+    address = json.loads(deployment.store.value("servers/" + leaving.name))["address"]
+    deployment.store.put("servers/" + leaving.name, leaving.entry(address, state="draining"))
+    for gateway in deployment.gateways:
+        wait_until(lambda g=gateway: any(event["endpoint"] == leaving.name for event in g.events("endpoint_removed")),
+                   "the endpoint to be removed")
+    leaving.left_at = time.monotonic()
+    for gateway in deployment.gateways:
+        assert all(gateway.call("/charge/1").status == 200 for _ in range(5))
+    assert leaving.arrivals_after_leave == 0
+    deployment.store.put("servers/" + leaving.name, leaving.entry(address))
+
+
+def configuration_takes_effect(deployment):
+    deployment.routes[0]["prefix"] = "/moved/"
+    deployment.tenants[1]["api_keys"] = []
+    version = deployment.configure()
+    for gateway in deployment.gateways:
+        wait_until(lambda g=gateway: any(event["version"] == version for event in g.events("config_in_force")),
+                   "the configuration to be in force")
+        assert gateway.call("/moved/1").status == 200
+        assert gateway.call("/lookup/1").status == 404
+        assert gateway.call("/charge/1", key=SECOND_KEY).status == 401
+
+
+def bad_settings_keep_the_former(deployment):
+    gateway = deployment.gateways[0]
+    good = gateway.settings
+    gateway.settings = {"node_name": 5}
+    gateway.write_settings()
+    gateway.signal(signal.SIGHUP)
+    wait_until(lambda: gateway.events("settings_rejected"), "the settings to be rejected")
+    assert gateway.call("/charge/1").status == 200
+    gateway.settings = dict(good, bounds=dict(good["bounds"], retry_slack=60))
+    gateway.write_settings()  # without a signal
+    wait_until(lambda: gateway.events("settings_reloaded"), "the settings to be reloaded")
+
+
+def usage_is_reported_once_and_complete(deployment):
+    runs = sum(sum(endpoint.runs.values()) for endpoint in deployment.endpoints)
+    begun = {request for endpoint in deployment.endpoints for request in endpoint.runs}
+
+    def reported():
+        return sum(sum(counts.values()) for counts in deployment.reports.windows.values())
+    wait_until(lambda: reported() >= len(begun), f"usage of {len(begun)} requests in {runs} runs to be reported")
+    assert reported() == len(begun), (reported(), len(begun))
+    assert not deployment.reports.conflicts
+    assert all(len(holders) == 1 for holders in deployment.reports.holders.values())
+
+
+def metrics_are_served(deployment):
+    text = deployment.gateways[0].metrics()
+    for name in ("requests_total", "first_event_seconds_bucket", "config_version", "view_age_seconds"):
+        assert "wisteriayard_gateway_" + name in text, name
+
+
+def shutdown_cuts_no_request(deployment):
+    gateway = deployment.gateways[1]
+    for endpoint in deployment.endpoints:
+        endpoint.delay_s = 0.3
+    answers = []
+
+    def chat():
+        answers.append(gateway.call("/chat/1", timeout=10))
+    idle = http.client.HTTPConnection(gateway.ip, gateway.ports[0], timeout=5)
+    assert gateway.call_on(idle, "/charge/1").status == 200
+    threads = [threading.Thread(target=chat) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    wait_until(lambda: sum(sum(e.runs.values()) for e in deployment.endpoints) and gateway.alive(), "work to begin")
+    time.sleep(0.2)
+    gateway.signal(signal.SIGTERM)
+    wait_until(lambda: not gateway.ready(), "the gateway to be not ready")
+    # A caller on a kept connection is told to leave.
+    assert gateway.call_on(idle, "/charge/1").headers.get("Connection") == "close"
+    for thread in threads:
+        thread.join()
+    assert [answer.status for answer in answers] == [200] * 4, [answer.status for answer in answers]
+    assert gateway.process.wait(30) == 0
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    bin_folder = parser.parse_args().bin
+    nothing_is_served_before_a_configuration(bin_folder)
+    with Deployment(bin_folder).start(2) as deployment:
+        for case in (requests_run_by_route_and_key, idempotent_requests_are_tried_elsewhere,
+                     broken_streams_go_on_elsewhere, leaving_endpoint_gets_no_new_requests, configuration_takes_effect,
+                     bad_settings_keep_the_former, metrics_are_served, usage_is_reported_once_and_complete,
+                     shutdown_cuts_no_request):
+            case(deployment)
+            print("holds:", case.__name__, flush=True)
+
+
+main()
--- /dev/null
+++ b/testsuite/platform_deployment.py
@@ -0,0 +1,198 @@
+"""Runs gateways as separate processes against the stand-ins of the users' platform."""
+
+import http.client
+import itertools
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import uuid
+
+from platform_standins import Endpoint, Link, Reports, Store
+
+KEY, SECOND_KEY = "key-of-acme", "key-of-bolt"
+HOST = "h.example"
+WINDOW_S = 2
+METRICS_PORT = 9464
+START_TIMEOUT_S = 30
+
+
+def wait_until(condition, what, timeout=START_TIMEOUT_S):
+    """Polls a condition; the timeout only bounds a hang and is no measure."""
+    deadline = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"timed out waiting for {what}")
+        time.sleep(0.02)
+
+
+class Answer:
+    """What a caller got. `status` is None if the connection ended without a whole answer."""
+
+    def __init__(self, request, status=None, headers=None, body=b""):
+        self.request, self.status, self.headers, self.body = request, status, headers or {}, body
+
+
+class Gateway:
+    """One gateway process with an address of its own."""
+
+    def __init__(self, deployment, name, zone, store_address):
+        self.deployment, self.name = deployment, name
+        self.ip = "127.%d.%d.%d" % tuple(random.randint(1, 250) for _ in range(3))
+        self.zone = zone
+        self.ports = [self._free_port() for _ in range(3)]
+        self.settings = {
+            "node_name": name, "zone": zone, "region": "r", "zones": {"a": "r", "b": "r"},
+            "listen": {"front": f"{self.ip}:{self.ports[0]}", "ready": f"{self.ip}:{self.ports[1]}"},
+            "port_range": [self.ports[2], self.ports[2]], "limits": {"memory_mb": 128, "max_fds": 4096},
+            "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_slack": 50, "lease_ttl_ms": 1500,
+                       "report_window_s": WINDOW_S, "usage_delay_s": 10, "require_fence": True},
+            "platform": {"address": store_address},
+            "cloud_api": {"address": deployment.reports.address, "duties": ["metering"]}}
+        self.file = os.path.join(deployment.folder, name + ".json")
+        self.log = os.path.join(deployment.folder, name + ".log")
+        self.process = None
+
+    def _free_port(self):
+        with socket.socket() as probe:
+            probe.bind((self.ip, 0))
+            return probe.getsockname()[1]
+
+    def write_settings(self):
+        with open(self.file + ".new", "w") as file:
+            json.dump(self.settings, file)
+        os.replace(self.file + ".new", self.file)
+
+    def start(self):
+        self.write_settings()
+        environment = dict(os.environ, WISTERIAYARD_CONFIG=self.file)
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([os.path.join(self.deployment.bin, "wisteriayard-gateway")],
+                                            env=environment, stdout=log, stderr=log)
+        return self
+
+    def ready(self):
+        try:
+            connection = http.client.HTTPConnection(self.ip, self.ports[1], timeout=2)
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def alive(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.alive():
+            self.process.send_signal(number)
+
+    def stop(self):
+        if self.alive():
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process:
+            self.process.wait()
+
+    def events(self, name):
+        """Fields of the log's events with a name."""
+        with open(self.log) as log:
+            lines = [json.loads(line) for line in log if line.startswith("{") and line.endswith("}\n")]
+        return [line["fields"] for line in lines if line["name"] == name]
+
+    def metrics(self):
+        connection = http.client.HTTPConnection(self.ip, METRICS_PORT, timeout=5)
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+
+    def call(self, path, method="POST", body=b"x", key=KEY, headers=None, timeout=5, request=None):
+        """One request on a connection of its own."""
+        request = request or uuid.uuid4().hex[:16]
+        try:
+            connection = http.client.HTTPConnection(self.ip, self.ports[0], timeout=timeout)
+            return self.call_on(connection, path, method, body, key, headers, timeout, request)
+        except OSError:
+            return Answer(request)
+
+    def call_on(self, connection, path, method="POST", body=b"x", key=KEY, headers=None, timeout=5, request=None):
+        request = request or uuid.uuid4().hex[:16]
+        fields = {"Host": HOST, "Request-Id": request, "Deadline-Ms": str(int(timeout * 1000)), **(headers or {})}
+        if key:
+            fields["Authorization"] = "Bearer " + key
+        try:
+            connection.request(method, path, body, fields)
+            response = connection.getresponse()
+            return Answer(request, response.status, dict(response.getheaders()), response.read())
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            return Answer(request)
+
+
+class Deployment:
+    """Store, endpoints of a plain and a model service, receiver of reports, and gateways."""
+
+    def __init__(self, bin_folder, linked=False):
+        self.bin = bin_folder
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = self.temporary.name
+        self.store, self.reports = Store(), Reports()
+        self.linked = linked
+        self.links = []
+        self.versions = itertools.count(1)
+        self.routes = [
+            {"name": "lookup", "prefix": "/lookup/", "kind": "idempotent", "service": "plain", "max_attempts": 2},
+            {"name": "charge", "prefix": "/charge/", "kind": "non_idempotent", "service": "plain"},
+            {"name": "chat", "prefix": "/chat/", "kind": "streaming", "service": "model"},
+            {"name": "match", "prefix": "/match/", "kind": "streaming", "service": "model", "max_attempts": 3,
+             "stream_resume": True}]
+        self.tenants = [{"name": "acme", "api_keys": [KEY], "priority": 1}, {"name": "bolt", "api_keys": [SECOND_KEY]}]
+        self.endpoints = [Endpoint(f"p{i}", "plain", zone) for i, zone in enumerate("ab")]
+        self.endpoints += [Endpoint(f"m{i}", "model", zone, events=6) for i, zone in enumerate("aab")]
+        self.gateways = []
+
+    def link(self, address):
+        """The address itself, or that of a faulty link in front of it."""
+        if not self.linked:
+            return address
+        self.links.append(Link(address))
+        return self.links[-1].address
+
+    def configure(self):
+        routes = [{"host": HOST, "timeout_ms": 5000, "slo_ms": 400, "gap_slo_ms": 200, "priority": 1,
+                   "max_attempts": 1, **route} for route in self.routes]
+        services = [{"name": "plain", "max_conns": 100},
+                    {"name": "model", "max_conns": 100, "engine": {"slots": 16, "kv_capacity_tokens": 100000}}]
+        version = next(self.versions)
+        self.store.put("op/config", json.dumps({"version": version, "routes": routes, "services": services,
+                                                "limits": {}, "tenants": self.tenants}))
+        return version
+
+    def start(self, gateways, configured=True):
+        for endpoint in self.endpoints:
+            self.store.put("servers/" + endpoint.name, endpoint.entry(self.link(endpoint.address)))
+        if configured:
+            self.configure()
+        for number in range(gateways):
+            gateway = Gateway(self, f"g{number}", "ab"[number % 2], self.link(self.store.address))
+            self.gateways.append(gateway.start())
+        if configured:
+            for gateway in self.gateways:
+                wait_until(gateway.ready, f"{gateway.name} to be ready")
+        return self
+
+    def runs(self, request):
+        return sum(endpoint.runs[request] for endpoint in self.endpoints)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, *_):
+        for gateway in self.gateways:
+            gateway.stop()
+            if kind is not None:
+                with open(gateway.log) as log:
+                    print(f"--- {gateway.name}\n" + "".join(log.readlines()[-40:]))
+        self.temporary.cleanup()
--- /dev/null
+++ b/testsuite/platform_standins.py
@@ -0,0 +1,315 @@
+"""Stand-ins for the users' platform: metadata store, endpoints, receiver of usage reports, and a faulty link."""
+
+import base64
+import collections
+import http.server
+import json
+import random
+import select
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    timeout = 30
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, document=None, headers=()):
+        data = b"" if document is None else json.dumps(document).encode()
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """A stand-in that listens on a port of its own; connections end with it."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, handler, port=0):
+        super().__init__(("127.0.0.1", port), handler)
+        self.address = "127.0.0.1:%d" % self.server_address[1]
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    def handle_error(self, *_):
+        pass  # a peer that was killed or cut off
+
+
+class Store(Server):
+    """The metadata store: items with revisions, leases, watches. `down` refuses calls; `lost` drops answers."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.items = {}
+        self.history = []
+        self.revision = 10
+        self.leases = {}
+        self.lease_numbers = iter(range(1000, 10**9))
+        self.down = False
+        self.lost = 0.0
+        self.random = random.Random(1)
+        super().__init__(StoreHandler)
+        threading.Thread(target=self._expire, daemon=True).start()
+
+    def put(self, key, value, lease=0):
+        with self.lock:
+            self.revision += 1
+            created = self.items[key]["created"] if key in self.items else self.revision
+            item = {"key": key, "value": base64.b64encode(value.encode()).decode(), "rev": self.revision,
+                    "created": created, "lease": lease}
+            self.items[key] = item
+            self.history.append(item)
+            self.lock.notify_all()
+
+    def remove(self, key):
+        with self.lock:
+            if self.items.pop(key, None) is None:
+                return
+            self.revision += 1
+            self.history.append({"key": key, "rev": self.revision, "removed": True})
+            self.lock.notify_all()
+
+    def value(self, key):
+        with self.lock:
+            item = self.items.get(key)
+            return item and base64.b64decode(item["value"]).decode()
+
+    def transact(self, request):
+        with self.lock:
+            rows = request["expected_rev"]
+            current = [self.items.get(row["key"]) for row in rows]
+            if any((item["rev"] if item else 0) != row["rev"] for item, row in zip(current, rows)):
+                return 412, {"items": [item for item in current if item]}
+            if any(put["lease"] and put["lease"] not in self.leases for put in request["puts"]):
+                return 404, None
+            for put in request["puts"]:
+                self.put(put["key"], base64.b64decode(put["value"]).decode(), put["lease"])
+            for key in request["remove"]:
+                self.remove(key)
+            return 200, {"rev": self.revision}
+
+    def watch(self, prefix, after, wait_ms):
+        deadline = time.monotonic() + wait_ms / 1000
+        with self.lock:
+            while True:
+                events = [event for event in self.history if event["rev"] > after and event["key"].startswith(prefix)]
+                left = deadline - time.monotonic()
+                if events or left <= 0 or self.down:
+                    return {"events": events, "store_revision": self.revision}
+                self.lock.wait(left)
+
+    def _expire(self):
+        while True:
+            time.sleep(0.05)
+            with self.lock:
+                for lease in [each for each, (_, ends) in self.leases.items() if ends < time.monotonic()]:
+                    self.end_lease(lease)
+
+    def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.remove(key)
+
+
+class StoreHandler(Handler):
+    def handle_call(self, method):
+        store = self.server
+        url = urllib.parse.urlsplit(self.path)
+        query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
+        text = self.body()
+        if store.down:
+            return self.answer(503)
+        status, document = self.outcome(store, method, url.path, query, json.loads(text or b"{}"))
+        if method == "POST" and store.random.random() < store.lost:
+            self.close_connection = True
+            return None
+        return self.answer(status, document)
+
+    def outcome(self, store, method, path, query, request):
+        if path == "/kv-key":
+            with store.lock:
+                item = store.items.get(query["key"])
+                return (200, dict(item, store_revision=store.revision)) if item else (404, None)
+        if path == "/kv-range":
+            with store.lock:
+                items = [store.items[key] for key in sorted(store.items)
+                         if key.startswith(query["prefix"]) and key > query.get("after", "")]
+                return 200, {"items": items[:50], "has_more": len(items) > 50, "store_revision": store.revision}
+        if path == "/kv-watch":
+            return 200, store.watch(query["prefix"], int(query["after"]), int(query["wait_ms"]))
+        if path == "/kv-txn":
+            return store.transact(request)
+        if path == "/kv-lease":
+            with store.lock:
+                lease = next(store.lease_numbers)
+                store.leases[lease] = (request["ttl_ms"], time.monotonic() + request["ttl_ms"] / 1000)
+            return 200, {"lease": lease, "ttl_ms": request["ttl_ms"]}
+        lease = int(path.rsplit("/", 1)[1])
+        with store.lock:
+            if lease not in store.leases:
+                return 404, None
+            if method == "DELETE":
+                store.end_lease(lease)
+                return 200, {}
+            ttl = store.leases[lease][0]
+            store.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {"ttl_ms": ttl}
+
+    def do_GET(self):
+        self.handle_call("GET")
+
+    def do_POST(self):
+        self.handle_call("POST")
+
+    def do_DELETE(self):
+        self.handle_call("DELETE")
+
+
+class Reports(Server):
+    """Receives usage reports and refuses lower fencing tokens, as the platform does."""
+
+    def __init__(self):
+        self.windows = {}
+        self.fence = 0
+        self.holders = collections.defaultdict(set)
+        self.conflicts = []
+        self.lock = threading.Lock()
+        super().__init__(ReportsHandler)
+
+
+class ReportsHandler(Handler):
+    def do_POST(self):
+        report, receiver = json.loads(self.body()), self.server
+        fence, holder = int(self.headers["Fencing-Token"]), self.headers["Duty-Holder"]
+        with receiver.lock:
+            if fence < receiver.fence:
+                return self.answer(409)
+            receiver.fence = fence
+            receiver.holders[fence].add(holder)
+            known = receiver.windows.setdefault(report["window_id"], report["counts"])
+            if known != report["counts"]:
+                receiver.conflicts.append((report["window_id"], known, report["counts"]))
+        return self.answer(200, {})
+
+
+class Endpoint(Server):
+    """An endpoint of a plain or a model service; records what it ran."""
+
+    def __init__(self, name, service, zone, delay_s=0.005, events=0):
+        self.name, self.service, self.zone = name, service, zone
+        self.delay_s, self.events = delay_s, events
+        self.runs = collections.Counter()
+        self.seen_keys = []
+        self.tenants = {}
+        self.fail, self.break_after = 0.0, None
+        self.arrivals_after_leave = 0
+        self.left_at = None
+        self.random = random.Random(name)
+        super().__init__(EndpointHandler)
+
+    def entry(self, address=None, state="ready"):
+        return json.dumps({"service": self.service, "address": address or self.address, "zone": self.zone,
+                           "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "sequence": 1,
+                           "born": 1780000000000})
+
+
+class EndpointHandler(Handler):
+    def handle_request(self):
+        endpoint, headers = self.server, self.headers
+        body = self.body()
+        request = headers.get("Request-Id")
+        if endpoint.left_at and time.monotonic() > endpoint.left_at:
+            endpoint.arrivals_after_leave += 1
+        if headers.get("Target-Instance", endpoint.name) != endpoint.name:
+            return self.answer(421, None, [("Instance-Id", endpoint.name)])
+        if "Authorization" in headers:
+            endpoint.seen_keys.append(request)
+        endpoint.runs[request] += 1
+        endpoint.tenants[request] = headers.get("Tenant")
+        time.sleep(endpoint.delay_s)
+        if endpoint.random.random() < endpoint.fail:
+            return self.answer(500, {"error": "own"}, self.signature(request))
+        if endpoint.events:
+            return self.stream(endpoint, request, int(headers.get("Last-Event-Id", 0)))
+        return self.answer(200, {"echo": body.decode(), "request": request}, self.signature(request))
+
+    def signature(self, request):
+        return [("Request-Id", request), ("Response-Seal", "seal-" + request)]
+
+    def stream(self, endpoint, request, last):
+        self.send_response(200)
+        for name, value in self.signature(request) + [("Content-Type", "text/event-stream"),
+                                                      ("Transfer-Encoding", "chunked")]:
+            self.send_header(name, value)
+        self.end_headers()
+        for number in range(last + 1, endpoint.events + 1):
+            if endpoint.break_after == number:
+                self.close_connection = True
+                return
+            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.flush()
+            time.sleep(endpoint.delay_s)
+        self.wfile.write(b"0\r\n\r\n")
+
+    do_GET = do_POST = handle_request
+
+
+class Link:
+    """A loopback proxy in front of an address. Modes: pass, delay, reset, silent, one_way (answers are lost)."""
+
+    def __init__(self, target):
+        host, port = target.rsplit(":", 1)
+        self.target = (host, int(port))
+        self.mode = "pass"
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            caller, _ = self.listener.accept()
+            threading.Thread(target=self._serve, args=(caller,), daemon=True).start()
+
+    def _serve(self, caller):
+        try:
+            server = socket.create_connection(self.target, timeout=5)
+        except OSError:
+            caller.close()
+            return
+        open_pairs = {caller: server, server: caller}
+        try:
+            while True:
+                if self.mode == "reset":
+                    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    return
+                readable, _, _ = select.select(list(open_pairs), [], [], 0.02)
+                if self.mode == "silent":
+                    time.sleep(0.02)
+                    continue
+                for source in readable:
+                    data = source.recv(65536)
+                    if not data:
+                        return
+                    if self.mode == "delay":
+                        time.sleep(0.05)
+                    if self.mode != "one_way" or source is caller:
+                        open_pairs[source].sendall(data)
+        except OSError:
+            pass  # one of the ends is gone
+        finally:
+            caller.close()
+            server.close()
