Stand-ins of the users' platform, a whole-program case of the gateway, and a fault soak

The case and the soak run real gateways against a store, endpoints and a receiver of reports written here.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 JOBS ?= 8
 SHELL = /bin/bash
 .SHELLFLAGS = -o pipefail -c
-SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v '\.pb\.')
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '\.pb\.')
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy python3 curl pkg-config \
 	libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libssl-dev libzmq3-dev cppzmq-dev \
 	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin librapidcheck-dev \
 	gnuplot-nox python3-httpx
 
-.PHONY: all deps build check sanitize bench demo lint model format proto clean
+.PHONY: all deps build check sanitize bench demo lint model format proto clean deploy soak
 
 all: build
 
@@ -47,6 +47,14 @@
 demo: build
 	python3 testsuite/demo/run.py --bin $(BUILD)/bin
 
+# Builds the gateway as the users' platform does, by the command in the deploy file.
+deploy: deps
+	bash -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
+# Plays fifty seeds of the fault soak.
+soak: build
+	python3 testsuite/soak/run.py --bin $(BUILD)/bin --seeds $$(seq 1 50)
+
 format:
 	@clang-format -i $(SOURCES)
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -385,15 +385,13 @@
             TimePoint start = bootTimeNow();
             TimePoint end = start + scaled(m_state.settings.shutdownGrace, usedGrace);
             boost::asio::steady_timer timer(m_io);
-            bool idleClosed = false;
             while (bootTimeNow() < end) {
                 timer.expires_after(drainPoll);
                 co_await timer.async_wait(use_awaitable);
                 TimePoint now = bootTimeNow();
                 if (now - start >= idleCloseDelay)
                     closeIdleSessions();
-                idleClosed = now - start >= leastDrain;
-                if (idleClosed && m_state.activeRequests == 0)
+                if (now - start >= leastDrain && m_state.activeRequests == 0)
                     break;
             }
             boost::system::error_code ignored;
--- a/src/wisteriayardd/usage_closer.cpp
+++ b/src/wisteriayardd/usage_closer.cpp
@@ -94,10 +94,11 @@
     auto result = co_await m_store.transact(finalTransaction(closed, final));
     if (!result)
         co_return result.error(); // the next step reads back whether it took effect
-    if (result.value().succeeded)
-        m_log->write(Event::UsageWindowClosed,
-            { { "window", next.value() }, { "parts", parts.value().size() }, { "epoch", m_keeper.epoch().value() } });
-    co_return result.value().succeeded;
+    if (!result.value().succeeded)
+        co_return fail(Errc::Conflict, "window " + std::to_string(next.value()) + " was closed by another holder");
+    m_log->write(Event::UsageWindowClosed,
+        { { "window", next.value() }, { "parts", parts.value().size() }, { "epoch", m_keeper.epoch().value() } });
+    co_return true;
 }
 
 Transaction UsageCloser::finalTransaction(const WindowMark& closed, const UsageFinal& final) const
--- a/testsuite/gateway/run.py
+++ b/testsuite/gateway/run.py
@@ -116,7 +116,10 @@
 
     def reported():
         return sum(sum(counts.values()) for counts in deployment.reports.windows.values())
-    wait_until(lambda: reported() >= len(begun), f"usage of {len(begun)} requests in {runs} runs to be reported")
+    try:
+        wait_until(lambda: reported() >= len(begun), f"usage of {len(begun)} requests in {runs} runs")
+    except AssertionError:
+        raise AssertionError(f"usage of {len(begun)} requests, reported {deployment.reports.windows}") from None
     assert reported() == len(begun), (reported(), len(begun))
     assert not deployment.reports.conflicts
     assert all(len(holders) == 1 for holders in deployment.reports.holders.values())
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -64,9 +64,10 @@
         super().__init__(StoreHandler)
         threading.Thread(target=self._expire, daemon=True).start()
 
-    def put(self, key, value, lease=0):
+    def put(self, key, value, lease=0, revision=None):
         with self.lock:
-            self.revision += 1
+            # All writes of a transaction have one revision.
+            self.revision = revision or self.revision + 1
             created = self.items[key]["created"] if key in self.items else self.revision
             item = {"key": key, "value": base64.b64encode(value.encode()).decode(), "rev": self.revision,
                     "created": created, "lease": lease}
@@ -74,11 +75,11 @@
             self.history.append(item)
             self.lock.notify_all()
 
-    def remove(self, key):
+    def remove(self, key, revision=None):
         with self.lock:
             if self.items.pop(key, None) is None:
                 return
-            self.revision += 1
+            self.revision = revision or self.revision + 1
             self.history.append({"key": key, "rev": self.revision, "removed": True})
             self.lock.notify_all()
 
@@ -95,10 +96,11 @@
                 return 412, {"items": [item for item in current if item]}
             if any(put["lease"] and put["lease"] not in self.leases for put in request["puts"]):
                 return 404, None
+            revision = self.revision + 1
             for put in request["puts"]:
-                self.put(put["key"], base64.b64decode(put["value"]).decode(), put["lease"])
+                self.put(put["key"], base64.b64decode(put["value"]).decode(), put["lease"], revision)
             for key in request["remove"]:
-                self.remove(key)
+                self.remove(key, revision)
             return 200, {"rev": self.revision}
 
     def watch(self, prefix, after, wait_ms):
