--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,9 @@
     /// Idle connections of callers are closed from then on.
     constexpr Duration idleCloseDelay = std::chrono::milliseconds(2200);
     /// Share of the time before SIGKILL that requests in hand may take.
-    constexpr double usedGrace = 0.93;
+    constexpr double usedGrace = 0.85;
+    /// Time to write the last usage: further tries after this could outlast the grace.
+    constexpr Duration flushTimeLimit = std::chrono::milliseconds(200);
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
     constexpr Duration acceptRetry = std::chrono::milliseconds(20);
     /// Time between two writes of an entry's usage: what a killed process loses.
@@ -397,7 +399,7 @@
             boost::system::error_code ignored;
             m_acceptor.close(ignored);
             if (m_state.usage)
-                co_await m_state.usage->flush();
+                co_await m_state.usage->flush(flushTimeLimit);
             co_await m_peers.leave();
         }
 
--- /dev/null
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -0,0 +1,60 @@
+#define BOOST_TEST_MODULE gateway_metrics
+#include "gateway_metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace wisteriayard;
+
+namespace {
+
+const std::string prefix = "wisteriayard_gateway_";
+
+std::set<std::string> namesOfCode()
+{
+    GatewayMetrics metrics;
+    metrics.requestEnded("r", AccountId("a"), "delivered", Duration(1));
+    metrics.firstEvent("r", Duration(1));
+    metrics.refused(PlacementRefusal::Overloaded);
+    metrics.attemptEnded("delivered");
+    metrics.retried(true);
+    metrics.endpoints(1);
+    metrics.configVersion(1);
+    metrics.activeRequests(1);
+    metrics.viewAge("config", Duration(1));
+    metrics.droppedLines(0);
+    std::set<std::string> names;
+    std::istringstream text(metrics.text());
+    for (std::string hash, kind, name, line; std::getline(text, line);) {
+        std::istringstream words(line);
+        if (words >> hash >> kind >> name && hash == "#" && kind == "TYPE")
+            names.insert(name);
+    }
+    return names;
+}
+
+std::set<std::string> namesOfPage()
+{
+    std::set<std::string> names;
+    std::ifstream page(METRICS_PAGE);
+    for (std::string line, bar, name; std::getline(page, line);) {
+        std::istringstream words(line);
+        if (words >> bar >> name && bar == "|" && name.rfind(prefix, 0) == 0)
+            names.insert(name);
+    }
+    return names;
+}
+
+} // namespace
+
+// Guards against a page that lags behind the code: on-call engineers look names up there.
+BOOST_AUTO_TEST_CASE(page_lists_every_metric)
+{
+    std::set<std::string> code = namesOfCode();
+    std::set<std::string> page = namesOfPage();
+    BOOST_TEST(code.size() == 11u);
+    BOOST_TEST(code == page, boost::test_tools::per_element());
+}
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -49,6 +49,11 @@
         return http::to_status_class(head.result()) == http::status_class::successful;
     }
 
+    std::string millisecondsText(Duration time)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    }
+
     struct OutcomeName {
         std::string operator()(const Delivered&) const { return "delivered"; }
         std::string operator()(const NotRun& outcome) const { return "not_run: " + outcome.reason; }
@@ -160,7 +165,10 @@
                 co_return co_await finishFailed(failure, notRun ? &*notRun : nullptr);
             }
             std::string reason(placementRefusalName(refused->reason));
-            logEnd(Event::RequestRefused, "refused", reason);
+            logEnd(Event::RequestRefused, "refused",
+                reason + ": first event expected in " + millisecondsText(refused->expectedFirstEvent)
+                    + " ms, objective " + millisecondsText(m_route->objective) + " ms, retry after "
+                    + millisecondsText(refused->retryAfter) + " ms");
             OwnAnswer own { 503, reason, "no endpoint can serve the request in time", refused->retryAfter };
             co_return co_await answer(std::move(own));
         }
@@ -437,7 +445,8 @@
         m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
     m_lastEventAt = now;
     if (!m_headSent) {
-        m_state.metrics.firstEvent(m_route->name, now - m_request.arrivedAt);
+        m_firstEventTime = now - m_request.arrivedAt;
+        m_state.metrics.firstEvent(m_route->name, m_firstEventTime);
         m_state.directory.placement(m_target).firstEvent(placement, now);
         m_headSent = true;
         BodyFraming framing = m_request.takesChunks ? BodyFraming::Chunked : BodyFraming::UntilClose;
@@ -589,7 +598,8 @@
     m_state.metrics.requestEnded(route, account, outcome, time);
     m_state.logRequest(event,
         { { "request", m_traits.id.value() }, { "route", route }, { "account", account.value() },
-            { "outcome", outcome }, { "detail", detail }, { "total_ms", time.count() / 1000 }, { "offers", m_offers },
+            { "outcome", outcome }, { "detail", detail }, { "total_ms", time.count() / 1000 },
+            { "first_event_ms", m_firstEventTime.count() / 1000 }, { "offers", m_offers },
             { "config_version", m_routes ? m_routes->config().version.value() : 0 } },
         now);
 }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -122,6 +122,8 @@
     bool m_headSent = false;
     std::optional<std::int64_t> m_lastEvent;
     TimePoint m_lastEventAt {};
+    /// Time from the request to the first event; 0 before it.
+    Duration m_firstEventTime {};
     int m_attempts = 0;
     int m_offers = 0;
     int m_connectFailures = 0;
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -120,6 +120,8 @@
     PlacementRefusal reason = PlacementRefusal::NoEndpoint;
     /// When there will probably be room.
     Duration retryAfter {};
+    /// Earliest expected first event; 0 if no endpoint could be asked.
+    Duration expectedFirstEvent {};
 };
 
 using PlacementDecision = std::variant<Placement, Refused>;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -280,6 +280,7 @@
         m_policy.mostObjectives * microseconds(request.objective));
     if (best->firstEvent > latest) {
         refused.reason = PlacementRefusal::Overloaded;
+        refused.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
         auto excess = Duration(static_cast<std::int64_t>(best->firstEvent)) - request.objective;
         refused.retryAfter = std::max(leastRetryAfter, excess);
         return refused;
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -17,8 +17,6 @@
 
     constexpr std::size_t incarnationBytes = 8;
     constexpr Duration flushRetry = std::chrono::milliseconds(100);
-    /// Longest time that a shutdown waits for the store.
-    constexpr Duration flushTimeout = std::chrono::seconds(30);
 
 } // namespace
 
@@ -142,9 +140,9 @@
     co_return late != 0;
 }
 
-awaitable<void> UsageReporter::flush()
+awaitable<void> UsageReporter::flush(Duration timeout)
 {
-    TimePoint deadline = bootTimeNow() + flushTimeout;
+    TimePoint deadline = bootTimeNow() + timeout;
     boost::asio::steady_timer timer(m_io);
     while (true) {
         bool complete = co_await writeParts();
--- a/src/wisteriayardd/usage_reporter.h
+++ b/src/wisteriayardd/usage_reporter.h
@@ -34,8 +34,10 @@
     void start(std::function<bool()> isCandidate = [] { return true; });
     /// Counts usage. Any thread.
     void count(const AccountId& account, const ClassId& requestClass, const UsageFigures& figures);
+    /// Longest time that a shutdown waits for the store.
+    static constexpr Duration flushTimeout = std::chrono::seconds(30);
     /// Writes everything that is counted and gives the lease up, for shutdown.
-    boost::asio::awaitable<void> flush();
+    boost::asio::awaitable<void> flush(Duration timeout = flushTimeout);
     /// Writes a part of another entry that can't reach the store.
     boost::asio::awaitable<void> writeFor(WindowId window, IncarnationId entry, UsagePart part);
     /// State as JSON. Control thread only.
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -75,9 +75,10 @@
         self.heal(time.monotonic())
 
     def heal(self, until):
-        for entry in [entry for entry in self.ends if entry[0] <= until]:
-            self.ends.remove(entry)
-            entry[1]()
+        due = [entry for entry in self.ends if entry[0] <= until]
+        self.ends = [entry for entry in self.ends if entry[0] > until]
+        for _, end in due:
+            end()
 
     def note(self, *what):
         self.log.append((round(time.monotonic(), 2), *what))
@@ -95,7 +96,7 @@
         gateway = self.gateway()
         self.note("kill", gateway.name)
         gateway.stop()
-        return gateway.start
+        return lambda: None if gateway.alive() else gateway.start()
 
     def pause(self):
         gateway = self.gateway()
@@ -109,10 +110,13 @@
         gateway.signal(signal.SIGCONT)
         gateway.signal(signal.SIGTERM)
 
+        process = gateway.process
+
         def restart():
-            if gateway.process.poll() is None:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
                 self.ends.append((time.monotonic() + 0.5, restart))
-            else:
+            elif not gateway.alive():
                 gateway.start()
         return restart
 
