--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -223,8 +223,8 @@
 
 void PeerExchange::receiveUsage(const Json& message)
 {
-    bool wellFormed = message.size() == 3 && message[0].is_number_integer() && message[1].is_string()
-        && message[2].is_string();
+    bool wellFormed
+        = message.size() == 3 && message[0].is_number_integer() && message[1].is_string() && message[2].is_string();
     if (!wellFormed || !m_state.usage)
         return;
     auto part = parseUsagePart(message[2].get_ref<const std::string&>());
@@ -232,9 +232,8 @@
         return;
     WindowId window(message[0].get<std::int64_t>());
     IncarnationId entry(message[1].get<std::string>());
-    auto write = [usage = m_state.usage, window, entry, part = part.value()] {
-        return usage->writeFor(window, entry, part);
-    };
+    auto write
+        = [usage = m_state.usage, window, entry, part = part.value()] { return usage->writeFor(window, entry, part); };
     boost::asio::co_spawn(m_state.io, std::move(write), boost::asio::detached);
 }
 
--- a/src/include/wisteriayard/lease.h
+++ b/src/include/wisteriayard/lease.h
@@ -15,8 +15,8 @@
     Duration lease = std::chrono::seconds(6);
     /// The holder stops acting this long before the lease runs out.
     Duration margin = std::chrono::seconds(1);
-    /// Time from taking the lease to acting on it; without a value lease + margin. Receivers that refuse a lower fencing
-    /// token make it needless: an order of the former holder that comes late is then refused.
+    /// Time from taking the lease to acting on it; without a value lease + margin. Receivers that refuse a lower
+    /// fencing token make it needless: an order of the former holder that comes late is then refused.
     std::optional<Duration> wait = std::nullopt;
 };
 
--- a/src/libstore/store_json.h
+++ b/src/libstore/store_json.h
@@ -13,8 +13,8 @@
 
 /// @name Requests of the etcd v3 JSON gateway
 /// @{
-std::string rangeRequestJson(std::string_view key, std::string_view rangeEnd,
-    ReadConsistency consistency = ReadConsistency::Linearizable);
+std::string rangeRequestJson(
+    std::string_view key, std::string_view rangeEnd, ReadConsistency consistency = ReadConsistency::Linearizable);
 std::string transactionJson(const Transaction& transaction);
 std::string leaseGrantJson(Duration timeToLive);
 std::string leaseJson(LeaseId lease);
