Never refuse for load at an endpoint without a queue

Some slow answers over a silent link had raised the average time of a request above 1.4 objectives; since then every request was refused, so no answer could correct the average. Ruled out: load (3 callers an entry), the view (2.3 s old, endpoints listed). A test of the pattern fails before and passes after.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -81,7 +81,8 @@
     /// A request is refused if its first event is expected later than this share of the time it has left.
     double latestShare = 0.8;
     /// A request is also refused if its first event is expected later than this many objectives: a longer queue would
-    /// make all that come after it late too.
+    /// make all that come after it late too. An endpoint without a queue is never refused: only new answers correct an
+    /// estimate that has become too high.
     double mostObjectives = 1.4;
     /// Loads that other entries told longer ago than this are not counted.
     Duration peerLoadLifetime = std::chrono::milliseconds(1500);
@@ -216,6 +217,8 @@
         double cost = 0;
         std::int64_t uncached = 0;
         double firstEvent = 0;
+        /// Other requests go before this one there.
+        bool queued = false;
     };
 
     /// Endpoints with the highest and the second highest weight for the last shared prompt part.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -222,6 +222,7 @@
         double factor = index == homes.second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
         charge += (factor - 1) * tokenTime(state) * static_cast<double>(recomputed);
         charge += microseconds(m_policy.runningCost) * running;
+        candidate.queued = ahead > 0 || running >= state.info.slots;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
         if (poolSize > 0 && (state.position < poolSize) != isLong)
             charge += microseconds(isLong ? m_policy.longOutsideCost : m_policy.shortInsideCost);
@@ -234,6 +235,7 @@
     } else {
         double time = state.requestTime > 0 ? state.requestTime : m_requestTime;
         int over = std::max(0, running + 1 - state.info.slots);
+        candidate.queued = over > 0;
         wait = time * (1 + static_cast<double>(over) / state.info.slots);
         charge += time * running / state.info.slots;
     }
@@ -278,7 +280,7 @@
     }
     double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
         m_policy.mostObjectives * microseconds(request.objective));
-    if (best->firstEvent > latest) {
+    if (best->queued && best->firstEvent > latest) {
         refused.reason = PlacementRefusal::Overloaded;
         refused.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
         auto excess = Duration(static_cast<std::int64_t>(best->firstEvent)) - request.objective;
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -167,6 +167,22 @@
     BOOST_TEST((std::get<Refused>(decision).retryAfter >= milliseconds(100)));
 }
 
+// Guards against refusals that keep themselves up: after some slow answers the estimate was above the limit, every
+// request was refused, and no new answer could correct it (soak seed 20).
+BOOST_AUTO_TEST_CASE(idle_endpoints_are_tried_whatever_the_estimate)
+{
+    EndpointPlacement fleet(PlacementPolicy(), ZoneId("near"), RegionId("r"));
+    PlacementEndpoint plain = engine(0);
+    plain.memory = Tokens(0);
+    fleet.put(plain);
+    PlacementRequest request = makeRequest(1, 0, 0);
+    for (int i = 0; i < 40; ++i) {
+        TimePoint now = at(seconds(5 * i));
+        finish(fleet, place(fleet, request, now), EndpointOutcome::Succeeded, now + milliseconds(3500));
+    }
+    place(fleet, request, at(seconds(300)));
+}
+
 // Guards against a second attempt at the endpoint that has just failed.
 BOOST_AUTO_TEST_CASE(excluded_endpoints_are_not_chosen)
 {
