--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -22,6 +22,8 @@
 
 REFUSALS = (408, 421, 429, 503)
 SETTLE_S = 6
+# 20: refusals for load kept themselves up at idle endpoints; 1 and 2 play most kinds of faults.
+KEPT_SEEDS = [1, 2, 20]
 ENDPOINT_EVENTS = 6
 PATHS = (("/lookup/", "idempotent"), ("/charge/", "once"), ("/chat/", "once"), ("/match/", "resumable"))
 
@@ -218,7 +220,7 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--bin", required=True)
-    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
+    parser.add_argument("--seeds", type=int, nargs="+", default=KEPT_SEEDS)
     parser.add_argument("--seconds", type=float, default=6)
     parser.add_argument("--gateways", type=int, default=3)
     options = parser.parse_args()
