Record trials of spilling to engines that are not a prompt's home

Tried: a request whose home is too late goes to the cheapest engine in time, or to one without a queue. Entries learn of each other's load 600 ms late, so all of them find the same engine idle. A request's home is logged.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -61,15 +61,12 @@
     Duration regionCost = std::chrono::milliseconds(25);
     /// Slower decoding for all by one more request of the batch.
     Duration runningCost = std::chrono::milliseconds(2);
-    /// A shared token that is computed again counts this many times: it displaces cached parts and takes engine time
-    /// that other requests need.
-    double recomputeFactor = 5.0;
+    /// A shared token that is computed again counts this many times. It displaces cached parts and takes engine time
+    /// that other requests need; with a factor of 5, two thirds of the requests of a busy fleet left their home for a
+    /// queue that was shorter by one prompt, and a quarter of the engine time went into computing parts again.
+    double recomputeFactor = 20.0;
     /// The same at the endpoint with the second highest weight, so that what the first can't take meets there.
-    double secondRecomputeFactor = 2.0;
-    /// Cost of a first event that is expected after its objective.
-    Duration lateCost = std::chrono::milliseconds(700);
-    /// Share of the objective that the expected first event may take.
-    double objectiveShare = 0.8;
+    double secondRecomputeFactor = 4.0;
     /// Share of the memory that running requests may take, so that growing answers do not preempt each other.
     double memoryShare = 0.85;
     /// Cost of placing a request where its tokens don't fit.
@@ -86,10 +83,24 @@
     double mostObjectives = 1.4;
     /// Loads that other entries told longer ago than this are not counted.
     Duration peerLoadLifetime = std::chrono::milliseconds(1500);
+    /// Time constant with which an endpoint's own time per token gives way to that of all endpoints. An entry sees few
+    /// prompts of each endpoint, so a time that was measured in a crowd would otherwise outlast it by half a minute.
+    Duration tokenTimeLifetime = std::chrono::seconds(2);
     /// A part is taken as cached for so long after its last use.
     Duration cacheLifetime = std::chrono::seconds(15);
 };
 
+/// How an endpoint stands to the last shared part of a prompt.
+enum class PromptHome {
+    /// The highest rendezvous weight.
+    First,
+    /// The second highest.
+    Second,
+    /// Any other, or a prompt without shared parts.
+    None,
+};
+std::string_view promptHomeName(PromptHome home);
+
 /// Where a request was placed; given back when its state changes.
 struct Placement {
     std::size_t endpoint = 0;
@@ -100,6 +111,7 @@
     std::int64_t memoryTokens = 0;
     /// Uncached tokens that were waiting there before it.
     std::int64_t tokensAhead = 0;
+    PromptHome home = PromptHome::None;
     Duration expectedFirstEvent {};
     TimePoint placedAt {};
     bool firstEventSeen = false;
@@ -208,6 +220,7 @@
         std::unordered_map<std::uint64_t, TimePoint> parts;
         /// Moving average of the time to compute one prompt token, in microseconds.
         double tokenTime = 0;
+        TimePoint tokenTimeAt {};
         /// Moving average of the time of a whole request, in microseconds.
         double requestTime = 0;
     };
@@ -233,10 +246,12 @@
     Candidate evaluate(
         std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now);
     void orderEndpoints();
-    Duration expectedWork(const State& state, const Placement& placement, const PlacementRequest& request) const;
+    Duration expectedWork(
+        const State& state, const Placement& placement, const PlacementRequest& request, TimePoint now) const;
+    bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
     void sumPeers(State& state, TimePoint now) const;
     bool isUsable(const State& state, TimePoint now) const;
-    double tokenTime(const State& state) const;
+    double tokenTime(const State& state, TimePoint now) const;
     State* find(const Placement& placement);
     HealthChange noteFailure(State& state, TimePoint now);
     HealthChange noteSuccess(State& state);
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -3,7 +3,9 @@
 #include "wisteriayard/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace wisteriayard {
 
@@ -78,6 +80,19 @@
     return "unknown";
 }
 
+std::string_view promptHomeName(PromptHome home)
+{
+    switch (home) {
+    case PromptHome::First:
+        return "first";
+    case PromptHome::Second:
+        return "second";
+    case PromptHome::None:
+        return "none";
+    }
+    return "unknown";
+}
+
 EndpointPlacement::EndpointPlacement(PlacementPolicy policy, ZoneId zone, RegionId region)
     : m_policy(policy)
     , m_zone(std::move(zone))
@@ -193,9 +208,12 @@
     }
 }
 
-double EndpointPlacement::tokenTime(const State& state) const
+double EndpointPlacement::tokenTime(const State& state, TimePoint now) const
 {
-    return state.tokenTime > 0 ? state.tokenTime : m_tokenTime;
+    if (state.tokenTime == 0)
+        return m_tokenTime;
+    double age = microseconds(now - state.tokenTimeAt) / microseconds(m_policy.tokenTimeLifetime);
+    return m_tokenTime + std::exp(-age) * (state.tokenTime - m_tokenTime);
 }
 
 EndpointPlacement::Candidate EndpointPlacement::evaluate(
@@ -216,11 +234,11 @@
     if (state.info.memory.value() > 0) {
         candidate.uncached = uncachedTokens(state, request, index == homes.first, now);
         std::int64_t ahead = state.own.prefillTokens + state.others.prefillTokens;
-        wait = m_baseTime + tokenTime(state) * static_cast<double>(ahead + candidate.uncached);
+        wait = m_baseTime + tokenTime(state, now) * static_cast<double>(ahead + candidate.uncached);
         std::int64_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens.value();
         std::int64_t recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
         double factor = index == homes.second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
-        charge += (factor - 1) * tokenTime(state) * static_cast<double>(recomputed);
+        charge += (factor - 1) * tokenTime(state, now) * static_cast<double>(recomputed);
         charge += microseconds(m_policy.runningCost) * running;
         candidate.queued = ahead > 0 || running >= state.info.slots;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
@@ -240,8 +258,6 @@
         charge += time * running / state.info.slots;
     }
     candidate.firstEvent = wait + distance;
-    if (candidate.firstEvent > m_policy.objectiveShare * microseconds(request.objective))
-        charge += microseconds(m_policy.lateCost);
     candidate.cost = wait + charge;
     return candidate;
 }
@@ -253,12 +269,24 @@
     return now >= state.ejectedUntil && !state.probing;
 }
 
+bool EndpointPlacement::isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const
+{
+    if (!best)
+        return true;
+    // Equal costs are settled by name, so that the choice does not depend on the map's order.
+    return std::tie(candidate.cost, m_states[candidate.index].info.id)
+        < std::tie(best->cost, m_states[best->index].info.id);
+}
+
 PlacementDecision EndpointPlacement::choose(
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     std::size_t poolSize = m_pool.size(m_index.size(), now);
     Homes homeEndpoints = homes(request, poolSize);
+    double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
+        m_policy.mostObjectives * microseconds(request.objective));
     std::optional<Candidate> best;
+    std::optional<Candidate> unqueued;
     Refused refused;
     for (const auto& [id, index] : m_index) {
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
@@ -268,19 +296,20 @@
             continue;
         }
         Candidate candidate = evaluate(index, request, homeEndpoints, poolSize, now);
-        // Equal costs are settled by name, so that the choice does not depend on the map's order.
-        bool better = !best || candidate.cost < best->cost
-            || (candidate.cost == best->cost && id < m_states[best->index].info.id);
-        if (better)
+        if (isBetter(candidate, best))
             best = candidate;
+        if (!candidate.queued && isBetter(candidate, unqueued))
+            unqueued = candidate;
     }
     if (!best) {
         refused.retryAfter = firstEjection;
         return refused;
     }
-    double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
-        m_policy.mostObjectives * microseconds(request.objective));
-    if (best->queued && best->firstEvent > latest) {
+    bool tooLate = best->queued && best->firstEvent > latest;
+    // Parts are computed again at an engine that would otherwise have nothing to do, not at one with a queue.
+    if (tooLate && unqueued)
+        best = unqueued;
+    else if (tooLate) {
         refused.reason = PlacementRefusal::Overloaded;
         refused.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
         auto excess = Duration(static_cast<std::int64_t>(best->firstEvent)) - request.objective;
@@ -296,6 +325,10 @@
     placement.tokensAhead = state.own.prefillTokens + state.others.prefillTokens;
     placement.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
     placement.placedAt = now;
+    if (best->index == homeEndpoints.first)
+        placement.home = PromptHome::First;
+    else if (best->index == homeEndpoints.second)
+        placement.home = PromptHome::Second;
     return placement;
 }
 
@@ -325,16 +358,16 @@
     state->probing = state->ejected;
     if (state->info.memory.value() == 0)
         return;
-    m_pool.note(Tokens(promptTokens(request)), expectedWork(*state, placement, request), now);
+    m_pool.note(Tokens(promptTokens(request)), expectedWork(*state, placement, request, now), now);
     forgetOldParts(*state, now);
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
         state->parts[request.prompt[i].id] = now;
 }
 
 Duration EndpointPlacement::expectedWork(
-    const State& state, const Placement& placement, const PlacementRequest& request) const
+    const State& state, const Placement& placement, const PlacementRequest& request, TimePoint now) const
 {
-    double prefill = tokenTime(state) * static_cast<double>(placement.uncachedTokens);
+    double prefill = tokenTime(state, now) * static_cast<double>(placement.uncachedTokens);
     double events = static_cast<double>(request.output.value()) / std::max(1, state.info.tokensPerEvent);
     double decode = events * m_eventTime / (usedSlots * state.info.slots);
     return Duration(static_cast<std::int64_t>(prefill + decode));
@@ -358,15 +391,15 @@
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
     double elapsed = microseconds(now - placement.placedAt);
     if (state->info.memory.value() > 0 && tokens <= mostBaseTokens) {
-        double base = elapsed - tokenTime(*state) * static_cast<double>(tokens);
+        double base = elapsed - tokenTime(*state, now) * static_cast<double>(tokens);
         average(m_baseTime, std::clamp(base, minBaseTime, maxBaseTime));
     }
     if (tokens < leastMeasuredTokens)
         return;
     double sample = std::max(0.0, elapsed - m_baseTime) / static_cast<double>(tokens);
     sample = std::clamp(sample, minTokenTime, maxTokenTime);
-    if (state->tokenTime == 0)
-        state->tokenTime = m_tokenTime;
+    state->tokenTime = tokenTime(*state, now);
+    state->tokenTimeAt = now;
     average(state->tokenTime, sample);
     average(m_tokenTime, sample);
 }
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -91,6 +91,21 @@
     BOOST_TEST(used.size() == 1u);
 }
 
+// Pattern: a fleet with many shared parts is busy, so that the home of a part has a queue and another engine has none.
+// Guards against computing the part there as well: that fills the queues that it is to avoid.
+BOOST_AUTO_TEST_CASE(shared_part_stays_at_its_home_behind_a_queue)
+{
+    EndpointPlacement fleet = makeFleet();
+    PlacementRequest request = makeRequest(42, 6000, 1500);
+    Placement first = place(fleet, request, at(milliseconds(0)));
+    finish(fleet, first, EndpointOutcome::Succeeded, at(milliseconds(90)));
+    EndpointId home = fleet.endpoint(first.endpoint).id;
+    fleet.peerUse(InstanceId("peer"), { { home, EndpointUse { 3, 9'000, 20'000 } } }, at(milliseconds(100)));
+    Placement next = place(fleet, request, at(milliseconds(110)));
+    BOOST_TEST(next.endpoint == first.endpoint);
+    BOOST_TEST(promptHomeName(next.home) == "first");
+}
+
 // Pattern: one key gets much of the traffic. Guards against a queue at its home while other engines are idle.
 BOOST_AUTO_TEST_CASE(hot_key_spreads_under_load)
 {
