Keep requests at the home of their shared prompt part

The expected first event passed 0.8 objectives early, which added 700 ms to the home's cost, and a part computed again was charged too little. Each such request reads the part again, which fills the queues that it was to avoid. The expectation itself was too high: samples of the time per prompt token hold waits behind prompts of other entries, and an endpoint's own value outlasted a crowd by half a minute. Ruled out: eviction at the engines (2 requests preempted, memory for all parts at two homes); different pool sizes of the entries (equal within one engine). Expected first events are now too low in a crowd (350 ms against 700 ms).

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wisteriayard/ids.h"
+#include "wisteriayard/part_rates.h"
 #include "wisteriayard/prefill_pool.h"
 #include "wisteriayard/units.h"
 
@@ -65,8 +66,10 @@
     /// that other requests need; with a factor of 5, two thirds of the requests of a busy fleet left their home for a
     /// queue that was shorter by one prompt, and a quarter of the engine time went into computing parts again.
     double recomputeFactor = 20.0;
-    /// The same at the endpoint with the second highest weight, so that what the first can't take meets there.
+    /// The same at the endpoint with the next highest weight after the homes, so that what they can't take meets there.
     double secondRecomputeFactor = 4.0;
+    /// Engine time in each second that the requests with one shared part may ask of each of its homes.
+    double homeUtilization = 0.4;
     /// Share of the memory that running requests may take, so that growing answers do not preempt each other.
     double memoryShare = 0.85;
     /// Cost of placing a request where its tokens don't fit.
@@ -92,9 +95,9 @@
 
 /// How an endpoint stands to the last shared part of a prompt.
 enum class PromptHome {
-    /// The highest rendezvous weight.
+    /// Among the highest rendezvous weights, as many as the part's load needs.
     First,
-    /// The second highest.
+    /// The next highest.
     Second,
     /// Any other, or a prompt without shared parts.
     None,
@@ -230,18 +233,21 @@
         double cost = 0;
         std::int64_t uncached = 0;
         double firstEvent = 0;
+        PromptHome home = PromptHome::None;
         /// Other requests go before this one there.
         bool queued = false;
     };
 
-    /// Endpoints with the highest and the second highest weight for the last shared prompt part.
+    /// Endpoints with the highest weights for the last shared prompt part.
     struct Homes {
-        std::size_t first = none;
-        std::size_t second = none;
+        PromptHome rank(std::size_t index) const;
+
+        std::vector<std::size_t> members;
+        std::optional<std::size_t> reserve;
     };
-    static constexpr std::size_t none = static_cast<std::size_t>(-1);
 
-    Homes homes(const PlacementRequest& request, std::size_t poolSize) const;
+    std::size_t homeCount(std::uint64_t part, TimePoint now);
+    Homes homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now);
     std::int64_t uncachedTokens(const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const;
     Candidate evaluate(
         std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now);
@@ -264,6 +270,7 @@
     std::unordered_map<EndpointId, std::size_t> m_index;
     std::uint64_t m_generation = 0;
     PrefillPool m_pool;
+    PartRates m_partRates;
     /// Moving average of the time between two events of a stream, in microseconds.
     double m_eventTime;
     /// Moving average over all endpoints of the time to compute one prompt token, in microseconds.
--- a/src/include/wisteriayard/prefill_pool.h
+++ b/src/include/wisteriayard/prefill_pool.h
@@ -52,6 +52,8 @@
     WorkRates own(TimePoint now);
     /// Another entry told its rates.
     void peer(const InstanceId& peer, const WorkRates& rates, TimePoint now);
+    /// Other entries that told their rates within their lifetime.
+    std::size_t peers(TimePoint now);
     /// Engines that long prompts are kept on.
     /// @param engines all engines of the service
     /// @return 0 if the service has only one kind of prompts or too few engines to split
@@ -64,6 +66,7 @@
     };
 
     void decay(TimePoint now);
+    void forgetSilentPeers(TimePoint now);
 
     PrefillPoolPolicy m_policy;
     WorkRates m_own;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <tuple>
 
@@ -24,6 +25,9 @@
     constexpr double minBaseTime = 5'000;
     constexpr double maxBaseTime = 200'000;
     constexpr double averageWeight = 0.1;
+    /// Weights of samples of the time per prompt token below and above the average of all endpoints.
+    constexpr double fallWeight = 0.1;
+    constexpr double riseWeight = 0.01;
     /// Time between two events of a stream, in microseconds.
     constexpr double initialEventTime = 40'000;
     constexpr double eventWeight = 0.02;
@@ -63,6 +67,12 @@
         return sum;
     }
 
+    /// @param request has shared parts
+    std::uint64_t lastSharedPart(const PlacementRequest& request)
+    {
+        return request.prompt[request.prompt.size() - 2].id;
+    }
+
     void average(double& value, double sample) { value += averageWeight * (sample - value); }
 
 } // namespace
@@ -153,32 +163,46 @@
     orderEndpoints();
 }
 
-EndpointPlacement::Homes EndpointPlacement::homes(const PlacementRequest& request, std::size_t poolSize) const
+std::size_t EndpointPlacement::homeCount(std::uint64_t part, TimePoint now)
+{
+    // Other entries get as many requests of this part as this one.
+    double entries = 1 + static_cast<double>(m_pool.peers(now));
+    double load = entries * m_partRates.rate(part, now);
+    return 1 + static_cast<std::size_t>(load / m_policy.homeUtilization);
+}
+
+EndpointPlacement::Homes EndpointPlacement::homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now)
 {
     Homes homes;
     if (request.prompt.size() < 2)
         return homes;
-    std::uint64_t key = request.prompt[request.prompt.size() - 2].id;
+    std::uint64_t key = lastSharedPart(request);
     bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
-    std::uint64_t firstWeight = 0;
-    std::uint64_t secondWeight = 0;
+    std::vector<std::pair<std::uint64_t, std::size_t>> weights;
     for (const auto& [id, index] : m_index) {
-        if (poolSize > 0 && (m_states[index].position < poolSize) != isLong)
-            continue;
-        std::uint64_t weight = mixHash(key ^ m_states[index].hash);
-        if (homes.first == none || weight > firstWeight) {
-            homes.second = homes.first;
-            secondWeight = firstWeight;
-            homes.first = index;
-            firstWeight = weight;
-        } else if (homes.second == none || weight > secondWeight) {
-            homes.second = index;
-            secondWeight = weight;
-        }
+        const State& state = m_states[index];
+        bool inPool = poolSize == 0 || (state.position < poolSize) == isLong;
+        if (inPool && isUsable(state, now))
+            weights.emplace_back(mixHash(key ^ state.hash), index);
     }
+    std::size_t count = std::min(homeCount(key, now), weights.size());
+    std::size_t ranked = std::min(count + 1, weights.size());
+    std::partial_sort(
+        weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(ranked), weights.end(), std::greater<>());
+    for (std::size_t i = 0; i < count; ++i)
+        homes.members.push_back(weights[i].second);
+    if (ranked > count)
+        homes.reserve = weights[count].second;
     return homes;
 }
 
+PromptHome EndpointPlacement::Homes::rank(std::size_t index) const
+{
+    if (std::find(members.begin(), members.end(), index) != members.end())
+        return PromptHome::First;
+    return index == reserve ? PromptHome::Second : PromptHome::None;
+}
+
 std::int64_t EndpointPlacement::uncachedTokens(
     const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const
 {
@@ -232,12 +256,14 @@
     double wait = 0;
     double charge = distance;
     if (state.info.memory.value() > 0) {
-        candidate.uncached = uncachedTokens(state, request, index == homes.first, now);
+        candidate.home = homes.rank(index);
+        candidate.uncached = uncachedTokens(state, request, candidate.home == PromptHome::First, now);
         std::int64_t ahead = state.own.prefillTokens + state.others.prefillTokens;
         wait = m_baseTime + tokenTime(state, now) * static_cast<double>(ahead + candidate.uncached);
         std::int64_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens.value();
         std::int64_t recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
-        double factor = index == homes.second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
+        double factor
+            = candidate.home == PromptHome::Second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
         charge += (factor - 1) * tokenTime(state, now) * static_cast<double>(recomputed);
         charge += microseconds(m_policy.runningCost) * running;
         candidate.queued = ahead > 0 || running >= state.info.slots;
@@ -282,11 +308,10 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     std::size_t poolSize = m_pool.size(m_index.size(), now);
-    Homes homeEndpoints = homes(request, poolSize);
+    Homes homeEndpoints = homes(request, poolSize, now);
     double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
         m_policy.mostObjectives * microseconds(request.objective));
     std::optional<Candidate> best;
-    std::optional<Candidate> unqueued;
     Refused refused;
     for (const auto& [id, index] : m_index) {
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
@@ -298,18 +323,12 @@
         Candidate candidate = evaluate(index, request, homeEndpoints, poolSize, now);
         if (isBetter(candidate, best))
             best = candidate;
-        if (!candidate.queued && isBetter(candidate, unqueued))
-            unqueued = candidate;
     }
     if (!best) {
         refused.retryAfter = firstEjection;
         return refused;
     }
-    bool tooLate = best->queued && best->firstEvent > latest;
-    // Parts are computed again at an engine that would otherwise have nothing to do, not at one with a queue.
-    if (tooLate && unqueued)
-        best = unqueued;
-    else if (tooLate) {
+    if (best->queued && best->firstEvent > latest) {
         refused.reason = PlacementRefusal::Overloaded;
         refused.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
         auto excess = Duration(static_cast<std::int64_t>(best->firstEvent)) - request.objective;
@@ -325,10 +344,7 @@
     placement.tokensAhead = state.own.prefillTokens + state.others.prefillTokens;
     placement.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
     placement.placedAt = now;
-    if (best->index == homeEndpoints.first)
-        placement.home = PromptHome::First;
-    else if (best->index == homeEndpoints.second)
-        placement.home = PromptHome::Second;
+    placement.home = best->home;
     return placement;
 }
 
@@ -358,7 +374,10 @@
     state->probing = state->ejected;
     if (state->info.memory.value() == 0)
         return;
-    m_pool.note(Tokens(promptTokens(request)), expectedWork(*state, placement, request, now), now);
+    Duration work = expectedWork(*state, placement, request, now);
+    m_pool.note(Tokens(promptTokens(request)), work, now);
+    if (request.prompt.size() > 1)
+        m_partRates.note(lastSharedPart(request), work, now);
     forgetOldParts(*state, now);
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
         state->parts[request.prompt[i].id] = now;
@@ -401,7 +420,8 @@
     state->tokenTime = tokenTime(*state, now);
     state->tokenTimeAt = now;
     average(state->tokenTime, sample);
-    average(m_tokenTime, sample);
+    // Samples hold the wait behind prompts that this entry has not heard of; the low ones show the engine's speed.
+    m_tokenTime += (sample < m_tokenTime ? fallWeight : riseWeight) * (sample - m_tokenTime);
 }
 
 HealthChange EndpointPlacement::ended(const Placement& placement, EndpointOutcome outcome, TimePoint now)
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -117,6 +117,41 @@
     BOOST_TEST(used.size() >= 3u);
 }
 
+// Pattern: a hot key's requests come one after another, each soon done, so that no queue shows the load at its home.
+// Guards against one home for more engine time than an engine has.
+BOOST_AUTO_TEST_CASE(hot_key_gets_as_many_homes_as_its_load_needs)
+{
+    EndpointPlacement fleet = makeFleet();
+    std::set<std::size_t> homes;
+    // 60 ms of engine time each, 20 in a second.
+    for (int i = 0; i < 100; ++i) {
+        TimePoint now = at(milliseconds(50 * i));
+        Placement placement = place(fleet, makeRequest(42, 3000, 3000), now);
+        if (placement.home == PromptHome::First)
+            homes.insert(placement.endpoint);
+        finish(fleet, placement, EndpointOutcome::Succeeded, now + milliseconds(120));
+    }
+    BOOST_TEST(homes.size() >= 2u);
+    BOOST_TEST(homes.size() <= 4u);
+}
+
+// Pattern: engines with the homes of many parts fail. Guards against computing the parts wherever a queue is short: all
+// entries have to meet at the same next engine.
+BOOST_AUTO_TEST_CASE(home_moves_on_while_its_engine_is_ejected)
+{
+    EndpointPlacement fleet = makeFleet();
+    PlacementRequest request = makeRequest(42, 6000, 300);
+    std::size_t home = 0;
+    for (int i = 0; i < 3; ++i) {
+        Placement placement = place(fleet, request, at(milliseconds(i)));
+        home = placement.endpoint;
+        fleet.ended(placement, EndpointOutcome::Failed, at(milliseconds(i)));
+    }
+    Placement next = place(fleet, request, at(milliseconds(10)));
+    BOOST_TEST(next.endpoint != home);
+    BOOST_TEST(promptHomeName(next.home) == "first");
+}
+
 // Guards against two entries that both see an engine as idle because each knows its own requests only.
 BOOST_AUTO_TEST_CASE(load_of_other_entries_counts_for_its_lifetime)
 {
--- /dev/null
+++ b/src/libwisteriayard/part_rates_test.cpp
@@ -0,0 +1,57 @@
+#define BOOST_TEST_MODULE part_rates
+#include "wisteriayard/part_rates.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(Duration time) { return TimePoint(seconds(100) + time); }
+
+struct RateCase {
+    /// Time between two requests and engine time of each.
+    Duration interval;
+    Duration work;
+    /// Bounds of the rate after ten time constants.
+    double least;
+    double most;
+};
+std::ostream& operator<<(std::ostream& out, const RateCase& each)
+{
+    return out << each.work.count() << " us every " << each.interval.count() << " us";
+}
+
+const RateCase rateCases[] = {
+    { milliseconds(50), milliseconds(60), 1.1, 1.3 },
+    { milliseconds(10), milliseconds(1), 0.09, 0.11 },
+    { seconds(5), milliseconds(50), 0.005, 0.02 },
+};
+
+} // namespace
+
+// Guards against a popularity that depends on how long the part has been seen.
+BOOST_DATA_TEST_CASE(steady_requests_give_their_share_of_an_engine, data::make(rateCases), each)
+{
+    PartRates rates;
+    Duration time {};
+    for (; time < 10 * PartRates::averaging; time += each.interval)
+        rates.note(7, each.work, at(time));
+    BOOST_TEST(rates.rate(7, at(time)) >= each.least);
+    BOOST_TEST(rates.rate(7, at(time)) <= each.most);
+    BOOST_TEST(rates.rate(8, at(time)) == 0);
+    BOOST_TEST(rates.rate(7, at(time + 10 * PartRates::averaging)) < 0.001);
+}
+
+// Guards against memory that grows with every part that was ever seen.
+BOOST_AUTO_TEST_CASE(idle_parts_are_forgotten)
+{
+    PartRates rates;
+    for (std::uint64_t part = 0; part < 50'000; ++part)
+        rates.note(part, milliseconds(30), at(milliseconds(5) * static_cast<int>(part)));
+    BOOST_TEST(rates.size() <= 4096u);
+}
--- a/src/libwisteriayard/prefill_pool.cpp
+++ b/src/libwisteriayard/prefill_pool.cpp
@@ -42,11 +42,22 @@
     m_peers[peer] = { rates, now };
 }
 
+void PrefillPool::forgetSilentPeers(TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto& each) { return now - each.second.toldAt > m_policy.peerLifetime; });
+}
+
+std::size_t PrefillPool::peers(TimePoint now)
+{
+    forgetSilentPeers(now);
+    return m_peers.size();
+}
+
 std::size_t PrefillPool::size(std::size_t engines, TimePoint now)
 {
     decay(now);
     WorkRates sum = m_own;
-    std::erase_if(m_peers, [&](const auto& each) { return now - each.second.toldAt > m_policy.peerLifetime; });
+    forgetSilentPeers(now);
     for (const auto& [peer, told] : m_peers) {
         sum.longPrompts += told.rates.longPrompts;
         sum.shortPrompts += told.rates.shortPrompts;
