Tell peers loads every 100 ms and refuse what can't begin within 0.85 objectives

Cause: entries place prompts by queues that they don't know. In a crowd an entry believed in 8k tokens before its prompt where 60k were waiting; with reports each 600 ms (28 entries) only a third of a prompt's wait is covered. Ruled out: the time per prompt token (first events follow 100 ms + 10 us for each token truly ahead). With reports each 100 ms belief and truth agree (21k/21k), and nothing is preempted (189 before); but all queues then stand at the limit of 1.4 objectives, so that most answers are late.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -30,10 +30,11 @@
     constexpr Duration registrationReadInterval = std::chrono::seconds(2);
     /// Entries that ask for a free lease; the others would only add calls to the store.
     constexpr std::size_t leaseCandidates = 3;
-    /// Time between two datagrams to each peer: loads change within some hundred milliseconds. With many peers it
-    /// grows, so that what an entry sends and receives stays bounded.
-    constexpr Duration sendInterval = std::chrono::milliseconds(150);
-    constexpr std::size_t peersAtSendInterval = 8;
+    /// Time between two datagrams to each peer. A long prompt waits and is computed for some 200 ms, so loads that are
+    /// told less often say nothing of the queues of the moment. With many peers the time grows, so that what an entry
+    /// sends and receives stays bounded.
+    constexpr Duration sendInterval = std::chrono::milliseconds(100);
+    constexpr std::size_t peersAtSendInterval = 32;
     /// Loads of some hundred endpoints; a larger message is cut off by the receiver and ignored.
     constexpr std::size_t maxDatagram = 16 * 1024;
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -80,10 +80,10 @@
     Duration shortInsideCost = std::chrono::milliseconds(250);
     /// A request is refused if its first event is expected later than this share of the time it has left.
     double latestShare = 0.8;
-    /// A request is also refused if its first event is expected later than this many objectives: a longer queue would
-    /// make all that come after it late too. An endpoint without a queue is never refused: only new answers correct an
-    /// estimate that has become too high.
-    double mostObjectives = 1.4;
+    /// A request is also refused if its first event is expected later than this many objectives: a longer queue makes
+    /// all that come after it late too. In a crowd first events come a fifth later than expected. An endpoint without a
+    /// queue is never refused: only new answers correct an estimate that has become too high.
+    double mostObjectives = 0.85;
     /// Loads that other entries told longer ago than this are not counted.
     Duration peerLoadLifetime = std::chrono::milliseconds(1500);
     /// Time constant with which an endpoint's own time per token gives way to that of all endpoints. An entry sees few
