Give more engines to long prompts

Cause: in a crowd of long prompts, engines for them stand at the limit of their queue while those for short prompts run 7 of 48 requests: short prompts got an engine for each 0.6 of engine time.

--- a/src/include/wisteriayard/prefill_pool.h
+++ b/src/include/wisteriayard/prefill_pool.h
@@ -27,7 +27,7 @@
     Duration peerLifetime = std::chrono::seconds(2);
     /// Engine time may be used up to these shares before requests wait too long for their first event.
     double longUtilization = 0.5;
-    double shortUtilization = 0.6;
+    double shortUtilization = 0.85;
     /// The split changes only if it is off by more than this many engines, so that prompt parts stay where they are
     /// cached.
     double hysteresis = 0.8;
