--- a/src/include/wisteriayard/prefill_pool.h
+++ b/src/include/wisteriayard/prefill_pool.h
@@ -25,9 +25,11 @@
     Duration averaging = std::chrono::seconds(3);
     /// Rates that other entries told longer ago are not counted.
     Duration peerLifetime = std::chrono::seconds(2);
-    /// Engine time may be used up to these shares before requests wait too long for their first event.
+    /// Engine time may be used up to these shares before requests wait too long for their first event. That of short
+    /// prompts is measured against an engine with three quarters of its slots in use, so it may exceed 1; at 1.3 their
+    /// streams pause in bursts.
     double longUtilization = 0.5;
-    double shortUtilization = 0.85;
+    double shortUtilization = 1.1;
     /// The split changes only if it is off by more than this many engines, so that prompt parts stay where they are
     /// cached.
     double hysteresis = 0.8;
