--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -70,6 +70,8 @@
     double secondRecomputeFactor = 4.0;
     /// Engine time in each second that the requests with one shared part may ask of each of its homes.
     double homeUtilization = 0.4;
+    /// A part also gets a further home for each such time that prompts of this entry with it have to be computed.
+    Duration waitPerHome = std::chrono::milliseconds(200);
     /// Share of the memory that running requests may take, so that growing answers do not preempt each other.
     double memoryShare = 0.85;
     /// Cost of placing a request where its tokens don't fit.
@@ -115,6 +117,8 @@
     /// Uncached tokens that were waiting there before it.
     std::int64_t tokensAhead = 0;
     PromptHome home = PromptHome::None;
+    /// The last shared part of the prompt.
+    std::optional<std::uint64_t> part;
     Duration expectedFirstEvent {};
     TimePoint placedAt {};
     bool firstEventSeen = false;
@@ -254,11 +258,13 @@
     void orderEndpoints();
     Duration expectedWork(
         const State& state, const Placement& placement, const PlacementRequest& request, TimePoint now) const;
+    static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
     void sumPeers(State& state, TimePoint now) const;
     bool isUsable(const State& state, TimePoint now) const;
     double tokenTime(const State& state, TimePoint now) const;
     State* find(const Placement& placement);
+    void prefillEnded(const Placement& placement);
     HealthChange noteFailure(State& state, TimePoint now);
     HealthChange noteSuccess(State& state);
     void forgetOldParts(State& state, TimePoint now) const;
@@ -271,6 +277,8 @@
     std::uint64_t m_generation = 0;
     PrefillPool m_pool;
     PartRates m_partRates;
+    /// Prompt tokens that requests of this entry are waiting for, by their last shared part.
+    std::unordered_map<std::uint64_t, std::int64_t> m_waitingTokens;
     /// Moving average of the time between two events of a stream, in microseconds.
     double m_eventTime;
     /// Moving average over all endpoints of the time to compute one prompt token, in microseconds.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -168,7 +168,13 @@
     // Other entries get as many requests of this part as this one.
     double entries = 1 + static_cast<double>(m_pool.peers(now));
     double load = entries * m_partRates.rate(part, now);
-    return 1 + static_cast<std::size_t>(load / m_policy.homeUtilization);
+    // A burst comes before the average has risen.
+    auto waiting = m_waitingTokens.find(part);
+    Duration wait = waiting == m_waitingTokens.end()
+        ? Duration(0)
+        : Duration(static_cast<std::int64_t>(m_tokenTime * static_cast<double>(waiting->second)));
+    return 1 + static_cast<std::size_t>(load / m_policy.homeUtilization)
+        + static_cast<std::size_t>(wait / m_policy.waitPerHome);
 }
 
 EndpointPlacement::Homes EndpointPlacement::homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now)
@@ -181,8 +187,7 @@
     std::vector<std::pair<std::uint64_t, std::size_t>> weights;
     for (const auto& [id, index] : m_index) {
         const State& state = m_states[index];
-        bool inPool = poolSize == 0 || (state.position < poolSize) == isLong;
-        if (inPool && isUsable(state, now))
+        if (isInPool(state, isLong, poolSize) && isUsable(state, now))
             weights.emplace_back(mixHash(key ^ state.hash), index);
     }
     std::size_t count = std::min(homeCount(key, now), weights.size());
@@ -268,7 +273,7 @@
         charge += microseconds(m_policy.runningCost) * running;
         candidate.queued = ahead > 0 || running >= state.info.slots;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
-        if (poolSize > 0 && (state.position < poolSize) != isLong)
+        if (!isInPool(state, isLong, poolSize))
             charge += microseconds(isLong ? m_policy.longOutsideCost : m_policy.shortInsideCost);
         auto memory = static_cast<double>(state.own.memoryTokens + state.others.memoryTokens);
         double need = static_cast<double>(promptTokens(request) + request.output.value());
@@ -295,6 +300,11 @@
     return now >= state.ejectedUntil && !state.probing;
 }
 
+bool EndpointPlacement::isInPool(const State& state, bool isLong, std::size_t poolSize)
+{
+    return poolSize == 0 || (state.position < poolSize) == isLong;
+}
+
 bool EndpointPlacement::isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const
 {
     if (!best)
@@ -345,6 +355,8 @@
     placement.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
     placement.placedAt = now;
     placement.home = best->home;
+    if (state.info.memory.value() > 0 && request.prompt.size() > 1)
+        placement.part = lastSharedPart(request);
     return placement;
 }
 
@@ -376,8 +388,10 @@
         return;
     Duration work = expectedWork(*state, placement, request, now);
     m_pool.note(Tokens(promptTokens(request)), work, now);
-    if (request.prompt.size() > 1)
-        m_partRates.note(lastSharedPart(request), work, now);
+    if (placement.part) {
+        m_partRates.note(*placement.part, work, now);
+        m_waitingTokens[*placement.part] += placement.uncachedTokens;
+    }
     forgetOldParts(*state, now);
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
         state->parts[request.prompt[i].id] = now;
@@ -406,6 +420,7 @@
     if (!state || placement.firstEventSeen)
         return;
     placement.firstEventSeen = true;
+    prefillEnded(placement);
     state->own.prefillTokens -= placement.uncachedTokens;
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
     double elapsed = microseconds(now - placement.placedAt);
@@ -424,8 +439,22 @@
     m_tokenTime += (sample < m_tokenTime ? fallWeight : riseWeight) * (sample - m_tokenTime);
 }
 
+void EndpointPlacement::prefillEnded(const Placement& placement)
+{
+    if (!placement.part)
+        return;
+    auto waiting = m_waitingTokens.find(*placement.part);
+    if (waiting == m_waitingTokens.end())
+        return;
+    waiting->second -= placement.uncachedTokens;
+    if (waiting->second <= 0)
+        m_waitingTokens.erase(waiting);
+}
+
 HealthChange EndpointPlacement::ended(const Placement& placement, EndpointOutcome outcome, TimePoint now)
 {
+    if (!placement.firstEventSeen)
+        prefillEnded(placement);
     State* state = find(placement);
     if (!state)
         return HealthChange::None;
