Send loads to other entries as protobuf

Columns of packed figures with 32-bit names of endpoints, in a module that is tested without a network; the sender is known by its address.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 proto:
 	protoc --proto_path=src/libwire --cpp_out=src/libwire/generated src/libwire/wisteriayard.proto
 	protoc --proto_path=src/libwisteriayard --cpp_out=src/libwisteriayard/generated src/libwisteriayard/once.proto
+	protoc --proto_path=src/gateway --cpp_out=src/gateway/generated src/gateway/peer_messages.proto
 
 clean:
 	rm -rf $(BUILD)
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -90,6 +90,7 @@
 {
     bool isNew = m_records.count(record.id) == 0;
     m_records[record.id] = record;
+    m_tags[endpointTag(record.id)] = record.id;
     placement(record.target).put(placementEndpoint(record));
     if (isNew)
         m_log->write(Event::EndpointAdded,
@@ -104,6 +105,7 @@
         return;
     placement(known->second.target).remove(id);
     m_records.erase(known);
+    m_tags.erase(endpointTag(id));
     m_left(id);
     m_log->write(Event::EndpointRemoved, { { "endpoint", id.value() }, { "reason", reason } });
 }
@@ -123,8 +125,14 @@
         placement(record.target).put(placementEndpoint(record));
 }
 
-void EndpointDirectory::peerUse(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now)
+void EndpointDirectory::peerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& told, TimePoint now)
 {
+    std::map<EndpointId, EndpointUse> use;
+    for (const auto& [tag, each] : told) {
+        auto known = m_tags.find(tag);
+        if (known != m_tags.end())
+            use[known->second] = each;
+    }
     for (auto& [target, placement] : m_placements)
         placement->peerUse(peer, use, now);
 }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "event_log.h"
+#include "peer_messages.h"
 #include "platform_port.h"
 #include "wisteriayard/endpoint_placement.h"
 #include "wisteriayard/membership.h"
@@ -34,7 +35,7 @@
     /// Takes the engines' traits from a new configuration.
     void configure(const RoutingConfig& config);
     /// Takes in the load that another entry puts on endpoints.
-    void peerUse(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now);
+    void peerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& told, TimePoint now);
     /// @name Engine time that requests ask for, by service
     /// @{
     std::map<TargetId, WorkRates> ownWork(TimePoint now);
@@ -65,6 +66,8 @@
     std::function<void(const EndpointId&)> m_left;
     Membership m_membership;
     std::unordered_map<EndpointId, EndpointRecord> m_records;
+    /// Endpoints by their names in datagrams.
+    std::map<EndpointTag, EndpointId> m_tags;
     std::map<TargetId, std::unique_ptr<EndpointPlacement>> m_placements;
     std::map<TargetId, TargetInfo> m_targets;
     std::map<TargetId, std::size_t> m_loggedPools;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -44,6 +44,8 @@
     , m_attempts(counter(*m_registry, "wisteriayard_gateway_attempts_total", "Attempts at endpoints, by outcome"))
     , m_retries(counter(*m_registry, "wisteriayard_gateway_retries_total",
           "Attempts after the first, by whether the budget allowed them"))
+    , m_peerDatagrams(counter(*m_registry, "wisteriayard_gateway_peer_datagrams_refused_total",
+          "Datagrams of registered entries that could not be decoded"))
     , m_endpoints(gauge(*m_registry, "wisteriayard_gateway_endpoints", "Endpoints that may be given requests"))
     , m_configVersion(
           gauge(*m_registry, "wisteriayard_gateway_config_version", "Version of the configuration in force"))
@@ -79,6 +81,8 @@
 
 void GatewayMetrics::retried(bool allowed) { m_retries.Add({ { "allowed", allowed ? "yes" : "no" } }).Increment(); }
 
+void GatewayMetrics::peerDatagramRefused() { m_peerDatagrams.Add({}).Increment(); }
+
 void GatewayMetrics::endpoints(std::size_t count) { m_endpoints.Add({}).Set(static_cast<double>(count)); }
 
 void GatewayMetrics::configVersion(std::int64_t version) { m_configVersion.Add({}).Set(static_cast<double>(version)); }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -29,6 +29,7 @@
     void refused(PlacementRefusal reason);
     void attemptEnded(const std::string& outcome);
     void retried(bool allowed);
+    void peerDatagramRefused();
     void endpoints(std::size_t count);
     void configVersion(std::int64_t version);
     void activeRequests(int count);
@@ -47,6 +48,7 @@
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_retries;
+    prometheus::Family<prometheus::Counter>& m_peerDatagrams;
     prometheus::Family<prometheus::Gauge>& m_endpoints;
     prometheus::Family<prometheus::Gauge>& m_configVersion;
     prometheus::Family<prometheus::Gauge>& m_active;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -21,6 +21,7 @@
     metrics.refused(PlacementRefusal::Overloaded);
     metrics.attemptEnded("delivered");
     metrics.retried(true);
+    metrics.peerDatagramRefused();
     metrics.endpoints(1);
     metrics.configVersion(1);
     metrics.activeRequests(1);
@@ -55,6 +56,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 11u);
+    BOOST_TEST(code.size() == 12u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -2,17 +2,16 @@
 
 #include "address.h"
 #include "clock.h"
+#include "peer_messages.h"
 #include "store_json.h"
 #include "wisteriayard/rendezvous.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
-
-#include <algorithm>
 
 namespace wisteriayard {
 
@@ -22,8 +21,6 @@
 
 namespace {
 
-    using Json = nlohmann::json;
-
     /// A registration outlives two lost renewals.
     constexpr Duration registrationTime = std::chrono::seconds(6);
     constexpr Duration renewalInterval = std::chrono::milliseconds(1800);
@@ -150,27 +147,23 @@
 
 std::string PeerExchange::message()
 {
-    Json loads = Json::array();
-    for (const auto& [id, use] : m_state.directory.ownUse())
-        loads.push_back(Json::array({ id.value(), use.running, use.prefillTokens, use.memoryTokens }));
     TimePoint now = bootTimeNow();
-    Json work = Json::array();
-    for (const auto& [target, rates] : m_state.directory.ownWork(now))
-        work.push_back(Json::array({ target.value(), rates.longPrompts, rates.shortPrompts }));
-    std::int64_t time = m_state.clock.milliseconds(wallClockMilliseconds(), now);
-    std::int64_t contact = contactMilliseconds(now);
-    Json message = Json::array({ m_state.settings.instance.value(), time, contact, std::move(loads), std::move(work) });
-    std::vector<std::uint8_t> bytes = Json::to_cbor(message);
-    return std::string(bytes.begin(), bytes.end());
+    PeerLoads loads;
+    loads.time = m_state.clock.milliseconds(wallClockMilliseconds(), now);
+    loads.contact = contactTime(now);
+    for (const auto& [id, use] : m_state.directory.ownUse())
+        loads.endpoints[endpointTag(id)] = use;
+    loads.work = m_state.directory.ownWork(now);
+    return encodePeerMessage(std::move(loads));
 }
 
-std::int64_t PeerExchange::contactMilliseconds(TimePoint now) const
+Duration PeerExchange::contactTime(TimePoint now) const
 {
     bool inOutage = now - m_state.endpointsHeardAt >= MembershipTimes().outage;
     auto since = m_state.directory.contactSince();
     if (!since || inOutage)
-        return 0;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count();
+        return Duration(0);
+    return now - *since;
 }
 
 awaitable<void> PeerExchange::sendLoads()
@@ -216,76 +209,48 @@
     }
     if (helpers.empty())
         return;
-    Json message = Json::array({ window.value(), entry.value(), usagePartJson(part) });
-    std::vector<std::uint8_t> bytes = Json::to_cbor(message);
+    std::string bytes = encodePeerMessage(PeerUsage { window, entry, part });
     boost::system::error_code ignored; // tried again with the next part, by another peer
     m_socket.send_to(boost::asio::buffer(bytes), helpers[m_nextHelper++ % helpers.size()], 0, ignored);
 }
 
-void PeerExchange::receiveUsage(const Json& message)
+void PeerExchange::receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now)
 {
-    bool wellFormed
-        = message.size() == 3 && message[0].is_number_integer() && message[1].is_string() && message[2].is_string();
-    if (!wellFormed || !m_state.usage)
+    auto known = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& each) { return each.second == sender; });
+    if (known == m_peers.end())
+        return; // not registered in the store
+    auto message = decodePeerMessage(datagram);
+    if (!message) {
+        m_state.metrics.peerDatagramRefused();
         return;
-    auto part = parseUsagePart(message[2].get_ref<const std::string&>());
-    if (!part)
+    }
+    if (auto* usage = std::get_if<PeerUsage>(&message.value()))
+        receiveUsage(*usage);
+    else
+        receiveLoads(known->first, std::get<PeerLoads>(message.value()), now);
+}
+
+void PeerExchange::receiveUsage(const PeerUsage& message)
+{
+    if (!m_state.usage)
         return;
-    WindowId window(message[0].get<std::int64_t>());
-    IncarnationId entry(message[1].get<std::string>());
     auto write
-        = [usage = m_state.usage, window, entry, part = part.value()] { return usage->writeFor(window, entry, part); };
+        = [usage = m_state.usage, message] { return usage->writeFor(message.window, message.entry, message.part); };
     boost::asio::co_spawn(m_state.io, std::move(write), boost::asio::detached);
 }
 
-void PeerExchange::receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now)
+void PeerExchange::receiveLoads(const InstanceId& peer, const PeerLoads& loads, TimePoint now)
 {
-    Json message = Json::from_cbor(datagram.begin(), datagram.end(), true, false);
-    auto fromPeer = [&](const auto& each) { return each.second == sender; };
-    if (message.is_array() && message.size() == 3 && std::any_of(m_peers.begin(), m_peers.end(), fromPeer)) {
-        receiveUsage(message);
-        return;
-    }
-    bool isMessage = message.is_array() && message.size() == 5 && message[0].is_string()
-        && message[1].is_number_integer() && message[2].is_number_integer() && message[3].is_array()
-        && message[4].is_array();
-    if (!isMessage)
-        return;
-    InstanceId peer(message[0].get<std::string>());
-    auto known = m_peers.find(peer);
-    if (known == m_peers.end() || known->second != sender)
-        return; // not registered in the store
-    std::int64_t correction = m_state.clock.peerTime(peer, message[1].get<std::int64_t>(), now);
+    std::int64_t correction = m_state.clock.peerTime(peer, loads.time, now);
     if (correction != 0)
         m_state.log->write(Event::ClockCorrected, { { "milliseconds", correction }, { "cause", "peers" } });
-    auto contact = std::chrono::milliseconds(message[2].get<std::int64_t>());
-    m_state.directory.storeWasUpSince(now - contact, now);
-    if (contact > Duration(0))
+    m_state.directory.storeWasUpSince(now - loads.contact, now);
+    if (loads.contact > Duration(0))
         m_inContact.insert(peer);
     else
         m_inContact.erase(peer);
-    std::map<EndpointId, EndpointUse> use;
-    for (const Json& row : message[3]) {
-        bool wellFormed = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer()
-            && row[2].is_number_integer() && row[3].is_number_integer();
-        if (!wellFormed)
-            return;
-        EndpointUse each;
-        each.running = row[1].get<int>();
-        each.prefillTokens = row[2].get<std::int64_t>();
-        each.memoryTokens = row[3].get<std::int64_t>();
-        use[EndpointId(row[0].get<std::string>())] = each;
-    }
-    m_state.directory.peerUse(peer, use, now);
-    std::map<TargetId, WorkRates> work;
-    for (const Json& row : message[4]) {
-        bool wellFormed
-            = row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_number() && row[2].is_number();
-        if (!wellFormed)
-            return;
-        work[TargetId(row[0].get<std::string>())] = WorkRates { row[1].get<double>(), row[2].get<double>() };
-    }
-    m_state.directory.peerWork(peer, work, now);
+    m_state.directory.peerUse(peer, loads.endpoints, now);
+    m_state.directory.peerWork(peer, loads.work, now);
 }
 
 } // namespace wisteriayard
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway_state.h"
+#include "peer_messages.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -41,10 +42,11 @@
     void takeIn(const StoreItem& item);
     void countEntries();
     void receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now);
-    void receiveUsage(const nlohmann::json& message);
+    void receiveUsage(const PeerUsage& message);
+    void receiveLoads(const InstanceId& peer, const PeerLoads& loads, TimePoint now);
     std::string message();
     /// Time for which this entry has heard the store without an outage; 0 during one.
-    std::int64_t contactMilliseconds(TimePoint now) const;
+    Duration contactTime(TimePoint now) const;
 
     GatewayState& m_state;
     std::unique_ptr<StoreClient> m_store;
