--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(if $(KNOWN_RED),-E '$(KNOWN_RED_PATTERN)')
-	$(if $(KNOWN_RED),ctest --test-dir $(BUILD) --output-on-failure -j 4 -R '$(KNOWN_RED_PATTERN)' || echo "known red, see KNOWN-RED.txt: $(KNOWN_RED)")
+	$(if $(KNOWN_RED),ctest --test-dir $(BUILD) --output-on-failure -j 4 -R '$(KNOWN_RED_PATTERN)' || echo "known red (KNOWN-RED.txt): $(KNOWN_RED)")
 
 # Runs the unit tests under sanitizers, each in a build folder of its own.
 sanitize: deps
