Keep loads of other entries by entry, not by endpoint

Cause: each datagram touched a table in every endpoint (28 entries by 56 endpoints, with the same time in each row), and rows of entries that had left stayed. Each candidate of a choice then expired and added its own rows. One report for each entry replaces them; a choice adds the reports up once and drops silent ones.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -202,8 +202,9 @@
     void peerUse(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now);
 
 private:
-    struct PeerUse {
-        EndpointUse use;
+    /// What another entry told last.
+    struct PeerReport {
+        std::map<EndpointId, EndpointUse> use;
         TimePoint toldAt {};
     };
     struct State {
@@ -214,7 +215,6 @@
         std::uint64_t generation = 0;
         bool present = false;
         EndpointUse own;
-        std::unordered_map<InstanceId, PeerUse> peers;
         /// Sum of the peers' recent use, as of the last choice.
         EndpointUse others;
         int consecutiveFailures = 0;
@@ -253,14 +253,14 @@
     std::size_t homeCount(std::uint64_t part, TimePoint now);
     Homes homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now);
     std::int64_t uncachedTokens(const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const;
-    Candidate evaluate(
-        std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now);
+    Candidate evaluate(std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize,
+        TimePoint now) const;
     void orderEndpoints();
     Duration expectedWork(
         const State& state, const Placement& placement, const PlacementRequest& request, TimePoint now) const;
     static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
-    void sumPeers(State& state, TimePoint now) const;
+    void sumPeers(TimePoint now);
     bool isUsable(const State& state, TimePoint now) const;
     double tokenTime(const State& state, TimePoint now) const;
     State* find(const Placement& placement);
@@ -275,6 +275,7 @@
     std::vector<State> m_states;
     std::unordered_map<EndpointId, std::size_t> m_index;
     std::uint64_t m_generation = 0;
+    std::unordered_map<InstanceId, PeerReport> m_peerReports;
     PrefillPool m_pool;
     PartRates m_partRates;
     /// Prompt tokens that requests of this entry are waiting for, by their last shared part.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -225,15 +225,22 @@
     return uncached;
 }
 
-void EndpointPlacement::sumPeers(State& state, TimePoint now) const
+void EndpointPlacement::sumPeers(TimePoint now)
 {
-    state.others = {};
-    for (const auto& [peer, told] : state.peers) {
-        if (now - told.toldAt > m_policy.peerLoadLifetime)
-            continue;
-        state.others.running += told.use.running;
-        state.others.prefillTokens += told.use.prefillTokens;
-        state.others.memoryTokens += told.use.memoryTokens;
+    for (State& state : m_states)
+        state.others = {};
+    std::erase_if(
+        m_peerReports, [&](const auto& each) { return now - each.second.toldAt > m_policy.peerLoadLifetime; });
+    for (const auto& [peer, report] : m_peerReports) {
+        for (const auto& [id, use] : report.use) {
+            auto known = m_index.find(id);
+            if (known == m_index.end())
+                continue;
+            EndpointUse& others = m_states[known->second].others;
+            others.running += use.running;
+            others.prefillTokens += use.prefillTokens;
+            others.memoryTokens += use.memoryTokens;
+        }
     }
 }
 
@@ -246,10 +253,9 @@
 }
 
 EndpointPlacement::Candidate EndpointPlacement::evaluate(
-    std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now)
+    std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now) const
 {
-    State& state = m_states[index];
-    sumPeers(state, now);
+    const State& state = m_states[index];
     Candidate candidate;
     candidate.index = index;
     int running = state.own.running + state.others.running;
@@ -317,6 +323,7 @@
 PlacementDecision EndpointPlacement::choose(
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
+    sumPeers(now);
     std::size_t poolSize = m_pool.size(m_index.size(), now);
     Homes homeEndpoints = homes(request, poolSize, now);
     double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
@@ -522,13 +529,7 @@
 
 void EndpointPlacement::peerUse(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now)
 {
-    for (const auto& [id, index] : m_index) {
-        auto told = use.find(id);
-        if (told == use.end())
-            m_states[index].peers.erase(peer);
-        else
-            m_states[index].peers[peer] = { told->second, now };
-    }
+    m_peerReports[peer] = { use, now };
 }
 
 } // namespace wisteriayard
