--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -142,6 +142,30 @@
     }
 }
 
+HttpClient::HttpClient(
+    boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server, Bytes maxBody, std::size_t maxIdle)
+    : m_executor(std::move(executor))
+    , m_server(std::move(server))
+    , m_maxBody(maxBody)
+    , m_maxIdle(maxIdle)
+{
+}
+
+awaitable<Result<HttpResponse>> HttpClient::exchange(HttpRequest request, Duration timeout)
+{
+    std::unique_ptr<HttpConnection> connection;
+    if (m_idle.empty()) {
+        connection = std::make_unique<HttpConnection>(m_executor, m_server, m_maxBody);
+    } else {
+        connection = std::move(m_idle.back());
+        m_idle.pop_back();
+    }
+    auto response = co_await connection->exchange(std::move(request), timeout);
+    if (response && m_idle.size() < m_maxIdle)
+        m_idle.push_back(std::move(connection));
+    co_return response;
+}
+
 HttpRequest makeHttpRequest(http::verb method, std::string_view target, std::string body, std::string_view type)
 {
     constexpr int httpVersion11 = 11;
--- a/src/libnet/http_client.h
+++ b/src/libnet/http_client.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace wisteriayard {
 
@@ -57,6 +58,27 @@
     std::unique_ptr<Parser> m_parser;
 };
 
+/// Client of one server: keeps idle connections for the next exchanges.
+class HttpClient {
+public:
+    /// @param maxBody largest body that is taken in
+    /// @param maxIdle idle connections that are kept
+    HttpClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server, Bytes maxBody,
+        std::size_t maxIdle);
+
+    /// Sends a request on an idle connection, or on a new one. After an error its connection is closed: a late answer
+    /// may still come on it.
+    /// @return as HttpConnection::exchange()
+    boost::asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, Duration timeout);
+
+private:
+    boost::asio::any_io_executor m_executor;
+    boost::asio::ip::tcp::endpoint m_server;
+    Bytes m_maxBody;
+    std::size_t m_maxIdle;
+    std::vector<std::unique_ptr<HttpConnection>> m_idle;
+};
+
 /// Makes a request with a body.
 /// @param method HTTP method
 /// @param target path and query
--- a/src/libstore/store_client.cpp
+++ b/src/libstore/store_client.cpp
@@ -21,23 +21,15 @@
     : m_executor(std::move(executor))
     , m_server(std::move(server))
     , m_timeout(timeout)
+    , m_client(m_executor, m_server, maxResponse, maxIdle)
 {
 }
 
 awaitable<Result<std::string>> EtcdStoreClient::call(std::string path, std::string body)
 {
-    std::unique_ptr<HttpConnection> connection;
-    if (m_idle.empty()) {
-        connection = std::make_unique<HttpConnection>(m_executor, m_server, maxResponse);
-    } else {
-        connection = std::move(m_idle.back());
-        m_idle.pop_back();
-    }
-    auto response = co_await connection->exchange(makeHttpRequest(http::verb::post, path, std::move(body)), m_timeout);
+    auto response = co_await m_client.exchange(makeHttpRequest(http::verb::post, path, std::move(body)), m_timeout);
     if (!response)
         co_return response.error();
-    if (m_idle.size() < maxIdle)
-        m_idle.push_back(std::move(connection));
     auto status = response.value().result();
     if (status == http::status::service_unavailable)
         co_return fail(Errc::Unavailable, "store: " + response.value().body().substr(0, 200));
--- a/src/libstore/store_client.h
+++ b/src/libstore/store_client.h
@@ -68,8 +68,7 @@
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::endpoint m_server;
     Duration m_timeout;
-    /// Idle connections for the next calls.
-    std::vector<std::unique_ptr<HttpConnection>> m_idle;
+    HttpClient m_client;
 };
 
 } // namespace wisteriayard
