--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -60,9 +60,7 @@
     if (idle.size() >= maxIdlePerEndpoint)
         return;
     connection->idleSince = now;
-    connection->idleLimit = Duration(
-        static_cast<Duration::rep>(usableShareOfIdleLimit * static_cast<double>(connection->idleLimit.count())));
-    connection->used = true;
+    connection->idleLimit = scaled(connection->idleLimit, usableShareOfIdleLimit);
     idle.push_back(std::move(connection));
 }
 
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -27,7 +27,6 @@
     TimePoint idleSince {};
     /// A request is being written; the connection can't be reused before it is whole.
     bool writing = false;
-    bool used = false;
 };
 
 using EndpointConnectionPtr = std::shared_ptr<EndpointConnection>;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,11 +61,6 @@
     constexpr std::int64_t usageRetainedWindows = 24;
     constexpr Duration reportTimeout = std::chrono::milliseconds(1200);
 
-    Duration scaled(Duration time, double factor)
-    {
-        return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
-    }
-
     /// A gateway process.
     class Gateway {
     public:
@@ -86,7 +81,7 @@
 
         Status start()
         {
-            BOOST_OUTCOME_TRY(listen());
+            BOOST_OUTCOME_TRY(openListener(m_acceptor, m_state.settings.callerAddress));
             m_ready = makeReadyServer();
             BOOST_OUTCOME_TRY(m_ready->listen(m_state.settings.readyAddress));
             if (m_options.metricsPort != 0) {
@@ -127,22 +122,6 @@
             boost::asio::co_spawn(m_io, std::move(task), boost::asio::detached);
         }
 
-        Status listen()
-        {
-            boost::system::error_code error;
-            const auto& address = m_state.settings.callerAddress;
-            m_acceptor.open(address.protocol(), error);
-            if (!error)
-                m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-            if (!error)
-                m_acceptor.bind(address, error);
-            if (!error)
-                m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-            if (error)
-                return fail(Errc::Unavailable, "cannot listen on " + formatAddress(address) + ": " + error.message());
-            return boost::outcome_v2::success();
-        }
-
         std::shared_ptr<HttpServer> makeReadyServer()
         {
             HttpServerLimits limits;
@@ -182,23 +161,23 @@
             handlers.snapshot = [this](const StoreRange& range, TimePoint now) {
                 m_state.configHeardAt = now;
                 for (const StoreItem& item : range.items)
-                    takeConfig(item, now);
+                    takeConfig(item);
             };
             handlers.changes = [this](const WatchBatch& batch, TimePoint now) {
                 m_state.configHeardAt = now;
                 for (const StoreItem& item : batch.items)
-                    takeConfig(item, now);
+                    takeConfig(item);
             };
             return handlers;
         }
 
-        void takeConfig(const StoreItem& item, TimePoint now)
+        void takeConfig(const StoreItem& item)
         {
             if (item.key != m_platform.configKey() || item.value.empty())
                 return;
             auto config = m_platform.decodeConfig(item.value);
             if (config) {
-                m_state.configure(std::move(config.value()), now);
+                m_state.configure(std::move(config.value()));
                 return;
             }
             m_state.log->write(Event::ConfigRejected,
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -13,8 +13,6 @@
     const prometheus::Histogram::BucketBoundaries latencySeconds { 0.02, 0.05, 0.1, 0.12, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8,
         1, 1.5, 2.5, 4, 6, 12 };
 
-    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
     auto& counter(prometheus::Registry& registry, const char* name, const char* help)
     {
         return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
@@ -61,12 +59,12 @@
     const std::string& route, const AccountId& account, const std::string& outcome, Duration time)
 {
     m_requests.Add({ { "route", route }, { "account", account.value() }, { "outcome", outcome } }).Increment();
-    m_requestTime.Add({ { "route", route } }, latencySeconds).Observe(seconds(time));
+    m_requestTime.Add({ { "route", route } }, latencySeconds).Observe(toSeconds(time));
 }
 
 void GatewayMetrics::firstEvent(const std::string& route, Duration time)
 {
-    m_firstEvent.Add({ { "route", route } }, latencySeconds).Observe(seconds(time));
+    m_firstEvent.Add({ { "route", route } }, latencySeconds).Observe(toSeconds(time));
 }
 
 void GatewayMetrics::refused(PlacementRefusal reason)
@@ -91,7 +89,7 @@
 
 void GatewayMetrics::viewAge(const std::string& view, Duration age)
 {
-    m_viewAge.Add({ { "view", view } }).Set(seconds(age));
+    m_viewAge.Add({ { "view", view } }).Set(toSeconds(age));
 }
 
 void GatewayMetrics::droppedLines(double count) { m_dropped.Add({}).Set(count); }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -30,9 +30,8 @@
 {
 }
 
-void GatewayState::configure(RoutingConfig config, TimePoint now)
+void GatewayState::configure(RoutingConfig config)
 {
-    configHeardAt = now;
     if (routes && config.version <= routes->config().version)
         return;
     directory.configure(config);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -44,7 +44,7 @@
     int activeRequests = 0;
 
     /// Takes a new configuration unless it is older than the one in force.
-    void configure(RoutingConfig config, TimePoint now);
+    void configure(RoutingConfig config);
     /// Budget for sending requests of a service again.
     RetryBudget& retryBudget(const TargetId& target);
     /// Writes a line about a request unless the rate of such lines is used up.
--- a/src/gateway/http_head.cpp
+++ b/src/gateway/http_head.cpp
@@ -24,11 +24,6 @@
     boost::beast::string_view beastView(std::string_view text) { return { text.data(), text.size() }; }
     std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
 
-    void appendHeader(std::string& head, std::string_view name, std::string_view value)
-    {
-        head.append(name).append(": ").append(value).append("\r\n");
-    }
-
     std::string_view connectionValue(const HttpFields& fields)
     {
         auto found = fields.find(http::field::connection);
@@ -47,12 +42,17 @@
     std::string secondsText(Duration time)
     {
         char text[32];
-        std::snprintf(text, sizeof(text), "%.2f", std::chrono::duration<double>(time).count());
+        std::snprintf(text, sizeof(text), "%.2f", toSeconds(time));
         return text;
     }
 
 } // namespace
 
+void appendHeader(std::string& head, std::string_view name, std::string_view value)
+{
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
 bool isConnectionHeader(std::string_view name, std::string_view connection)
 {
     auto same = [name](std::string_view other) { return boost::beast::iequals(beastView(name), beastView(other)); };
--- a/src/gateway/http_head.h
+++ b/src/gateway/http_head.h
@@ -17,6 +17,9 @@
 /// @param connection value of the message's Connection header, which may name further ones
 bool isConnectionHeader(std::string_view name, std::string_view connection);
 
+/// Appends a line to a head.
+void appendHeader(std::string& head, std::string_view name, std::string_view value);
+
 /// Writes the head of a caller's request for an endpoint.
 /// @param bodySize bytes of the body; none if the request has no body
 std::string endpointRequestHead(
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -34,12 +34,12 @@
         std::string end;
         auto range = co_await m_store->range(m_prefix, end);
         if (range) {
-            noteHeard(bootTimeNow());
-            m_handlers.snapshot(range.value(), m_lastHeard);
+            noteHeard();
+            m_handlers.snapshot(range.value(), bootTimeNow());
             Revision next(range.value().revision.value() + 1);
             std::function<void(const WatchBatch&)> handler = [this](const WatchBatch& batch) {
-                noteHeard(bootTimeNow());
-                m_handlers.changes(batch, m_lastHeard);
+                noteHeard();
+                m_handlers.changes(batch, bootTimeNow());
             };
             std::function<bool()> wanted = [] { return true; };
             Error ended = co_await m_store->watch(m_prefix, end, next, watchSilence, handler, wanted);
@@ -62,9 +62,8 @@
     m_log->write(Event::WatchEnded, { { "prefix", m_prefix }, { "error", error.message } });
 }
 
-void StoreFollower::noteHeard(TimePoint now)
+void StoreFollower::noteHeard()
 {
-    m_lastHeard = now;
     if (!m_lost)
         return;
     m_lost = false;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -24,19 +24,16 @@
 
     /// Runs until the loop ends.
     boost::asio::awaitable<void> run();
-    /// When the store was last heard.
-    TimePoint lastHeard() const { return m_lastHeard; }
 
 private:
     void noteError(const Error& error);
-    void noteHeard(TimePoint now);
+    void noteHeard();
 
     boost::asio::io_context& m_io;
     std::unique_ptr<StoreClient> m_store;
     std::string m_prefix;
     Handlers m_handlers;
     std::shared_ptr<EventLog> m_log;
-    TimePoint m_lastHeard {};
     bool m_lost = false;
 };
 
--- a/src/include/wisteriayard/log_budget.h
+++ b/src/include/wisteriayard/log_budget.h
@@ -23,7 +23,7 @@
     /// Takes the right to write one line.
     bool take(TimePoint now)
     {
-        double passed = std::chrono::duration<double>(now - m_last).count();
+        double passed = toSeconds(now - m_last);
         m_last = now;
         m_tokens = std::min(m_burst, m_tokens + std::max(0.0, passed) * m_rate);
         if (m_tokens < 1) {
--- a/src/include/wisteriayard/rendezvous.h
+++ b/src/include/wisteriayard/rendezvous.h
@@ -9,6 +9,9 @@
 
 namespace wisteriayard {
 
+/// Final step of splitmix64: spreads every bit of a value over the result.
+std::uint64_t mixHash(std::uint64_t value);
+
 /// Rendezvous weight of an instance for a key: the same in every process and on every build.
 std::uint64_t rendezvousWeight(std::string_view key, const InstanceId& instance);
 
--- a/src/include/wisteriayard/route_table.h
+++ b/src/include/wisteriayard/route_table.h
@@ -22,7 +22,6 @@
 };
 
 /// Name of a kind as in logs.
-std::string_view requestKindName(RequestKind kind);
 
 /// Version of a routing configuration; grows in uneven steps.
 using ConfigVersion = StrongNumber<struct ConfigVersionTag, std::int64_t>;
@@ -55,6 +54,9 @@
     bool anonymous = false;
     /// A stream may go on at another endpoint after its last delivered event.
     bool resumable = false;
+
+    /// Whether a request that may have run may be sent to a further endpoint.
+    bool isRepeatable() const { return kind == RequestKind::Idempotent || resumable; }
 };
 
 /// What is known of the engines of a model service.
--- a/src/include/wisteriayard/units.h
+++ b/src/include/wisteriayard/units.h
@@ -19,6 +19,15 @@
 
 using Duration = std::chrono::microseconds;
 
+/// A duration as a number of seconds.
+inline double toSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+/// A duration times a factor, without fractions of a microsecond.
+inline Duration scaled(Duration time, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
 /// Clock tag of the control core. It has no now(): the present time is always an argument.
 struct ControlClock {
     using duration = Duration;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -107,21 +107,28 @@
 {
 }
 
-Status HttpServer::listen(const boost::asio::ip::tcp::endpoint& address)
+Status openListener(
+    boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& address, bool sharePort)
 {
     boost::system::error_code error;
-    m_acceptor.open(address.protocol(), error);
+    acceptor.open(address.protocol(), error);
     if (!error)
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
     using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-    if (!error && m_limits.sharePort)
-        m_acceptor.set_option(ReusePort(true), error);
+    if (!error && sharePort)
+        acceptor.set_option(ReusePort(true), error);
     if (!error)
-        m_acceptor.bind(address, error);
+        acceptor.bind(address, error);
     if (!error)
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
     if (error)
         return fail(Errc::Unavailable, "cannot listen on " + formatAddress(address) + ": " + error.message());
+    return boost::outcome_v2::success();
+}
+
+Status HttpServer::listen(const boost::asio::ip::tcp::endpoint& address)
+{
+    BOOST_OUTCOME_TRY(openListener(m_acceptor, address, m_limits.sharePort));
     boost::asio::co_spawn(
         m_io, [self = shared_from_this()] { return self->accept(); }, boost::asio::detached);
     return boost::outcome_v2::success();
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -62,6 +62,12 @@
     bool sharePort = false;
 };
 
+/// Binds an acceptor to an address and starts to listen.
+/// @param sharePort further acceptors may listen on the same address
+/// @return Unavailable if the address can't be bound
+Status openListener(
+    boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& address, bool sharePort = false);
+
 /// Accepts connections and serves HTTP/1.1 until the loop ends. Connections run on the acceptor's loop.
 class HttpServer : public std::enable_shared_from_this<HttpServer> {
 public:
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -50,13 +50,6 @@
 
     constexpr Duration leastRetryAfter = std::chrono::milliseconds(100);
 
-    std::uint64_t mixHash(std::uint64_t value)
-    {
-        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-        value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-        return value ^ (value >> 31);
-    }
-
     double microseconds(Duration time) { return static_cast<double>(time.count()); }
 
     std::int64_t promptTokens(const PlacementRequest& request)
--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -28,8 +28,6 @@
     constexpr std::size_t tokens = static_cast<std::size_t>(CreditKind::Tokens);
     constexpr std::size_t spend = static_cast<std::size_t>(CreditKind::Spend);
 
-    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
     Duration fromSeconds(double time)
     {
         // A rate near 0 must not overflow the duration.
@@ -68,22 +66,22 @@
 double creditCapacity(CreditKind kind, double rate)
 {
     if (kind == CreditKind::Spend)
-        return rate * seconds(spendBurst);
+        return rate * toSeconds(spendBurst);
     // Below one request the limit could never be used.
-    return std::max(1.0, rate * seconds(creditBurst));
+    return std::max(1.0, rate * toSeconds(creditBurst));
 }
 
 double startingCredit(CreditKind kind, double rate)
 {
     // An hour of spend for each change of the home would add up over a day.
-    return kind == CreditKind::Spend ? std::max(1.0, rate * seconds(lentTime)) : creditCapacity(kind, rate);
+    return kind == CreditKind::Spend ? std::max(1.0, rate * toSeconds(lentTime)) : creditCapacity(kind, rate);
 }
 
 double lentCapacity(CreditKind kind, double rate)
 {
     if (kind == CreditKind::Spend)
         return creditCapacity(kind, rate);
-    return std::max(1.0, rate * seconds(lentTime));
+    return std::max(1.0, rate * toSeconds(lentTime));
 }
 
 void BudgetHome::membersChanged(std::vector<InstanceId> members, TimePoint now)
@@ -111,7 +109,7 @@
 void BudgetHome::refill(Account& account, const AccountLimits& limits, TimePoint now)
 {
     auto rates = creditRates(limits);
-    double passed = seconds(now - account.filledAt);
+    double passed = toSeconds(now - account.filledAt);
     account.filledAt = now;
     for (std::size_t kind = 0; kind < creditKinds; ++kind) {
         if (!rates[kind])
@@ -260,10 +258,10 @@
         double share = *rates[kind] / entries;
         double& balance = account.balance[kind];
         if (!account.fallback)
-            balance = std::min(balance, 0.0) + share * seconds(leasePeriod);
+            balance = std::min(balance, 0.0) + share * toSeconds(leasePeriod);
         else
             balance = std::min(
-                std::max(1.0, share * seconds(leasePeriod)), balance + share * seconds(now - account.filledAt));
+                std::max(1.0, share * toSeconds(leasePeriod)), balance + share * toSeconds(now - account.filledAt));
     }
     account.fallback = true;
     account.filledAt = now;
@@ -420,7 +418,7 @@
 void BudgetLease::stateWants(BudgetAsk& ask, Account& account, double elapsed) const
 {
     bool exact = account.used[requests] <= exactRequests;
-    double scale = exact ? 1.0 : std::clamp(elapsed / seconds(leasePeriod), leastPart, 1.0);
+    double scale = exact ? 1.0 : std::clamp(elapsed / toSeconds(leasePeriod), leastPart, 1.0);
     double margin = exact ? 1.0 : headroom;
     auto rates = creditRates(account.limits);
     auto entries = static_cast<double>(m_members.size());
@@ -448,7 +446,7 @@
     BudgetAsk ask;
     ask.account = id;
     ask.sequence = ++account.sequence;
-    stateWants(ask, account, std::max(seconds(now - account.askedAt), seconds(earlyRenewal)));
+    stateWants(ask, account, std::max(toSeconds(now - account.askedAt), toSeconds(earlyRenewal)));
     for (std::size_t kind = 0; kind < creditKinds; ++kind) {
         double& balance = account.balance[kind];
         // Credit of the fallback share was not lent by the home.
--- a/src/libwisteriayard/part_rates.cpp
+++ b/src/libwisteriayard/part_rates.cpp
@@ -12,14 +12,12 @@
     /// A part is idle after this many time constants.
     constexpr int idleAfter = 3;
 
-    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
 } // namespace
 
 double PartRates::decayed(const Rate& rate, TimePoint now)
 {
-    double passed = std::max(0.0, seconds(now - rate.at));
-    return rate.value * std::exp(-passed / seconds(averaging));
+    double passed = std::max(0.0, toSeconds(now - rate.at));
+    return rate.value * std::exp(-passed / toSeconds(averaging));
 }
 
 void PartRates::note(std::uint64_t part, Duration work, TimePoint now)
@@ -27,7 +25,7 @@
     if (m_parts.size() >= mostParts)
         forgetOld(now);
     Rate& rate = m_parts[part];
-    rate.value = decayed(rate, now) + seconds(work) / seconds(averaging);
+    rate.value = decayed(rate, now) + toSeconds(work) / toSeconds(averaging);
     rate.at = now;
 }
 
--- a/src/libwisteriayard/prefill_pool.cpp
+++ b/src/libwisteriayard/prefill_pool.cpp
@@ -11,14 +11,12 @@
     constexpr double leastWork = 0.02;
     constexpr std::size_t leastEngines = 3;
 
-    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
 } // namespace
 
 void PrefillPool::decay(TimePoint now)
 {
-    double passed = std::max(0.0, seconds(now - m_last));
-    double kept = std::exp(-passed / seconds(m_policy.averaging));
+    double passed = std::max(0.0, toSeconds(now - m_last));
+    double kept = std::exp(-passed / toSeconds(m_policy.averaging));
     m_own.longPrompts *= kept;
     m_own.shortPrompts *= kept;
     m_last = now;
@@ -27,7 +25,7 @@
 void PrefillPool::note(Tokens prompt, Duration work, TimePoint now)
 {
     decay(now);
-    double rate = seconds(work) / seconds(m_policy.averaging);
+    double rate = toSeconds(work) / toSeconds(m_policy.averaging);
     (isLong(prompt) ? m_own.longPrompts : m_own.shortPrompts) += rate;
 }
 
--- a/src/libwisteriayard/rendezvous.cpp
+++ b/src/libwisteriayard/rendezvous.cpp
@@ -14,21 +14,21 @@
         return value;
     }
 
-    /// Final step of splitmix64: FNV alone leaves the high bits of similar names alike.
-    std::uint64_t mix(std::uint64_t value)
-    {
-        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-        value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-        return value ^ (value >> 31);
-    }
-
 } // namespace
 
+std::uint64_t mixHash(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
 std::uint64_t rendezvousWeight(std::string_view key, const InstanceId& instance)
 {
     std::uint64_t value = fnv1a(key, 14695981039346656037ULL);
     value = fnv1a(std::string_view("\0", 1), value);
-    return mix(fnv1a(instance.value(), value));
+    // FNV alone leaves the high bits of similar names alike.
+    return mixHash(fnv1a(instance.value(), value));
 }
 
 std::vector<InstanceId> rendezvousTop(std::string_view key, const std::vector<InstanceId>& instances, std::size_t count)
--- a/src/libwisteriayard/route_table.cpp
+++ b/src/libwisteriayard/route_table.cpp
@@ -19,19 +19,6 @@
 
 } // namespace
 
-std::string_view requestKindName(RequestKind kind)
-{
-    switch (kind) {
-    case RequestKind::Idempotent:
-        return "idempotent";
-    case RequestKind::NonIdempotent:
-        return "non_idempotent";
-    case RequestKind::Stream:
-        return "stream";
-    }
-    return "unknown";
-}
-
 Priority enginePriority(std::optional<Priority> account, Priority route)
 {
     // Engines know ten ranks: three of accounts with three of routes each fit.
--- a/src/wisteriayardd/metrics.cpp
+++ b/src/wisteriayardd/metrics.cpp
@@ -18,8 +18,6 @@
         return { { "account", account.value() }, { "class", requestClass.value() } };
     }
 
-    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
-
 } // namespace
 
 Metrics::Metrics()
@@ -52,12 +50,12 @@
 
 void Metrics::firstToken(const AccountId& account, const ClassId& requestClass, Duration time)
 {
-    m_firstToken.Add(classLabels(account, requestClass), latencySeconds).Observe(seconds(time));
+    m_firstToken.Add(classLabels(account, requestClass), latencySeconds).Observe(toSeconds(time));
 }
 
 void Metrics::totalTime(const AccountId& account, const ClassId& requestClass, Duration time)
 {
-    m_total.Add(classLabels(account, requestClass), latencySeconds).Observe(seconds(time));
+    m_total.Add(classLabels(account, requestClass), latencySeconds).Observe(toSeconds(time));
 }
 
 void Metrics::outputTokens(const AccountId& account, const ClassId& requestClass, Tokens tokens)
