Move one attempt at an endpoint out of request_run.cpp

Cause: 607 lines held two jobs, the course of a request (route, attempts, final answer, log) and the conversation with one endpoint. The second is request_attempt.cpp (279 lines). Whether a request may be sent again was decided in two places; it is Route::isRepeatable() now. Ruled out: a class of its own, which would need most members of RequestRun. Conclusion: code moved as it was.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,5 @@
 #include "request_run.h"
 
-#include "address.h"
 #include "clock.h"
 #include "socket_state.h"
 #include "wisteriayard/hash.h"
@@ -20,23 +19,11 @@
 
 namespace {
 
-    /// Time to open a connection to an endpoint: some round trips between regions.
-    constexpr Duration connectTimeout = std::chrono::milliseconds(250);
-    /// Idle time after which a connection is not trusted with a request that must not run twice: the endpoint, or a
-    /// device on the way, may have dropped it, and a request lost on it can't be sent again.
-    constexpr Duration trustedIdle = std::chrono::milliseconds(800);
-    constexpr Duration anyIdle = std::chrono::hours(1);
-    /// Idle time of a connection whose endpoint does not state its limit.
-    constexpr Duration defaultIdleLimit = std::chrono::seconds(4);
     /// Requests sent for one request of a caller, refused ones included.
     constexpr int maxOffers = 3;
     constexpr int maxConnectFailures = 4;
     /// A further attempt with less time than this can't succeed.
     constexpr Duration leastTimeForAttempt = std::chrono::milliseconds(30);
-    /// Answers to other requests that are skipped on a connection.
-    constexpr int maxForeignAnswers = 2;
-    /// Largest answer that is kept in memory until it is whole.
-    constexpr std::size_t maxWholeAnswer = 8 * 1024 * 1024;
     /// Time that a caller waits if it does not say, until its route is known.
     constexpr Duration defaultTimeLeft = std::chrono::seconds(5);
     /// Retry-After of requests that could not be placed for want of a view or an endpoint.
@@ -44,11 +31,6 @@
     /// Callers come back after at most this share of the time they have left.
     constexpr double retryAfterShare = 1.0 / 3;
 
-    bool isSuccess(const AnswerHead& head)
-    {
-        return http::to_status_class(head.result()) == http::status_class::successful;
-    }
-
     std::string millisecondsText(Duration time)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -66,8 +48,6 @@
         std::string operator()(const TimedOut&) const { return "timed_out"; }
     };
 
-    std::string outcomeName(const AttemptOutcome& outcome) { return std::visit(OutcomeName {}, outcome); }
-
     /// Outcome without its detail, for metrics.
     std::string outcomeKind(const AttemptOutcome& outcome)
     {
@@ -77,6 +57,8 @@
 
 } // namespace
 
+std::string outcomeName(const AttemptOutcome& outcome) { return std::visit(OutcomeName {}, outcome); }
+
 RequestRun::RequestRun(GatewayState& state, boost::asio::ip::tcp::socket& caller, CallerRequest request)
     : m_state(state)
     , m_caller(caller)
@@ -201,8 +183,7 @@
         if (!notRun->offered)
             return ++m_connectFailures <= maxConnectFailures;
     } else {
-        bool repeatable = m_route->kind == RequestKind::Idempotent || m_route->resumable;
-        if (!repeatable || m_attempts >= m_route->maxAttempts)
+        if (!m_route->isRepeatable() || m_attempts >= m_route->maxAttempts)
             return false;
     }
     bool allowed = m_state.retryBudget(m_target).takeRetry(now);
@@ -253,238 +234,6 @@
     co_return co_await answer(std::move(own));
 }
 
-awaitable<AttemptOutcome> RequestRun::attempt(Placement placement)
-{
-    auto& endpoints = m_state.directory.placement(m_target);
-    EndpointId id = endpoints.endpoint(placement.endpoint).id;
-    m_tried.push_back(id);
-    const EndpointRecord* known = m_state.directory.record(id);
-    if (!known)
-        co_return NotRun { "endpoint_left", false };
-    EndpointRecord record = *known;
-    TimePoint now = bootTimeNow();
-    endpoints.started(placement, placementRequest(now), now);
-    logAdmitted(placement, id, now);
-    AttemptOutcome outcome = NotRun { "connect_failed", false };
-    EndpointConnectionPtr connection = co_await connect(record);
-    if (connection && !m_state.directory.record(id))
-        outcome = NotRun { "endpoint_left", false };
-    else if (connection && !interruption())
-        outcome = co_await converse(connection, record, placement);
-    now = bootTimeNow();
-    if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
-        outcome = *interrupted;
-    m_endpoint.reset();
-    HealthChange change = endpoints.ended(placement, healthOf(outcome), now);
-    if (change == HealthChange::Ejected)
-        m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
-    if (change == HealthChange::TakenBack)
-        m_state.log->write(Event::EndpointTakenBack, { { "endpoint", id.value() } });
-    logAttempt(outcome, id, now);
-    co_return outcome;
-}
-
-EndpointOutcome RequestRun::healthOf(const AttemptOutcome& outcome) const
-{
-    if (std::holds_alternative<Delivered>(outcome))
-        return EndpointOutcome::Succeeded;
-    if (auto* notRun = std::get_if<NotRun>(&outcome))
-        return notRun->reason == "connect_failed" ? EndpointOutcome::Failed : EndpointOutcome::Neutral;
-    if (std::holds_alternative<CallerLeft>(outcome))
-        return EndpointOutcome::Neutral;
-    return EndpointOutcome::Failed;
-}
-
-awaitable<EndpointConnectionPtr> RequestRun::connect(const EndpointRecord& record)
-{
-    TimePoint now = bootTimeNow();
-    bool mayRepeat = m_route->kind == RequestKind::Idempotent || m_route->resumable;
-    EndpointConnectionPtr connection = m_state.pool.take(record.id, mayRepeat ? anyIdle : trustedIdle, now);
-    if (connection) {
-        m_endpoint = connection;
-        co_return connection;
-    }
-    connection = m_state.pool.make();
-    m_endpoint = connection;
-    m_connectExpiry.set(now + connectTimeout);
-    boost::system::error_code error;
-    co_await connection->socket.async_connect(record.address, redirect_error(use_awaitable, error));
-    m_connectExpiry.clear();
-    if (error || !connection->socket.is_open())
-        co_return nullptr;
-    setPeerOptions(connection->socket);
-    co_return connection;
-}
-
-OfferHeaders RequestRun::offerHeaders(const EndpointRecord& record, TimePoint now) const
-{
-    OfferHeaders offer;
-    offer.endpoint = record.id;
-    offer.timeLeft = timeLeft(now);
-    offer.account = m_account;
-    if (m_isEngine)
-        offer.priority = m_priority;
-    offer.resumeAfter = m_lastEvent ? m_lastEvent : m_traits.resumeAfter;
-    return offer;
-}
-
-awaitable<AttemptOutcome> RequestRun::converse(
-    EndpointConnectionPtr connection, const EndpointRecord& record, Placement& placement)
-{
-    bool bodyless = m_request.head.method() == http::verb::head;
-    EndpointExchange exchange(connection, bodyless);
-    std::optional<std::size_t> bodySize;
-    if (m_request.hasBody)
-        bodySize = m_request.body->size();
-    OfferHeaders offer = offerHeaders(record, bootTimeNow());
-    ++m_offers;
-    exchange.send(endpointRequestHead(m_request.head, m_state.platform.codec(), offer, bodySize), m_request.body);
-    AnswerTraits traits;
-    Status read = co_await readOwnHead(exchange, traits);
-    if (!read) {
-        exchange.close();
-        ++m_attempts;
-        m_mayHaveRun = true;
-        // A stream begins with its first event; one that was given up before has not been used.
-        bool begun = m_route->kind != RequestKind::Stream || !interruption();
-        if (begun)
-            countUsage();
-        co_return MayHaveRun { read.error().message };
-    }
-    connection->idleLimit = traits.idleTimeout.value_or(defaultIdleLimit);
-    bool claimsNotRun = traits.claim == AnswerClaim::NotRun || traits.claim == AnswerClaim::Misdirected;
-    if (!claimsNotRun) {
-        ++m_attempts;
-        m_mayHaveRun = true;
-        countUsage();
-    }
-    AttemptOutcome outcome = MayHaveRun { "the answer has no receipt" };
-    bool success = isSuccess(exchange.head());
-    if (traits.claim == AnswerClaim::Misdirected)
-        m_state.directory.misdirected(record.id);
-    if (claimsNotRun) {
-        outcome = NotRun { traits.claim == AnswerClaim::NotRun ? "endpoint_refused" : "address_reused", true };
-        auto body = co_await exchange.readBody();
-        while (body && !body.value().empty())
-            body = co_await exchange.readBody();
-    } else if (traits.claim == AnswerClaim::Ran && success && m_route->kind == RequestKind::Stream) {
-        outcome = co_await passStream(exchange, placement);
-    } else if (traits.claim == AnswerClaim::Ran) {
-        outcome = co_await passWhole(exchange, placement, success);
-    }
-    if (exchange.isReusable() && !interruption())
-        m_state.pool.put(record.id, connection, bootTimeNow());
-    else
-        exchange.close();
-    co_return outcome;
-}
-
-awaitable<Status> RequestRun::readOwnHead(EndpointExchange& exchange, AnswerTraits& traits)
-{
-    for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
-        Status read = co_await exchange.readHead();
-        if (!read)
-            co_return read;
-        traits = m_state.platform.codec().decodeAnswer(exchange.head().result_int(), exchange.head());
-        bool own = traits.request.empty() || traits.request == m_traits.id;
-        if (own)
-            co_return boost::outcome_v2::success();
-        // A late second answer to an earlier request of this connection.
-        auto body = co_await exchange.readBody();
-        while (body && !body.value().empty())
-            body = co_await exchange.readBody();
-        if (!body)
-            co_return body.error();
-    }
-    co_return fail(Errc::Protocol, "the connection carries answers to other requests");
-}
-
-awaitable<AttemptOutcome> RequestRun::passWhole(EndpointExchange& exchange, Placement& placement, bool success)
-{
-    std::string body;
-    while (true) {
-        auto part = co_await exchange.readBody();
-        if (!part)
-            co_return MayHaveRun { part.error().message };
-        m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
-        if (part.value().empty())
-            break;
-        body += part.value();
-        if (body.size() > maxWholeAnswer)
-            co_return MayHaveRun { "the answer is too large" };
-    }
-    if (!success)
-        co_return EndpointFailure { exchange.head(), std::move(body) };
-    bool keepOpen = m_request.keepOpen && !m_state.drainingSince;
-    std::string text = callerAnswerHead(exchange.head(), BodyFraming::Length, body.size(), keepOpen);
-    text += body;
-    m_headSent = true;
-    bool written = co_await write(std::move(text));
-    if (!written)
-        co_return CallerLeft {};
-    co_return Delivered {};
-}
-
-awaitable<Status> RequestRun::passEvents(EndpointExchange& exchange, EventStream& events, Placement& placement)
-{
-    std::string text;
-    std::size_t count = 0;
-    while (auto event = events.next()) {
-        ++count;
-        if (event->id && m_lastEvent && *event->id <= *m_lastEvent)
-            continue; // the caller has it from the attempt before
-        if (event->id)
-            m_lastEvent = event->id;
-        text += event->text;
-    }
-    if (text.empty())
-        co_return boost::outcome_v2::success();
-    std::string output;
-    TimePoint now = bootTimeNow();
-    if (placement.firstEventSeen)
-        m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
-    m_lastEventAt = now;
-    if (!m_headSent) {
-        m_firstEventTime = now - m_request.arrivedAt;
-        m_state.metrics.firstEvent(m_route->name, m_firstEventTime);
-        m_state.directory.placement(m_target).firstEvent(placement, now);
-        m_headSent = true;
-        BodyFraming framing = m_request.takesChunks ? BodyFraming::Chunked : BodyFraming::UntilClose;
-        output = callerAnswerHead(exchange.head(), framing, 0, m_request.keepOpen && !m_state.drainingSince);
-    } else {
-        m_state.directory.placement(m_target).firstEvent(placement, now);
-    }
-    output += m_request.takesChunks ? chunkText(text) : text;
-    bool written = co_await write(std::move(output));
-    if (!written)
-        co_return fail(Errc::Unavailable, "the caller's connection broke");
-    co_return boost::outcome_v2::success();
-}
-
-awaitable<AttemptOutcome> RequestRun::passStream(EndpointExchange& exchange, Placement& placement)
-{
-    EventStream events;
-    while (true) {
-        auto part = co_await exchange.readBody();
-        if (!part)
-            co_return MayHaveRun { part.error().message };
-        if (part.value().empty())
-            break;
-        events.feed(part.value());
-        Status passed = co_await passEvents(exchange, events, placement);
-        if (!passed)
-            co_return CallerLeft {};
-    }
-    if (!events.rest().empty() || !m_headSent)
-        co_return MayHaveRun { "the stream ended within an event" };
-    if (m_request.takesChunks) {
-        bool written = co_await write(std::string(lastChunk));
-        if (!written)
-            co_return CallerLeft {};
-    }
-    co_return Delivered {};
-}
-
 awaitable<bool> RequestRun::write(std::string text)
 {
     boost::system::error_code error;
@@ -497,8 +246,7 @@
 awaitable<bool> RequestRun::answer(OwnAnswer own)
 {
     if (own.retryAfter && m_traits.timeLeft) {
-        auto most = Duration(
-            static_cast<Duration::rep>(retryAfterShare * static_cast<double>(timeLeft(bootTimeNow()).count())));
+        Duration most = scaled(timeLeft(bootTimeNow()), retryAfterShare);
         own.retryAfter = std::clamp(*own.retryAfter, Duration(0), std::max(Duration(0), most));
     }
     bool keepOpen = m_request.keepOpen && !m_state.drainingSince;
@@ -555,16 +303,6 @@
     return std::nullopt;
 }
 
-void RequestRun::countUsage()
-{
-    if (m_usageCounted || !m_account || !m_state.usage)
-        return;
-    m_usageCounted = true;
-    UsageFigures figures;
-    figures.requests = 1;
-    m_state.usage->count(*m_account, ClassId(m_route->name), figures);
-}
-
 void RequestRun::logAdmitted(const Placement& placement, const EndpointId& endpoint, TimePoint now)
 {
     m_state.logRequest(Event::RequestAdmitted,
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -54,6 +54,9 @@
 using AttemptOutcome = std::variant<Delivered, NotRun, MayHaveRun, EndpointFailure, CallerLeft, TimedOut>;
 /// @}
 
+/// Name of an outcome with its detail, for log lines.
+std::string outcomeName(const AttemptOutcome& outcome);
+
 /// Serves one request of a caller: finds its route, places it at endpoints, and passes the answer on.
 class RequestRun {
 public:
