Admit urgent requests by what engines compute before them

Placement counted all prompt tokens at an engine as ahead of a request.

Left: almanac-draft streams that run into their time limit because prefills share their batches. The row of the test table for urgent prompts follows the begun prompt that was measured; the table is new here.

--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -30,14 +30,29 @@
             for (const auto& [tag, use] : loads.endpoints) {
                 message.add_endpoint_tags(static_cast<std::uint32_t>(tag));
                 message.add_running(unsignedFigure(use.running));
-                message.add_prefill_tokens(unsignedFigure(use.prefillTokens));
                 message.add_memory_tokens(unsignedFigure(use.memoryTokens));
+                addBacklog(message, use.backlog);
             }
             for (const auto& [target, rates] : loads.work) {
                 peer::TargetWork& work = *message.add_work();
                 work.set_target(target.value());
                 work.set_long_prompts(static_cast<float>(rates.longPrompts));
                 work.set_short_prompts(static_cast<float>(rates.shortPrompts));
+                work.set_long_ranks(static_cast<float>(rates.longRanks));
+                work.set_short_ranks(static_cast<float>(rates.shortRanks));
+            }
+        }
+
+        /// Adds the backlog of the table's last row.
+        static void addBacklog(peer::Loads& message, const PrefillBacklog& backlog)
+        {
+            auto row = static_cast<std::uint32_t>(message.endpoint_tags_size() - 1);
+            for (std::uint32_t rank = 0; rank < engineRanks; ++rank) {
+                if (backlog.at(rank).value() <= 0)
+                    continue;
+                message.add_backlog_rows(row);
+                message.add_backlog_ranks(rank);
+                message.add_backlog_tokens(unsignedFigure(backlog.at(rank).value()));
             }
         }
 
@@ -58,21 +73,31 @@
             return fail(Errc::Protocol, "peer datagram: contact time out of range");
         loads.contact = std::chrono::milliseconds(message.contact_ms());
         int rows = message.endpoint_tags_size();
-        if (message.running_size() != rows || message.prefill_tokens_size() != rows
-            || message.memory_tokens_size() != rows)
+        int backlogs = message.backlog_rows_size();
+        if (message.running_size() != rows || message.memory_tokens_size() != rows
+            || message.backlog_ranks_size() != backlogs || message.backlog_tokens_size() != backlogs)
             return fail(Errc::Protocol, "peer datagram: columns of different lengths");
         for (int i = 0; i < rows; ++i) {
             EndpointUse use;
             use.running
                 = static_cast<int>(std::min<std::uint32_t>(message.running(i), std::numeric_limits<int>::max()));
-            use.prefillTokens = message.prefill_tokens(i);
             use.memoryTokens = message.memory_tokens(i);
             loads.endpoints[EndpointTag(message.endpoint_tags(i))] = use;
         }
+        for (int i = 0; i < backlogs; ++i) {
+            std::uint32_t row = message.backlog_rows(i);
+            std::uint32_t rank = message.backlog_ranks(i);
+            if (row >= static_cast<std::uint32_t>(rows) || rank >= engineRanks)
+                return fail(Errc::Protocol, "peer datagram: backlog of an unknown row or rank");
+            loads.endpoints[EndpointTag(message.endpoint_tags(static_cast<int>(row)))].backlog.add(
+                Priority(static_cast<std::int32_t>(rank)), Tokens(message.backlog_tokens(i)));
+        }
         for (const peer::TargetWork& work : message.work()) {
-            if (!isRate(work.long_prompts()) || !isRate(work.short_prompts()))
+            if (!isRate(work.long_prompts()) || !isRate(work.short_prompts()) || !isRate(work.long_ranks())
+                || !isRate(work.short_ranks()))
                 return fail(Errc::Protocol, "peer datagram: rate below 0 or not finite");
-            loads.work[TargetId(work.target())] = WorkRates { work.long_prompts(), work.short_prompts() };
+            loads.work[TargetId(work.target())]
+                = WorkRates { work.long_prompts(), work.short_prompts(), work.long_ranks(), work.short_ranks() };
         }
         return PeerMessage(std::move(loads));
     }
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -18,8 +18,9 @@
     loads.time = 1'781'798'936'010;
     loads.contact = milliseconds(5200);
     for (int i = 0; i < endpoints; ++i)
-        loads.endpoints[endpointTag(EndpointId("i-" + std::to_string(i)))] = EndpointUse { i, 1000 * i, 2000 * i };
-    loads.work[TargetId("t1")] = WorkRates { 0.5, 0.25 };
+        loads.endpoints[endpointTag(EndpointId("i-" + std::to_string(i)))]
+            = EndpointUse { i, PrefillBacklog(Priority(i % 10), Tokens(1000 * i)), 2000 * i };
+    loads.work[TargetId("t1")] = WorkRates { 0.5, 0.25, 2.5, 0.75 };
     return loads;
 }
 
@@ -32,8 +33,13 @@
 /// Usage whose part is no record.
 const std::string brokenPart("\x12\x03\x1a\x01{", 5);
 
-const std::string badDatagrams[] = { std::string(), std::string("\x00", 1), "text", std::string("\x0a\xff", 2),
-    unevenColumns, negativeContact, rateNotFinite, brokenPart };
+/// A backlog of row 0 of an empty table, and one of rank 10.
+const std::string backlogWithoutRow("\x0a\x09\x42\x01\x00\x4a\x01\x00\x52\x01\x05", 11);
+const std::string backlogOfNoRank(
+    "\x0a\x15\x1a\x04\x01\x02\x03\x04\x22\x01\x01\x32\x01\x01\x42\x01\x00\x4a\x01\x0a\x52\x01\x05", 23);
+
+const std::string badDatagrams[] = { backlogWithoutRow, backlogOfNoRank, std::string(), std::string("\x00", 1), "text",
+    std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, brokenPart };
 
 } // namespace
 
@@ -50,11 +56,13 @@
     for (const auto& [tag, use] : sent.endpoints) {
         const EndpointUse& received = loads.endpoints.at(tag);
         BOOST_TEST(received.running == use.running);
-        BOOST_TEST(received.prefillTokens == use.prefillTokens);
+        BOOST_TEST((received.backlog == use.backlog));
         BOOST_TEST(received.memoryTokens == use.memoryTokens);
     }
     BOOST_TEST(loads.work.at(TargetId("t1")).longPrompts == 0.5);
     BOOST_TEST(loads.work.at(TargetId("t1")).shortPrompts == 0.25);
+    BOOST_TEST(loads.work.at(TargetId("t1")).longRanks == 2.5);
+    BOOST_TEST(loads.work.at(TargetId("t1")).shortRanks == 0.75);
 }
 
 // Guards against usage that another entry writes for a wrong window or entry.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -128,6 +128,7 @@
     request.output = m_traits.outputHint.value_or(m_traits.maxOutput);
     request.timeLeft = timeLeft(now);
     request.objective = m_route->objective;
+    request.rank = m_priority;
     return request;
 }
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -2,6 +2,7 @@
 
 #include "wisteriayard/ids.h"
 #include "wisteriayard/part_rates.h"
+#include "wisteriayard/prefill_backlog.h"
 #include "wisteriayard/prefill_pool.h"
 #include "wisteriayard/units.h"
 
@@ -28,6 +29,8 @@
     std::vector<PromptPart> prompt;
     /// Expected length of the answer.
     Tokens output { 0 };
+    /// Rank at engines.
+    Priority rank { 0 };
     Duration timeLeft {};
     Duration objective {};
 };
@@ -48,8 +51,7 @@
 /// Load of an endpoint by the requests of one entry.
 struct EndpointUse {
     int running = 0;
-    /// Prompt tokens that are still to be computed.
-    std::int64_t prefillTokens = 0;
+    PrefillBacklog backlog;
     /// Tokens of running requests.
     std::int64_t memoryTokens = 0;
 };
@@ -86,6 +88,9 @@
     /// all that come after it late too. In a crowd first events come a fifth later than expected. An endpoint without a
     /// queue is never refused: only new answers correct an estimate that has become too high.
     double mostObjectives = 0.85;
+    /// A request that would be refused at the cheapest endpoint goes to another one that can begin in time, if that has
+    /// to compute at most so many shared tokens again: one prefill chunk. Longer parts fill the queues there.
+    Tokens mostSpilled { 1024 };
     /// Loads that other entries told longer ago than this are not counted.
     Duration peerLoadLifetime = std::chrono::milliseconds(1500);
     /// Time constant with which an endpoint's own time per token gives way to that of all endpoints. An entry sees few
@@ -114,7 +119,8 @@
     /// Prompt tokens that the endpoint probably has to compute.
     std::int64_t uncachedTokens = 0;
     std::int64_t memoryTokens = 0;
-    /// Uncached tokens that were waiting there before it.
+    Priority rank { 0 };
+    /// Uncached tokens that were to be computed there before its own.
     std::int64_t tokensAhead = 0;
     PromptHome home = PromptHome::None;
     /// The last shared part of the prompt.
@@ -237,6 +243,8 @@
         double cost = 0;
         std::int64_t uncached = 0;
         double firstEvent = 0;
+        /// Shared tokens among the uncached ones.
+        std::int64_t recomputed = 0;
         PromptHome home = PromptHome::None;
         /// Other requests go before this one there.
         bool queued = false;
@@ -257,11 +265,13 @@
         TimePoint now) const;
     void orderEndpoints();
     Duration expectedWork(
-        const State& state, const Placement& placement, const PlacementRequest& request, TimePoint now) const;
+        const State& state, std::int64_t uncachedTokens, const PlacementRequest& request, TimePoint now) const;
     static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
     void sumPeers(TimePoint now);
     bool isUsable(const State& state, TimePoint now) const;
+    /// Tokens of all entries that are computed at an endpoint before a request of a rank.
+    static std::int64_t tokensAhead(const State& state, Priority rank);
     double tokenTime(const State& state, TimePoint now) const;
     State* find(const Placement& placement);
     void prefillEnded(const Placement& placement);
--- a/src/include/wisteriayard/prefill_pool.h
+++ b/src/include/wisteriayard/prefill_pool.h
@@ -14,6 +14,11 @@
     double longPrompts = 0;
     /// By all others.
     double shortPrompts = 0;
+    /// Rank of the requests as a mean, times the engine time above.
+    double longRanks = 0;
+    double shortRanks = 0;
+
+    WorkRates& operator+=(const WorkRates& other);
 };
 
 /// Settings of the split of engines.
@@ -33,6 +38,11 @@
     /// The split changes only if it is off by more than this many engines, so that prompt parts stay where they are
     /// cached.
     double hysteresis = 0.8;
+    /// With more work than engines, the kind with the higher rank gets what it needs first. The other keeps this part
+    /// of the share that its work would have.
+    double leastPart = 0.5;
+    /// Mean ranks that differ by less count as equal: accounts of all ranks send both kinds.
+    double equalRanks = 0.3;
 };
 
 /// Sizes the part of a service's engines that long prompts are kept on.
@@ -47,9 +57,10 @@
     }
 
     bool isLong(Tokens prompt) const { return prompt > m_policy.longPrompt; }
-    /// A request was placed.
+    /// A request was placed, or refused for want of engine time: counted by what is served, a kind that is refused
+    /// would keep too few engines.
     /// @param work engine time that it will take
-    void note(Tokens prompt, Duration work, TimePoint now);
+    void note(Tokens prompt, Duration work, Priority rank, TimePoint now);
     /// Rates of this entry.
     WorkRates own(TimePoint now);
     /// Another entry told its rates.
@@ -68,6 +79,8 @@
     };
 
     void decay(TimePoint now);
+    /// Engines for long prompts, before rounding.
+    double share(const WorkRates& work, double engines) const;
     void forgetSilentPeers(TimePoint now);
 
     PrefillPoolPolicy m_policy;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -231,7 +231,7 @@
                 continue;
             EndpointUse& others = m_states[known->second].others;
             others.running += use.running;
-            others.prefillTokens += use.prefillTokens;
+            others.backlog += use.backlog;
             others.memoryTokens += use.memoryTokens;
         }
     }
@@ -245,6 +245,13 @@
     return m_tokenTime + std::exp(-age) * (state.tokenTime - m_tokenTime);
 }
 
+std::int64_t EndpointPlacement::tokensAhead(const State& state, Priority rank)
+{
+    PrefillBacklog all = state.own.backlog;
+    all += state.others.backlog;
+    return all.ahead(rank).value();
+}
+
 EndpointPlacement::Candidate EndpointPlacement::evaluate(
     std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now) const
 {
@@ -262,13 +269,13 @@
     if (state.info.memory.value() > 0) {
         candidate.home = homes.rank(index);
         candidate.uncached = uncachedTokens(state, request, candidate.home == PromptHome::First, now);
-        std::int64_t ahead = state.own.prefillTokens + state.others.prefillTokens;
+        std::int64_t ahead = tokensAhead(state, request.rank);
         wait = m_baseTime + tokenTime(state, now) * static_cast<double>(ahead + candidate.uncached);
         std::int64_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens.value();
-        std::int64_t recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
+        candidate.recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
         double factor
             = candidate.home == PromptHome::Second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
-        charge += (factor - 1) * tokenTime(state, now) * static_cast<double>(recomputed);
+        charge += (factor - 1) * tokenTime(state, now) * static_cast<double>(candidate.recomputed);
         charge += microseconds(m_policy.runningCost) * running;
         candidate.queued = ahead > 0 || running >= state.info.slots;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
@@ -322,6 +329,7 @@
     double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
         m_policy.mostObjectives * microseconds(request.objective));
     std::optional<Candidate> best;
+    std::optional<Candidate> spill;
     Refused refused;
     for (const auto& [id, index] : m_index) {
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
@@ -333,12 +341,21 @@
         Candidate candidate = evaluate(index, request, homeEndpoints, poolSize, now);
         if (isBetter(candidate, best))
             best = candidate;
+        bool inTime = !candidate.queued || candidate.firstEvent <= latest;
+        if (inTime && candidate.recomputed <= m_policy.mostSpilled.value() && isBetter(candidate, spill))
+            spill = candidate;
     }
     if (!best) {
         refused.retryAfter = firstEjection;
         return refused;
     }
+    if (best->queued && best->firstEvent > latest && spill)
+        best = spill;
     if (best->queued && best->firstEvent > latest) {
+        const State& busy = m_states[best->index];
+        if (busy.info.memory.value() > 0)
+            m_pool.note(
+                Tokens(promptTokens(request)), expectedWork(busy, best->uncached, request, now), request.rank, now);
         refused.reason = PlacementRefusal::Overloaded;
         refused.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
         auto excess = Duration(static_cast<std::int64_t>(best->firstEvent)) - request.objective;
@@ -351,7 +368,8 @@
     placement.generation = state.generation;
     placement.uncachedTokens = best->uncached;
     placement.memoryTokens = promptTokens(request) + request.output.value();
-    placement.tokensAhead = state.own.prefillTokens + state.others.prefillTokens;
+    placement.rank = request.rank;
+    placement.tokensAhead = tokensAhead(state, request.rank);
     placement.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
     placement.placedAt = now;
     placement.home = best->home;
@@ -381,13 +399,13 @@
     if (!state)
         return;
     ++state->own.running;
-    state->own.prefillTokens += placement.uncachedTokens;
+    state->own.backlog.add(placement.rank, Tokens(placement.uncachedTokens));
     state->own.memoryTokens += placement.memoryTokens;
     state->probing = state->ejected;
     if (state->info.memory.value() == 0)
         return;
-    Duration work = expectedWork(*state, placement, request, now);
-    m_pool.note(Tokens(promptTokens(request)), work, now);
+    Duration work = expectedWork(*state, placement.uncachedTokens, request, now);
+    m_pool.note(Tokens(promptTokens(request)), work, request.rank, now);
     if (placement.part) {
         m_partRates.note(*placement.part, work, now);
         m_waitingTokens[*placement.part] += placement.uncachedTokens;
@@ -398,9 +416,9 @@
 }
 
 Duration EndpointPlacement::expectedWork(
-    const State& state, const Placement& placement, const PlacementRequest& request, TimePoint now) const
+    const State& state, std::int64_t uncachedTokens, const PlacementRequest& request, TimePoint now) const
 {
-    double prefill = tokenTime(state, now) * static_cast<double>(placement.uncachedTokens);
+    double prefill = tokenTime(state, now) * static_cast<double>(uncachedTokens);
     double events = static_cast<double>(request.output.value()) / std::max(1, state.info.tokensPerEvent);
     double decode = events * m_eventTime / (usedSlots * state.info.slots);
     return Duration(static_cast<std::int64_t>(prefill + decode));
@@ -421,7 +439,7 @@
         return;
     placement.firstEventSeen = true;
     prefillEnded(placement);
-    state->own.prefillTokens -= placement.uncachedTokens;
+    state->own.backlog.remove(placement.rank, Tokens(placement.uncachedTokens));
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
     double elapsed = microseconds(now - placement.placedAt);
     if (state->info.memory.value() > 0 && tokens <= mostBaseTokens) {
@@ -461,7 +479,7 @@
     --state->own.running;
     state->own.memoryTokens -= placement.memoryTokens;
     if (!placement.firstEventSeen)
-        state->own.prefillTokens -= placement.uncachedTokens;
+        state->own.backlog.remove(placement.rank, Tokens(placement.uncachedTokens));
     state->probing = false;
     if (outcome == EndpointOutcome::Neutral)
         return HealthChange::None;
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -46,6 +46,8 @@
     return request;
 }
 
+PrefillBacklog backlog(std::int64_t tokens) { return PrefillBacklog(Priority(0), Tokens(tokens)); }
+
 Placement place(EndpointPlacement& fleet, const PlacementRequest& request, TimePoint now)
 {
     auto decision = fleet.choose(request, {}, now);
@@ -100,7 +102,7 @@
     Placement first = place(fleet, request, at(milliseconds(0)));
     finish(fleet, first, EndpointOutcome::Succeeded, at(milliseconds(90)));
     EndpointId home = fleet.endpoint(first.endpoint).id;
-    fleet.peerUse(InstanceId("peer"), { { home, EndpointUse { 3, 9'000, 20'000 } } }, at(milliseconds(100)));
+    fleet.peerUse(InstanceId("peer"), { { home, EndpointUse { 3, backlog(9'000), 20'000 } } }, at(milliseconds(100)));
     Placement next = place(fleet, request, at(milliseconds(110)));
     BOOST_TEST(next.endpoint == first.endpoint);
     BOOST_TEST(promptHomeName(next.home) == "first");
@@ -159,7 +161,8 @@
     PlacementRequest request = makeRequest(1, 0, 500);
     std::size_t idleChoice = place(fleet, request, at(milliseconds(0))).endpoint;
     EndpointId chosen = fleet.endpoint(idleChoice).id;
-    fleet.peerUse(InstanceId("peer"), { { chosen, EndpointUse { 20, 50'000, 100'000 } } }, at(milliseconds(10)));
+    fleet.peerUse(
+        InstanceId("peer"), { { chosen, EndpointUse { 20, backlog(50'000), 100'000 } } }, at(milliseconds(10)));
     BOOST_TEST(place(fleet, request, at(milliseconds(20))).endpoint != idleChoice);
     // Two requests of this entry on one, one on the other, and the peer's report is too old.
     BOOST_TEST(place(fleet, request, at(seconds(3))).expectedFirstEvent.count() < 100'000);
@@ -209,7 +212,7 @@
     EndpointPlacement fleet = makeFleet(2);
     std::map<EndpointId, EndpointUse> load;
     for (int i = 0; i < 2; ++i)
-        load[engine(i).id] = EndpointUse { 10, 1'000'000, 100'000 };
+        load[engine(i).id] = EndpointUse { 10, backlog(1'000'000), 100'000 };
     fleet.peerUse(InstanceId("peer"), load, at(milliseconds(0)));
     auto decision = fleet.choose(makeRequest(1, 0, 500), {}, at(milliseconds(1)));
     BOOST_REQUIRE(std::holds_alternative<Refused>(decision));
@@ -280,3 +283,70 @@
     BOOST_TEST(both.empty());
     BOOST_TEST(longUsed.size() >= 2u);
 }
+
+struct UrgencyCase {
+    const char* name;
+    int waitingRank;
+    int rank;
+    bool accepted;
+};
+std::ostream& operator<<(std::ostream& out, const UrgencyCase& each) { return out << each.name; }
+
+const UrgencyCase urgencyCases[] = {
+    { "urgent_behind_less_urgent", 5, 4, true },
+    { "equal_rank", 5, 5, false },
+    { "less_urgent_behind_urgent", 4, 5, false },
+};
+
+// Pattern: prompts of a low rank and a long objective fill all queues. Guards against refusing urgent requests with a
+// short objective meanwhile: engines compute these first.
+BOOST_DATA_TEST_CASE(urgent_request_begins_before_less_urgent_ones, data::make(urgencyCases), each)
+{
+    EndpointPlacement fleet = makeFleet();
+    std::map<EndpointId, EndpointUse> load;
+    for (int i = 0; i < engines; ++i)
+        load[engine(i).id] = EndpointUse { 6, PrefillBacklog(Priority(each.waitingRank), Tokens(60'000)), 100'000 };
+    fleet.peerUse(InstanceId("peer"), load, at(milliseconds(0)));
+    PlacementRequest request = makeRequest(1, 3000, 1500);
+    request.objective = milliseconds(800);
+    request.rank = Priority(each.rank);
+    auto decision = fleet.choose(request, {}, at(milliseconds(1)));
+    BOOST_TEST(std::holds_alternative<Placement>(decision) == each.accepted);
+}
+
+// Pattern: a burst of short prompts finds too few engines and is refused. Guards against a split that follows only what
+// is served: the kind that is refused would never get more engines.
+BOOST_AUTO_TEST_CASE(refused_requests_count_as_work)
+{
+    EndpointPlacement fleet = makeFleet();
+    std::map<EndpointId, EndpointUse> load;
+    for (int i = 0; i < engines; ++i)
+        load[engine(i).id] = EndpointUse { 20, backlog(200'000), 100'000 };
+    TimePoint now = at(milliseconds(0));
+    fleet.peerUse(InstanceId("peer"), load, now);
+    BOOST_REQUIRE(std::holds_alternative<Refused>(fleet.choose(makeRequest(1, 200, 1500), {}, now)));
+    BOOST_TEST(fleet.ownWork(now).shortPrompts > 0);
+}
+
+struct SpillCase {
+    std::int64_t sharedTokens;
+    bool accepted;
+};
+std::ostream& operator<<(std::ostream& out, const SpillCase& each) { return out << each.sharedTokens; }
+
+const SpillCase spillCases[] = { { 300, true }, { 6000, false } };
+
+// Pattern: the home of a session has a queue, as after a crash or a change of the split, and other engines are idle.
+// Guards against refusing requests with a short shared part then, and against computing long parts elsewhere.
+BOOST_DATA_TEST_CASE(late_request_leaves_its_home_if_that_is_cheap, data::make(spillCases), each)
+{
+    EndpointPlacement fleet = makeFleet();
+    PlacementRequest request = makeRequest(42, each.sharedTokens, 1200);
+    Placement first = place(fleet, request, at(milliseconds(0)));
+    finish(fleet, first, EndpointOutcome::Succeeded, at(milliseconds(60)));
+    EndpointId home = fleet.endpoint(first.endpoint).id;
+    // Costs more than computing the short part again, and less than the long one.
+    fleet.peerUse(InstanceId("peer"), { { home, EndpointUse { 5, backlog(16'500), 30'000 } } }, at(milliseconds(100)));
+    auto decision = fleet.choose(request, {}, at(milliseconds(110)));
+    BOOST_TEST(std::holds_alternative<Placement>(decision) == each.accepted);
+}
--- a/src/libwisteriayard/prefill_pool.cpp
+++ b/src/libwisteriayard/prefill_pool.cpp
@@ -13,20 +13,32 @@
 
 } // namespace
 
+WorkRates& WorkRates::operator+=(const WorkRates& other)
+{
+    longPrompts += other.longPrompts;
+    shortPrompts += other.shortPrompts;
+    longRanks += other.longRanks;
+    shortRanks += other.shortRanks;
+    return *this;
+}
+
 void PrefillPool::decay(TimePoint now)
 {
     double passed = std::max(0.0, toSeconds(now - m_last));
     double kept = std::exp(-passed / toSeconds(m_policy.averaging));
     m_own.longPrompts *= kept;
     m_own.shortPrompts *= kept;
+    m_own.longRanks *= kept;
+    m_own.shortRanks *= kept;
     m_last = now;
 }
 
-void PrefillPool::note(Tokens prompt, Duration work, TimePoint now)
+void PrefillPool::note(Tokens prompt, Duration work, Priority rank, TimePoint now)
 {
     decay(now);
     double rate = toSeconds(work) / toSeconds(m_policy.averaging);
     (isLong(prompt) ? m_own.longPrompts : m_own.shortPrompts) += rate;
+    (isLong(prompt) ? m_own.longRanks : m_own.shortRanks) += rate * rank.value();
 }
 
 WorkRates PrefillPool::own(TimePoint now)
@@ -51,26 +63,35 @@
     return m_peers.size();
 }
 
+double PrefillPool::share(const WorkRates& work, double engines) const
+{
+    double longNeed = work.longPrompts / m_policy.longUtilization;
+    double shortNeed = work.shortPrompts / m_policy.shortUtilization;
+    double proportional = engines * longNeed / (longNeed + shortNeed);
+    double rankDifference = work.longRanks / work.longPrompts - work.shortRanks / work.shortPrompts;
+    if (longNeed + shortNeed <= engines || std::abs(rankDifference) < m_policy.equalRanks)
+        return proportional;
+    if (rankDifference > 0)
+        return std::max(m_policy.leastPart * proportional, engines - std::ceil(shortNeed));
+    return std::min(engines - m_policy.leastPart * (engines - proportional), std::ceil(longNeed));
+}
+
 std::size_t PrefillPool::size(std::size_t engines, TimePoint now)
 {
     decay(now);
     WorkRates sum = m_own;
     forgetSilentPeers(now);
-    for (const auto& [peer, told] : m_peers) {
-        sum.longPrompts += told.rates.longPrompts;
-        sum.shortPrompts += told.rates.shortPrompts;
-    }
+    for (const auto& [peer, told] : m_peers)
+        sum += told.rates;
     if (engines < leastEngines || sum.longPrompts < leastWork || sum.shortPrompts < leastWork) {
         m_size = 0;
         return m_size;
     }
-    double longNeed = sum.longPrompts / m_policy.longUtilization;
-    double shortNeed = sum.shortPrompts / m_policy.shortUtilization;
-    double share = static_cast<double>(engines) * longNeed / (longNeed + shortNeed);
+    double wanted = share(sum, static_cast<double>(engines));
     bool settled
-        = m_size > 0 && m_engines == engines && std::abs(share - static_cast<double>(m_size)) <= m_policy.hysteresis;
+        = m_size > 0 && m_engines == engines && std::abs(wanted - static_cast<double>(m_size)) <= m_policy.hysteresis;
     if (!settled)
-        m_size = std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(share)), 1, engines - 1);
+        m_size = std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(wanted)), 1, engines - 1);
     m_engines = engines;
     return m_size;
 }
--- a/src/libwisteriayard/prefill_pool_test.cpp
+++ b/src/libwisteriayard/prefill_pool_test.cpp
@@ -19,35 +19,47 @@
     double longWork;
     double shortWork;
     std::size_t engines;
+    int longRank;
+    int shortRank;
     std::size_t least;
     std::size_t most;
 };
 std::ostream& operator<<(std::ostream& out, const SizeCase& each)
 {
-    return out << each.longWork << '/' << each.shortWork << " of " << each.engines;
+    return out << each.longWork << '/' << each.shortWork << " of " << each.engines << ", ranks " << each.longRank << '/'
+               << each.shortRank;
 }
 
 const SizeCase sizeCases[] = {
-    { 0, 2, 12, 0, 0 },
-    { 2, 0, 12, 0, 0 },
-    { 1, 1, 2, 0, 0 },
-    { 1.5, 2, 12, 7, 8 },
-    { 6, 1, 12, 10, 11 },
-    { 0.05, 6, 12, 1, 1 },
+    { 0, 2, 12, 5, 3, 0, 0 },
+    { 2, 0, 12, 5, 3, 0, 0 },
+    { 1, 1, 2, 5, 3, 0, 0 },
+    { 1.5, 2, 12, 5, 3, 7, 8 },
+    { 6, 1, 12, 4, 4, 10, 11 },
+    { 0.05, 6, 12, 5, 3, 1, 1 },
+    // More work than engines: the kind with the higher rank gets what it needs, the other at least half of its part.
+    { 4.2, 1.8, 8, 5, 3, 5, 6 },
+    { 4.2, 1.8, 8, 3, 5, 7, 7 },
+    { 4.2, 1.8, 8, 4, 4, 6, 7 },
+    { 6, 12, 12, 5, 3, 2, 3 },
+    { 12, 12, 12, 3, 5, 10, 11 },
 };
 
 } // namespace
 
-// Pattern: the load of each kind changes over the day. Guards against a fixed share that starves one kind.
+// Pattern: the load of each kind changes over the day. Guards against a fixed share that starves one kind, and against
+// urgent short prompts that are refused in a crowd for engines which less urgent long ones have.
 BOOST_DATA_TEST_CASE(size_follows_the_work_of_each_kind, data::make(sizeCases), each)
 {
     PrefillPool pool;
     TimePoint now(seconds(10));
     for (int i = 0; i < 300; ++i, now += milliseconds(50)) {
         if (each.longWork > 0)
-            pool.note(longPrompt, Duration(static_cast<std::int64_t>(each.longWork * 50'000)), now);
+            pool.note(
+                longPrompt, Duration(static_cast<std::int64_t>(each.longWork * 50'000)), Priority(each.longRank), now);
         if (each.shortWork > 0)
-            pool.note(shortPrompt, Duration(static_cast<std::int64_t>(each.shortWork * 50'000)), now);
+            pool.note(shortPrompt, Duration(static_cast<std::int64_t>(each.shortWork * 50'000)),
+                Priority(each.shortRank), now);
     }
     std::size_t size = pool.size(each.engines, now);
     BOOST_TEST(size >= each.least);
@@ -59,7 +71,7 @@
 {
     PrefillPool pool;
     TimePoint now(seconds(10));
-    pool.note(shortPrompt, seconds(3), now);
+    pool.note(shortPrompt, seconds(3), Priority(0), now);
     pool.peer(InstanceId("p"), WorkRates { 1, 0 }, now);
     BOOST_TEST(pool.size(12, now) > 0u);
     BOOST_TEST(pool.size(12, now + seconds(5)) == 0u);
