--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,7 @@
                 BOOST_OUTCOME_TRY(m_admin->listen(address));
             }
             BOOST_OUTCOME_TRY(m_peers.open());
+            m_peers.setViews(peerViews());
             if (m_state.settings.reportsUsage)
                 startUsage();
             spawn([this] { return m_state.watchdog.run([this](Duration gap) { paused(gap); }); });
@@ -168,9 +169,38 @@
                 for (const StoreItem& item : batch.items)
                     takeConfig(item);
             };
+            follow(handlers, StoreView::Configuration);
             return handlers;
         }
 
+        /// Joins a copy of the store to the exchange with other entries.
+        void follow(StoreFollower::Handlers& handlers, StoreView view)
+        {
+            handlers.role = [this] { return m_peers.role(); };
+            handlers.passOn
+                = [this, view](Revision from, const WatchBatch& batch) { m_peers.passOnChanges(view, from, batch); };
+            handlers.reading = [this, view](ReadCause cause) {
+                m_state.metrics.viewRead(std::string(storeViewName(view)), std::string(readCauseName(cause)));
+            };
+        }
+
+        PeerExchange::Views peerViews()
+        {
+            PeerExchange::Views views;
+            views.marks = [this](TimePoint now) {
+                return std::map<StoreView, ViewMark> { { StoreView::Configuration, m_config.mark(now) },
+                    { StoreView::Endpoints, m_endpoints.mark(now) } };
+            };
+            views.takeMark
+                = [this](StoreView view, const ViewMark& mark, TimePoint now) { follower(view).takeMark(mark, now); };
+            views.takeChanges = [this](const ViewChanges& changes, TimePoint now) {
+                follower(changes.view).takeChanges(changes, now);
+            };
+            return views;
+        }
+
+        StoreFollower& follower(StoreView view) { return view == StoreView::Configuration ? m_config : m_endpoints; }
+
         void takeConfig(const StoreItem& item)
         {
             if (item.key != m_platform.configKey() || item.value.empty())
@@ -195,6 +225,7 @@
                 m_state.endpointsHeardAt = now;
                 m_state.directory.apply(batch, now);
             };
+            follow(handlers, StoreView::Endpoints);
             return handlers;
         }
 
@@ -229,6 +260,10 @@
             parts.passOn = [this](WindowId window, const IncarnationId& entry, const UsagePart& part) {
                 m_peers.passOnUsage(window, entry, part);
             };
+            parts.viaWriter = [this](WindowId window, const IncarnationId& entry, const UsagePart& part) {
+                return m_peers.offerUsage(window, entry, part);
+            };
+            parts.closed = [this](const UsageFinal& final) { m_peers.announceClosed(final); };
             m_state.usage = std::make_shared<UsageReporter>(m_io, std::move(parts), m_state.log);
             m_state.usage->start([this] { return m_peers.isLeaseCandidate(); });
         }
@@ -355,6 +390,7 @@
                 }
                 m_state.log->write(Event::ProcessStopping, { { "signal", signal } });
                 m_state.drainingSince = bootTimeNow();
+                m_peers.announceLeaving();
                 co_await shutDown();
                 m_io.stop();
                 co_return;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -44,6 +44,8 @@
           "Attempts after the first, by whether the budget allowed them"))
     , m_peerDatagrams(counter(*m_registry, "wisteriayard_gateway_peer_datagrams_refused_total",
           "Datagrams of registered entries that could not be decoded"))
+    , m_viewReads(counter(*m_registry, "wisteriayard_gateway_view_reads_total",
+          "Calls to the store for copies of its parts, by view and cause"))
     , m_endpoints(gauge(*m_registry, "wisteriayard_gateway_endpoints", "Endpoints that may be given requests"))
     , m_configVersion(
           gauge(*m_registry, "wisteriayard_gateway_config_version", "Version of the configuration in force"))
@@ -81,6 +83,11 @@
 
 void GatewayMetrics::peerDatagramRefused() { m_peerDatagrams.Add({}).Increment(); }
 
+void GatewayMetrics::viewRead(const std::string& view, const std::string& cause)
+{
+    m_viewReads.Add({ { "view", view }, { "cause", cause } }).Increment();
+}
+
 void GatewayMetrics::endpoints(std::size_t count) { m_endpoints.Add({}).Set(static_cast<double>(count)); }
 
 void GatewayMetrics::configVersion(std::int64_t version) { m_configVersion.Add({}).Set(static_cast<double>(version)); }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -35,6 +35,8 @@
     void activeRequests(int count);
     /// @param view `config` or `endpoints`
     void viewAge(const std::string& view, Duration age);
+    /// @param cause why the store was read: `watch`, `not_loaded`, `gap` or `stale`
+    void viewRead(const std::string& view, const std::string& cause);
     void droppedLines(double count);
 
     /// All metrics in the Prometheus text format.
@@ -49,6 +51,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_peerDatagrams;
+    prometheus::Family<prometheus::Counter>& m_viewReads;
     prometheus::Family<prometheus::Gauge>& m_endpoints;
     prometheus::Family<prometheus::Gauge>& m_configVersion;
     prometheus::Family<prometheus::Gauge>& m_active;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -26,6 +26,7 @@
     metrics.configVersion(1);
     metrics.activeRequests(1);
     metrics.viewAge("config", Duration(1));
+    metrics.viewRead("config", "gap");
     metrics.droppedLines(0);
     std::set<std::string> names;
     std::istringstream text(metrics.text());
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -7,8 +7,6 @@
 #include "wisteriayard/rendezvous.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,9 +20,19 @@
 namespace {
 
     /// A registration outlives two lost renewals.
-    constexpr Duration registrationTime = std::chrono::seconds(6);
-    constexpr Duration renewalInterval = std::chrono::milliseconds(1800);
-    constexpr Duration registrationReadInterval = std::chrono::seconds(2);
+    constexpr Duration registrationTime = std::chrono::seconds(9);
+    constexpr Duration renewalInterval = std::chrono::milliseconds(2800);
+    /// Registrations are read this often, and soon after a datagram of an entry that is not known.
+    constexpr Duration registrationReadInterval = std::chrono::seconds(6);
+    constexpr Duration strangerReadInterval = std::chrono::milliseconds(600);
+    /// Peers that were silent for longer count as gone for roles: above two times the idle interval.
+    constexpr Duration liveTime = std::chrono::milliseconds(2500);
+    /// An entry without requests still tells that it lives.
+    constexpr Duration idleInterval = std::chrono::seconds(1);
+    /// A gap between two rounds of sending that shows that this process did not run.
+    constexpr Duration pauseGap = std::chrono::seconds(1);
+    /// Datagrams that waited in the socket during a pause are read within this time.
+    constexpr Duration settleTime = std::chrono::milliseconds(200);
     /// Entries that ask for a free lease; the others would only add calls to the store.
     constexpr std::size_t leaseCandidates = 3;
     /// Time between two datagrams to each peer. A long prompt waits and is computed for some 200 ms, so loads that are
@@ -56,16 +64,21 @@
     return boost::outcome_v2::success();
 }
 
+std::string PeerExchange::registration() const
+{
+    boost::asio::ip::tcp::endpoint address(m_state.settings.callerAddress.address(), m_state.settings.peerPort);
+    return formatAddress(address) + " " + m_state.settings.region.value();
+}
+
 awaitable<void> PeerExchange::registerSelf()
 {
     auto lease = co_await m_store->grantLease(registrationTime);
     if (!lease)
         co_return;
-    boost::asio::ip::tcp::endpoint address(m_state.settings.callerAddress.address(), m_state.settings.peerPort);
     Transaction transaction;
     PutOperation put;
     put.key = registrationPrefix() + m_state.settings.instance.value();
-    put.value = formatAddress(address);
+    put.value = registration();
     put.lease = lease.value();
     transaction.onSuccess.emplace_back(std::move(put));
     auto result = co_await m_store->transact(std::move(transaction));
@@ -102,59 +115,90 @@
 
 void PeerExchange::replace(const StoreRange& range)
 {
-    m_peers.clear();
+    std::map<InstanceId, Peer> former = std::exchange(m_peers, {});
     for (const StoreItem& item : range.items)
         takeIn(item);
+    for (auto& [instance, peer] : m_peers) {
+        auto known = former.find(instance);
+        if (known != former.end() && known->second.address == peer.address)
+            peer = known->second;
+    }
     countEntries();
 }
 
 awaitable<void> PeerExchange::followRegistrations()
 {
     boost::asio::steady_timer timer(m_state.io);
+    TimePoint readAt {};
     while (true) {
-        std::string prefix = registrationPrefix();
-        auto range = co_await m_store->range(prefix, prefixEnd(prefix), ReadConsistency::Serializable);
-        if (range)
-            replace(range.value()); // otherwise the former peers are kept; their loads expire by themselves
-        timer.expires_after(registrationReadInterval);
+        TimePoint now = bootTimeNow();
+        if (now - readAt >= registrationReadInterval || std::exchange(m_strangerHeard, false)) {
+            std::string prefix = registrationPrefix();
+            auto range = co_await m_store->range(prefix, prefixEnd(prefix), ReadConsistency::Serializable);
+            if (range) {
+                replace(range.value()); // otherwise the former peers are kept; their loads expire by themselves
+                readAt = now;
+            }
+        }
+        timer.expires_after(strangerReadInterval);
         co_await timer.async_wait(use_awaitable);
     }
 }
 
+bool PeerExchange::isLive(const Peer& peer, TimePoint now) const
+{
+    return !peer.leaving && now - peer.heardAt < liveTime;
+}
+
 bool PeerExchange::isLeaseCandidate() const
 {
+    TimePoint now = bootTimeNow();
     std::vector<InstanceId> entries { m_state.settings.instance };
-    for (const auto& [instance, address] : m_peers)
-        entries.push_back(instance);
+    for (const auto& [instance, peer] : m_peers) {
+        if (isLive(peer, now))
+            entries.push_back(instance);
+    }
     std::vector<InstanceId> candidates = rendezvousTop("lease", entries, leaseCandidates);
     return std::find(candidates.begin(), candidates.end(), m_state.settings.instance) != candidates.end();
 }
 
+void PeerExchange::updateRole(TimePoint now)
+{
+    std::vector<InstanceId> live;
+    for (const auto& [instance, peer] : m_peers) {
+        if (peer.region == m_state.settings.region && isLive(peer, now))
+            live.push_back(instance);
+    }
+    m_role = viewRole(m_state.settings.instance, std::move(live));
+}
+
 void PeerExchange::takeIn(const StoreItem& item)
 {
     InstanceId instance(item.key.substr(std::min(item.key.size(), registrationPrefix().size())));
     if (instance == m_state.settings.instance)
         return;
-    auto address = parseAddress(item.value);
-    if (item.value.empty() || !address) {
-        m_peers.erase(instance);
+    std::size_t space = item.value.find(' ');
+    auto address = parseAddress(item.value.substr(0, space));
+    if (space == std::string::npos || !address)
         return;
-    }
-    m_peers[instance] = boost::asio::ip::udp::endpoint(address.value().address(), address.value().port());
+    Peer peer;
+    peer.address = boost::asio::ip::udp::endpoint(address.value().address(), address.value().port());
+    peer.region = RegionId(item.value.substr(space + 1));
+    m_peers[instance] = std::move(peer);
 }
 
 void PeerExchange::countEntries() { m_state.entries = m_peers.size() + 1; }
 
-std::string PeerExchange::message()
+PeerLoads PeerExchange::loads(TimePoint now)
 {
-    TimePoint now = bootTimeNow();
     PeerLoads loads;
     loads.time = m_state.clock.milliseconds(wallClockMilliseconds(), now);
     loads.contact = contactTime(now);
     for (const auto& [id, use] : m_state.directory.ownUse())
         loads.endpoints[endpointTag(id)] = use;
     loads.work = m_state.directory.ownWork(now);
-    return encodePeerMessage(std::move(loads));
+    loads.leaving = m_leaving;
+    return loads;
 }
 
 Duration PeerExchange::contactTime(TimePoint now) const
@@ -166,6 +210,36 @@
     return now - *since;
 }
 
+void PeerExchange::send(const std::string& datagram, const Peer& peer)
+{
+    boost::system::error_code ignored; // a lost datagram is replaced by the next, or shows in the next mark
+    m_socket.send_to(boost::asio::buffer(datagram), peer.address, 0, ignored);
+}
+
+void PeerExchange::sendToAll(TimePoint now)
+{
+    PeerLoads told = loads(now);
+    std::string text = encodePeerMessage(told);
+    std::string withMarks;
+    if (m_role == ViewRole::Observer && !m_leaving) {
+        told.views = m_views.marks(now);
+        withMarks = encodePeerMessage(std::move(told));
+    }
+    for (const auto& [instance, peer] : m_peers) {
+        bool near = peer.region == m_state.settings.region;
+        send(near && !withMarks.empty() ? withMarks : text, peer);
+    }
+    m_sentAt = now;
+}
+
+void PeerExchange::notePause(TimePoint now)
+{
+    bool paused = m_roundAt != TimePoint() && now - m_roundAt >= pauseGap;
+    m_roundAt = now;
+    if (paused)
+        m_trustMarksFrom = now + settleTime;
+}
+
 awaitable<void> PeerExchange::sendLoads()
 {
     boost::asio::steady_timer timer(m_state.io);
@@ -173,18 +247,31 @@
         auto factor = static_cast<Duration::rep>(1 + m_peers.size() / peersAtSendInterval);
         timer.expires_after(sendInterval * factor);
         co_await timer.async_wait(use_awaitable);
-        bool idle = m_state.activeRequests == 0;
-        if (idle && m_idleSent)
-            continue;
-        m_idleSent = idle;
-        std::string text = message();
-        for (const auto& [instance, address] : m_peers) {
-            boost::system::error_code ignored; // a lost datagram is replaced by the next
-            m_socket.send_to(boost::asio::buffer(text), address, 0, ignored);
+        TimePoint now = bootTimeNow();
+        notePause(now);
+        updateRole(now);
+        if (m_state.activeRequests > 0 || m_role == ViewRole::Observer || now - m_sentAt >= idleInterval)
+            sendToAll(now);
+    }
+}
+
+void PeerExchange::passOnChanges(StoreView view, Revision from, const WatchBatch& batch)
+{
+    for (const ViewChanges& changes : splitChanges(view, from, batch)) {
+        std::string text = encodePeerMessage(changes);
+        for (const auto& [instance, peer] : m_peers) {
+            if (peer.region == m_state.settings.region)
+                send(text, peer);
         }
     }
 }
 
+void PeerExchange::announceLeaving()
+{
+    m_leaving = true;
+    sendToAll(bootTimeNow());
+}
+
 awaitable<void> PeerExchange::receiveLoads()
 {
     std::string buffer(maxDatagram, '\0');
@@ -202,41 +289,98 @@
 
 void PeerExchange::passOnUsage(WindowId window, const IncarnationId& entry, const UsagePart& part)
 {
-    std::vector<boost::asio::ip::udp::endpoint> helpers;
-    for (const auto& [instance, address] : m_peers) {
-        if (m_inContact.count(instance) > 0)
-            helpers.push_back(address);
+    TimePoint now = bootTimeNow();
+    std::vector<const Peer*> helpers;
+    for (const auto& [instance, peer] : m_peers) {
+        if (peer.inContact && isLive(peer, now))
+            helpers.push_back(&peer);
     }
-    if (helpers.empty())
-        return;
-    std::string bytes = encodePeerMessage(PeerUsage { window, entry, part });
-    boost::system::error_code ignored; // tried again with the next part, by another peer
-    m_socket.send_to(boost::asio::buffer(bytes), helpers[m_nextHelper++ % helpers.size()], 0, ignored);
+    // Tried again with the next part, by another peer.
+    if (!helpers.empty())
+        send(encodePeerMessage(PeerUsage { window, entry, part }), *helpers[m_nextHelper++ % helpers.size()]);
+}
+
+bool PeerExchange::offerUsage(WindowId window, const IncarnationId& entry, const UsagePart& part)
+{
+    if (m_role != ViewRole::Follower)
+        return false;
+    TimePoint now = bootTimeNow();
+    std::vector<const Peer*> writers;
+    for (const auto& [instance, peer] : m_peers) {
+        bool near = peer.region == m_state.settings.region;
+        if (near && peer.isObserver && peer.inContact && isLive(peer, now))
+            writers.push_back(&peer);
+    }
+    std::string datagram = encodePeerMessage(PeerUsage { window, entry, part });
+    if (writers.empty() || datagram.size() > maxDatagram)
+        return false;
+    send(datagram, *writers[m_nextHelper++ % writers.size()]);
+    return true;
 }
 
+void PeerExchange::announceClosed(const UsageFinal& final)
+{
+    for (const auto& [entry, sequence] : final.counted) {
+        InstanceId instance(entry.value().substr(0, entry.value().rfind('.')));
+        auto peer = m_peers.find(instance);
+        if (peer != m_peers.end())
+            send(encodePeerMessage(PeerWindowClosed { final.window, entry, sequence }), peer->second);
+    }
+}
+
+struct PeerExchange::Receive {
+    PeerExchange& exchange;
+    const InstanceId& instance;
+    Peer& peer;
+    TimePoint now;
+
+    void operator()(const PeerLoads& loads) const { exchange.receiveLoads(instance, loads, now); }
+    void operator()(const PeerUsage& usage) const { exchange.receiveUsage(usage, peer); }
+    void operator()(const ViewChanges& changes) const { exchange.receiveChanges(changes, now); }
+    void operator()(const PeerUsageWritten& written) const
+    {
+        if (exchange.m_state.usage)
+            exchange.m_state.usage->partWritten(written.window, written.entry, written.sequence);
+    }
+    void operator()(const PeerWindowClosed& closed) const
+    {
+        if (exchange.m_state.usage)
+            exchange.m_state.usage->windowClosed(closed.window, closed.entry, closed.counted);
+    }
+};
+
 void PeerExchange::receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now)
 {
-    auto known = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& each) { return each.second == sender; });
-    if (known == m_peers.end())
-        return; // not registered in the store
+    auto known
+        = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& each) { return each.second.address == sender; });
+    if (known == m_peers.end()) {
+        // Not registered, or only lately: its next datagram counts if the registrations list it then.
+        m_strangerHeard = true;
+        return;
+    }
     auto message = decodePeerMessage(datagram);
     if (!message) {
         m_state.metrics.peerDatagramRefused();
         return;
     }
-    if (auto* usage = std::get_if<PeerUsage>(&message.value()))
-        receiveUsage(*usage);
-    else
-        receiveLoads(known->first, std::get<PeerLoads>(message.value()), now);
+    known->second.heardAt = now;
+    std::visit(Receive { *this, known->first, known->second, now }, message.value());
 }
 
-void PeerExchange::receiveUsage(const PeerUsage& message)
+void PeerExchange::receiveUsage(const PeerUsage& message, const Peer& from)
 {
     if (!m_state.usage)
         return;
-    auto write
-        = [usage = m_state.usage, message] { return usage->writeFor(message.window, message.entry, message.part); };
-    boost::asio::co_spawn(m_state.io, std::move(write), boost::asio::detached);
+    PeerUsageWritten written { message.window, message.entry, message.part.sequence };
+    auto confirm = [this, written, to = from] { send(encodePeerMessage(written), to); };
+    m_state.usage->writeFor(message.window, message.entry, message.part, std::move(confirm));
+}
+
+void PeerExchange::receiveChanges(const ViewChanges& changes, TimePoint now)
+{
+    notePause(now);
+    if (now >= m_trustMarksFrom)
+        m_views.takeChanges(changes, now);
 }
 
 void PeerExchange::receiveLoads(const InstanceId& peer, const PeerLoads& loads, TimePoint now)
@@ -245,10 +389,15 @@
     if (correction != 0)
         m_state.log->write(Event::ClockCorrected, { { "milliseconds", correction }, { "cause", "peers" } });
     m_state.directory.storeWasUpSince(now - loads.contact, now);
-    if (loads.contact > Duration(0))
-        m_inContact.insert(peer);
-    else
-        m_inContact.erase(peer);
+    Peer& sender = m_peers.at(peer);
+    sender.inContact = loads.contact > Duration(0);
+    sender.isObserver = !loads.views.empty();
+    sender.leaving = loads.leaving;
+    notePause(now);
+    if (now >= m_trustMarksFrom) {
+        for (const auto& [view, mark] : loads.views)
+            m_views.takeMark(view, mark, now);
+    }
     m_state.directory.peerUse(peer, loads.endpoints, now);
     m_state.directory.peerWork(peer, loads.work, now);
 }
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -17,6 +17,20 @@
             std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint32_t>::max()));
     }
 
+    /// Version of the datagrams; those of another one are refused.
+    constexpr std::uint32_t datagramVersion = 2;
+    /// Items of one message with changes take up to this: half of the largest datagram, as keys and framing come on
+    /// top.
+    constexpr std::size_t mostItemBytes = 8 * 1024;
+
+    Result<StoreView> decodeView(std::uint32_t view)
+    {
+        if (view != static_cast<std::uint32_t>(StoreView::Configuration)
+            && view != static_cast<std::uint32_t>(StoreView::Endpoints))
+            return fail(Errc::Protocol, "peer datagram: unknown part of the store");
+        return static_cast<StoreView>(view);
+    }
+
     bool isRate(float value) { return std::isfinite(value) && value >= 0; }
 
     struct Encode {
@@ -41,6 +55,14 @@
                 work.set_long_ranks(static_cast<float>(rates.longRanks));
                 work.set_short_ranks(static_cast<float>(rates.shortRanks));
             }
+            for (const auto& [view, mark] : loads.views) {
+                peer::ViewMark& told = *message.add_views();
+                told.set_view(static_cast<std::uint32_t>(view));
+                told.set_last_change(mark.lastChange.value());
+                told.set_revision(mark.revision.value());
+                told.set_age_ms(std::chrono::duration_cast<std::chrono::milliseconds>(mark.age).count());
+            }
+            message.set_leaving(loads.leaving);
         }
 
         /// Adds the backlog of the table's last row.
@@ -63,6 +85,37 @@
             message.set_entry(usage.entry.value());
             message.set_part(usagePartJson(usage.part));
         }
+
+        void operator()(const PeerUsageWritten& written) const
+        {
+            peer::UsageWritten& message = *datagram.mutable_written();
+            message.set_window(written.window.value());
+            message.set_entry(written.entry.value());
+            message.set_sequence(written.sequence);
+        }
+
+        void operator()(const PeerWindowClosed& closed) const
+        {
+            peer::WindowClosed& message = *datagram.mutable_closed();
+            message.set_window(closed.window.value());
+            message.set_entry(closed.entry.value());
+            if (closed.counted)
+                message.set_counted(*closed.counted);
+        }
+
+        void operator()(const ViewChanges& changes) const
+        {
+            peer::ViewChanges& message = *datagram.mutable_changes();
+            message.set_view(static_cast<std::uint32_t>(changes.view));
+            message.set_from(changes.from.value());
+            message.set_to(changes.to.value());
+            for (const StoreItem& item : changes.items) {
+                peer::ChangedItem& told = *message.add_items();
+                told.set_key(item.key);
+                told.set_value(item.value);
+                told.set_revision(item.modRevision.value());
+            }
+        }
     };
 
     Result<PeerMessage> decodeLoads(const peer::Loads& message)
@@ -99,6 +152,15 @@
             loads.work[TargetId(work.target())]
                 = WorkRates { work.long_prompts(), work.short_prompts(), work.long_ranks(), work.short_ranks() };
         }
+        for (const peer::ViewMark& told : message.views()) {
+            BOOST_OUTCOME_TRY(auto view, decodeView(told.view()));
+            if (told.age_ms() < 0 || told.age_ms() > std::numeric_limits<std::int32_t>::max() || told.last_change() < 0
+                || told.revision() < told.last_change())
+                return fail(Errc::Protocol, "peer datagram: mark of a view out of range");
+            loads.views[view] = ViewMark { Revision(told.last_change()), Revision(told.revision()),
+                std::chrono::milliseconds(told.age_ms()) };
+        }
+        loads.leaving = message.leaving();
         return PeerMessage(std::move(loads));
     }
 
@@ -111,8 +173,69 @@
         return PeerMessage(std::move(usage));
     }
 
+    Result<PeerMessage> decodeClosed(const peer::WindowClosed& message)
+    {
+        PeerWindowClosed closed;
+        closed.window = WindowId(message.window());
+        closed.entry = IncarnationId(message.entry());
+        if (message.has_counted())
+            closed.counted = message.counted();
+        return PeerMessage(std::move(closed));
+    }
+
+    Result<PeerMessage> decodeChanges(const peer::ViewChanges& message)
+    {
+        ViewChanges changes;
+        BOOST_OUTCOME_TRY(changes.view, decodeView(message.view()));
+        changes.from = Revision(message.from());
+        changes.to = Revision(message.to());
+        if (message.from() < 0 || message.to() < message.from())
+            return fail(Errc::Protocol, "peer datagram: changes run backwards");
+        for (const peer::ChangedItem& told : message.items()) {
+            if (told.revision() <= message.from() || told.revision() > message.to())
+                return fail(Errc::Protocol, "peer datagram: change outside of its revisions");
+            StoreItem item;
+            item.key = told.key();
+            item.value = told.value();
+            item.modRevision = Revision(told.revision());
+            changes.items.push_back(std::move(item));
+        }
+        return PeerMessage(std::move(changes));
+    }
+
 } // namespace
 
+std::string_view storeViewName(StoreView view) { return view == StoreView::Configuration ? "config" : "endpoints"; }
+
+std::vector<ViewChanges> splitChanges(StoreView view, Revision from, const WatchBatch& batch)
+{
+    std::vector<StoreItem> items = batch.items;
+    std::stable_sort(items.begin(), items.end(),
+        [](const StoreItem& a, const StoreItem& b) { return a.modRevision < b.modRevision; });
+    std::vector<ViewChanges> messages { { view, from, from, {} } };
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        StoreItem& item = items[i];
+        std::size_t itemSize = item.key.size() + item.value.size();
+        if (itemSize > mostItemBytes) {
+            messages = { { view, item.modRevision, item.modRevision, {} } };
+            size = 0;
+            continue;
+        }
+        // Changes of one revision stay together: a copy is never complete up to the middle of one.
+        bool sameRevision = item.modRevision == messages.back().to;
+        if (size + itemSize > mostItemBytes && !sameRevision) {
+            messages.push_back({ view, messages.back().to, messages.back().to, {} });
+            size = 0;
+        }
+        size += itemSize;
+        messages.back().to = item.modRevision;
+        messages.back().items.push_back(std::move(item));
+    }
+    messages.back().to = std::max(messages.back().to, batch.revision);
+    return messages;
+}
+
 EndpointTag endpointTag(const EndpointId& id)
 {
     return EndpointTag(static_cast<std::uint32_t>(rendezvousWeight("tag", InstanceId(id.value()))));
@@ -121,6 +244,7 @@
 std::string encodePeerMessage(const PeerMessage& message)
 {
     peer::Datagram datagram;
+    datagram.set_version(datagramVersion);
     std::visit(Encode { datagram }, message);
     return datagram.SerializeAsString();
 }
@@ -130,11 +254,20 @@
     peer::Datagram decoded;
     if (!decoded.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())))
         return fail(Errc::Protocol, "peer datagram: not a message");
+    if (decoded.version() != datagramVersion)
+        return fail(Errc::Protocol, "peer datagram: version " + std::to_string(decoded.version()));
     switch (decoded.content_case()) {
     case peer::Datagram::kLoads:
         return decodeLoads(decoded.loads());
     case peer::Datagram::kUsage:
         return decodeUsage(decoded.usage());
+    case peer::Datagram::kChanges:
+        return decodeChanges(decoded.changes());
+    case peer::Datagram::kWritten:
+        return PeerMessage(PeerUsageWritten { WindowId(decoded.written().window()),
+            IncarnationId(decoded.written().entry()), decoded.written().sequence() });
+    case peer::Datagram::kClosed:
+        return decodeClosed(decoded.closed());
     case peer::Datagram::CONTENT_NOT_SET:
         break;
     }
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -4,7 +4,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <set>
+#include <vector>
 
 using namespace wisteriayard;
 namespace data = boost::unit_test::data;
@@ -38,8 +40,20 @@
 const std::string backlogOfNoRank(
     "\x0a\x15\x1a\x04\x01\x02\x03\x04\x22\x01\x01\x32\x01\x01\x42\x01\x00\x4a\x01\x0a\x52\x01\x05", 23);
 
-const std::string badDatagrams[] = { backlogWithoutRow, backlogOfNoRank, std::string(), std::string("\x00", 1), "text",
-    std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, brokenPart };
+/// Changes from revision 5 to 4, a change of revision 9 in changes up to 8, and changes of an unknown part of the
+/// store.
+const std::string backwardsChanges("\x1a\x06\x08\x01\x10\x05\x18\x04", 8);
+const std::string changeOutside("\x1a\x0d\x08\x01\x10\x05\x18\x08\x22\x05\x0a\x01k\x18\x09", 15);
+const std::string unknownView("\x1a\x06\x08\x07\x10\x04\x18\x05", 8);
+/// Loads with a mark whose last change is after its revision.
+const std::string impossibleMark("\x0a\x08\x5a\x06\x08\x01\x10\x09\x18\x08", 10);
+
+const std::string badDatagrams[] = { backwardsChanges, changeOutside, unknownView, impossibleMark, backlogWithoutRow,
+    backlogOfNoRank, std::string(), std::string("\x00", 1), "text", std::string("\x0a\xff", 2), unevenColumns,
+    negativeContact, rateNotFinite, brokenPart };
+
+/// Present version of datagrams, as the last field.
+const std::string versionField("\x78\x02", 2);
 
 } // namespace
 
@@ -84,12 +98,104 @@
     BOOST_TEST(usage.part.content.lines.size() == 1u);
 }
 
-// Guards against bytes of another sender on the port that end the process or count as load.
+// Guards against bytes of another sender on the port that end the process or count as load. The version comes last, so
+// that each row fails for its content alone.
 BOOST_DATA_TEST_CASE(other_bytes_are_refused, data::make(badDatagrams), bytes)
 {
+    BOOST_TEST(!decodePeerMessage(bytes + versionField).has_value());
+    BOOST_TEST(!decodePeerMessage(bytes).has_value());
+}
+
+// Guards against datagrams of another version whose fields mean something else.
+BOOST_DATA_TEST_CASE(other_versions_are_refused, data::make({ 0, 1, 3, 100 }), version)
+{
+    std::string bytes = encodePeerMessage(sampleLoads(2));
+    bytes += std::string("\x78", 1) + static_cast<char>(version);
     BOOST_TEST(!decodePeerMessage(bytes).has_value());
 }
 
+// Guards against changes and marks of the store that arrive as others than were sent.
+BOOST_AUTO_TEST_CASE(changes_and_marks_arrive_as_they_were_sent)
+{
+    WatchBatch batch { Revision(20),
+        { { "servers/a", "text", Revision(12), {} }, { "servers/b", "", Revision(15), {} } } };
+    auto messages = splitChanges(StoreView::Endpoints, Revision(10), batch);
+    BOOST_REQUIRE(messages.size() == 1u);
+    auto decoded = decodePeerMessage(encodePeerMessage(messages[0]));
+    BOOST_REQUIRE(decoded.has_value());
+    const auto& changes = std::get<ViewChanges>(decoded.value());
+    BOOST_TEST((changes.view == StoreView::Endpoints));
+    BOOST_TEST(changes.from.value() == 10);
+    BOOST_TEST(changes.to.value() == 20);
+    BOOST_REQUIRE(changes.items.size() == 2u);
+    BOOST_TEST(changes.items[0].value == "text");
+    BOOST_TEST(changes.items[1].modRevision.value() == 15);
+    PeerLoads loads = sampleLoads(1);
+    loads.leaving = true;
+    loads.views[StoreView::Configuration] = { Revision(7), Revision(30), milliseconds(450) };
+    auto told = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(loads)).value());
+    BOOST_TEST(told.leaving);
+    BOOST_TEST(told.views.at(StoreView::Configuration).lastChange.value() == 7);
+    BOOST_TEST(told.views.at(StoreView::Configuration).revision.value() == 30);
+    BOOST_TEST((told.views.at(StoreView::Configuration).age == milliseconds(450)));
+}
+
+struct SplitCase {
+    const char* name;
+    /// Sizes of the values, with one revision each from 11 on.
+    std::vector<std::size_t> sizes;
+    std::vector<std::size_t> itemsOfMessages;
+    std::int64_t from;
+};
+std::ostream& operator<<(std::ostream& out, const SplitCase& each) { return out << each.name; }
+
+const SplitCase splitCases[] = {
+    { "nothing", {}, { 0 }, 10 },
+    { "one_datagram", { 300, 300, 300 }, { 3 }, 10 },
+    { "several_datagrams", { 5000, 3000, 5000, 300 }, { 2, 2 }, 10 },
+    { "too_large", { 100'000 }, { 0 }, 11 },
+    { "too_large_amid_others", { 300, 100'000, 300, 300 }, { 2 }, 12 },
+};
+
+// Guards against datagrams above their limit, and against a gap between two of them that no receiver can see.
+BOOST_DATA_TEST_CASE(changes_are_split_into_datagrams, data::make(splitCases), each)
+{
+    WatchBatch batch { Revision(50), {} };
+    for (std::size_t size : each.sizes) {
+        auto revision = static_cast<std::int64_t>(11 + batch.items.size());
+        batch.items.push_back(
+            { "servers/" + std::to_string(revision), std::string(size, 'x'), Revision(revision), {} });
+    }
+    auto messages = splitChanges(StoreView::Endpoints, Revision(10), batch);
+    BOOST_REQUIRE(messages.size() == each.itemsOfMessages.size());
+    Revision reached(each.from);
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        BOOST_TEST(messages[i].items.size() == each.itemsOfMessages[i]);
+        BOOST_TEST(messages[i].from.value() == reached.value());
+        BOOST_TEST(encodePeerMessage(messages[i]).size() <= 16u * 1024);
+        reached = messages[i].to;
+    }
+    BOOST_TEST(reached.value() == 50);
+}
+
+struct ClosedCase {
+    const char* name;
+    std::optional<std::uint64_t> counted;
+};
+std::ostream& operator<<(std::ostream& out, const ClosedCase& each) { return out << each.name; }
+
+const ClosedCase closedCases[] = { { "counted", 4 }, { "first_part", 0 }, { "not_counted", std::nullopt } };
+
+// Guards against an entry that takes its usage for counted although the record has no part of it.
+BOOST_DATA_TEST_CASE(closed_window_says_what_it_counts, data::make(closedCases), each)
+{
+    PeerWindowClosed sent { WindowId(9), IncarnationId("front-1.8f"), each.counted };
+    auto closed = std::get<PeerWindowClosed>(decodePeerMessage(encodePeerMessage(sent)).value());
+    BOOST_TEST(closed.window.value() == 9);
+    BOOST_TEST(closed.entry.value() == "front-1.8f");
+    BOOST_TEST((closed.counted == each.counted));
+}
+
 // Guards against a cut datagram that is taken for a whole one with fewer endpoints.
 BOOST_AUTO_TEST_CASE(cut_datagram_is_refused)
 {
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -12,8 +12,12 @@
     /// Pause after a failed call: short against the time in which changes must take effect, long against the store's
     /// rates when all instances retry at once.
     constexpr Duration retryPause = std::chrono::milliseconds(250);
-    /// Longest time without an answer to a watch.
-    constexpr Duration watchSilence = std::chrono::seconds(3);
+    /// Longest time without an answer to a watch of an entry that reads for itself only.
+    constexpr Duration ownSilence = std::chrono::seconds(3);
+    /// The same if others rely on the answers, or if this entry waits for observers to come back.
+    constexpr Duration relaySilence = std::chrono::milliseconds(1000);
+    /// Time between two looks whether the store has to be read; short against RelayTimes.
+    constexpr Duration lookInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -27,33 +31,131 @@
 {
 }
 
+bool StoreFollower::mustWatch() const
+{
+    return m_handlers.role() != ViewRole::Follower || m_view.mustRead(bootTimeNow()) != ReadCause::None;
+}
+
 boost::asio::awaitable<void> StoreFollower::run()
 {
     boost::asio::steady_timer timer(m_io);
     while (true) {
-        std::string end;
-        auto range = co_await m_store->range(m_prefix, end);
-        if (range) {
-            noteHeard();
-            m_handlers.snapshot(range.value(), bootTimeNow());
-            Revision next(range.value().revision.value() + 1);
-            std::function<void(const WatchBatch&)> handler = [this](const WatchBatch& batch) {
-                noteHeard();
-                m_handlers.changes(batch, bootTimeNow());
-            };
-            std::function<bool()> wanted = [] { return true; };
-            Error ended = co_await m_store->watch(m_prefix, end, next, watchSilence, handler, wanted);
-            noteError(ended);
-            if (ended.code == Errc::Conflict)
-                continue; // the history is gone: read anew at once
-        } else {
-            noteError(range.error());
-        }
-        timer.expires_after(retryPause);
+        noteRole(m_handlers.role());
+        if (!m_view.isLoaded())
+            co_await readAll();
+        else if (mustWatch())
+            co_await watch();
+        else
+            m_cause = ReadCause::None;
+        if (m_view.isLoaded() && !m_lost && mustWatch())
+            continue;
+        timer.expires_after(m_lost ? retryPause : lookInterval);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 }
 
+boost::asio::awaitable<void> StoreFollower::readAll()
+{
+    noteReading(ReadCause::NotLoaded);
+    auto range = co_await m_store->range(m_prefix, std::string());
+    if (!range) {
+        noteError(range.error());
+        co_return;
+    }
+    noteHeard();
+    TimePoint now = bootTimeNow();
+    m_view.loaded(range.value().revision, now);
+    m_handlers.snapshot(range.value(), now);
+}
+
+boost::asio::awaitable<void> StoreFollower::watch()
+{
+    bool released = false;
+    bool alone = m_handlers.role() == ViewRole::Alone;
+    auto handler = [this](const WatchBatch& batch) { takeBatch(batch, bootTimeNow()); };
+    auto wanted = [this, alone, &released] {
+        // The silence that the watch was begun with holds for one role only.
+        released = !mustWatch() || (m_handlers.role() == ViewRole::Alone) != alone;
+        if (!released)
+            noteReading(m_view.mustRead(bootTimeNow()));
+        return !released;
+    };
+    Revision next(m_view.revision().value() + 1);
+    Duration silence = alone ? ownSilence : relaySilence;
+    Error ended
+        = co_await m_store->watch(m_prefix, std::string(), next, silence, std::move(handler), std::move(wanted));
+    if (released)
+        co_return;
+    noteError(ended);
+    if (ended.code == Errc::Conflict) {
+        // The history is gone: read anew at once.
+        m_view.unload();
+        m_lost = false;
+    }
+}
+
+void StoreFollower::dropKnown(WatchBatch& batch, Revision known)
+{
+    std::erase_if(batch.items, [known](const StoreItem& item) { return item.modRevision <= known; });
+}
+
+std::optional<Revision> StoreFollower::lastChange(const WatchBatch& batch)
+{
+    std::optional<Revision> last;
+    for (const StoreItem& item : batch.items)
+        last = std::max(last.value_or(item.modRevision), item.modRevision);
+    return last;
+}
+
+void StoreFollower::takeBatch(WatchBatch batch, TimePoint now)
+{
+    noteHeard();
+    Revision known = m_view.revision();
+    dropKnown(batch, known);
+    m_view.heardStore(batch.revision, lastChange(batch), now);
+    m_handlers.changes(batch, now);
+    if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
+        m_handlers.passOn(known, batch);
+}
+
+void StoreFollower::takeChanges(const ViewChanges& changes, TimePoint now)
+{
+    Revision known = m_view.revision();
+    WatchBatch batch { changes.to, changes.items };
+    if (!m_view.takeChanges(changes.from, changes.to, lastChange(batch), now))
+        return;
+    dropKnown(batch, known);
+    m_handlers.changes(batch, now);
+}
+
+void StoreFollower::takeMark(const ViewMark& mark, TimePoint now)
+{
+    TimePoint before = m_view.confirmedAt();
+    m_view.takeMark(mark, now);
+    if (m_view.confirmedAt() > before)
+        m_handlers.changes(WatchBatch { m_view.revision(), {} }, m_view.confirmedAt());
+}
+
+void StoreFollower::noteRole(ViewRole role)
+{
+    if (m_role == role)
+        return;
+    m_role = role;
+    m_log->write(Event::ViewRoleChanged,
+        { { "prefix", m_prefix }, { "role", viewRoleName(role) }, { "revision", m_view.revision().value() } });
+}
+
+void StoreFollower::noteReading(ReadCause cause)
+{
+    m_handlers.reading(cause);
+    // Each gap or silence is one line; the calls of an observer are none.
+    if (std::exchange(m_cause, cause) == cause || cause == ReadCause::None)
+        return;
+    m_log->write(Event::ViewRead,
+        { { "prefix", m_prefix }, { "cause", readCauseName(cause) }, { "revision", m_view.revision().value() },
+            { "age_ms", m_view.mark(bootTimeNow()).age.count() / 1000 } });
+}
+
 void StoreFollower::noteError(const Error& error)
 {
     if (m_lost)
@@ -67,7 +169,7 @@
     if (!m_lost)
         return;
     m_lost = false;
-    m_log->write(Event::WatchStarted, { { "prefix", m_prefix } });
+    m_log->write(Event::WatchStarted, { { "prefix", m_prefix }, { "cause", "store_heard" } });
 }
 
 } // namespace wisteriayard
--- a/src/include/wisteriayard/membership.h
+++ b/src/include/wisteriayard/membership.h
@@ -27,8 +27,9 @@
     {
     }
 
-    /// The store was heard.
-    void heard(TimePoint now);
+    /// The store was heard, perhaps by an observer a while ago.
+    /// @param at when it was heard
+    void heard(TimePoint at);
     /// Another entry has heard the store without an outage since a point in time. If that covers the last outage here,
     /// the store was up, and entries that are missing have been removed by their owners.
     void storeWasUpSince(TimePoint since, TimePoint now);
--- a/src/include/wisteriayard/usage.h
+++ b/src/include/wisteriayard/usage.h
@@ -82,6 +82,9 @@
     /// Takes in a window's final record: what it did not count becomes late usage of the open window.
     /// @return requests that came late
     std::int64_t settle(const UsageFinal& final, WindowId open);
+    /// The same by what the record says of this entry.
+    /// @param counted number of the part that the record counts; none if it counts no part of this entry
+    std::int64_t settle(WindowId window, std::optional<std::uint64_t> counted, WindowId open);
     /// Forgets a window whose final record is no longer known.
     void drop(WindowId window);
     /// Windows that are not settled, oldest first.
--- a/src/libwisteriayard/membership.cpp
+++ b/src/libwisteriayard/membership.cpp
@@ -2,16 +2,18 @@
 
 namespace wisteriayard {
 
-void Membership::heard(TimePoint now)
+void Membership::heard(TimePoint at)
 {
+    if (m_lastHeard && at <= *m_lastHeard)
+        return;
     if (!m_contactSince)
-        m_contactSince = now;
-    if (m_lastHeard && now - *m_lastHeard >= m_times.outage) {
-        m_graceEnds = now + m_times.returnGrace;
+        m_contactSince = at;
+    if (m_lastHeard && at - *m_lastHeard >= m_times.outage) {
+        m_graceEnds = at + m_times.returnGrace;
         m_outageBegan = *m_lastHeard;
-        m_contactSince = now;
+        m_contactSince = at;
     }
-    m_lastHeard = now;
+    m_lastHeard = at;
 }
 
 void Membership::storeWasUpSince(TimePoint since, TimePoint now)
--- /dev/null
+++ b/src/libwisteriayard/relayed_view_test.cpp
@@ -0,0 +1,195 @@
+#define BOOST_TEST_MODULE relayed_view
+#include "wisteriayard/relayed_view.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(Duration time) { return TimePoint(seconds(100) + time); }
+
+RelayedView loadedView(std::int64_t revision)
+{
+    RelayedView view;
+    view.loaded(Revision(revision), at(milliseconds(0)));
+    return view;
+}
+
+ViewMark mark(std::int64_t lastChange, std::int64_t revision, Duration age)
+{
+    return { Revision(lastChange), Revision(revision), age };
+}
+
+struct ReadCase {
+    const char* name;
+    std::function<void(RelayedView&)> happens;
+    Duration when;
+    ReadCause cause;
+    std::int64_t revision;
+};
+std::ostream& operator<<(std::ostream& out, const ReadCase& each) { return out << each.name; }
+
+void changes(RelayedView& view, std::int64_t from, std::int64_t to, Duration when)
+{
+    view.takeChanges(Revision(from), Revision(to), Revision(to), at(when));
+}
+
+const ReadCase readCases[] = {
+    { "silent_observers", [](RelayedView&) {}, milliseconds(2200), ReadCause::Stale, 10 },
+    { "just_loaded", [](RelayedView&) {}, milliseconds(2000), ReadCause::None, 10 },
+    { "observers_without_contact_to_the_store",
+        [](RelayedView& view) {
+            for (int i = 0; i < 8; ++i)
+                view.takeMark(mark(10, 12, milliseconds(500 * i + 400)), at(milliseconds(500 * i)));
+        },
+        milliseconds(3600), ReadCause::Stale, 12 },
+    { "confirmed_by_a_second_observer",
+        [](RelayedView& view) {
+            view.takeMark(mark(10, 10, seconds(9)), at(milliseconds(3000)));
+            view.takeMark(mark(9, 11, milliseconds(300)), at(milliseconds(3000)));
+        },
+        milliseconds(3100), ReadCause::None, 11 },
+    { "changes_in_order",
+        [](RelayedView& view) {
+            changes(view, 10, 14, milliseconds(100));
+            changes(view, 14, 15, milliseconds(200));
+        },
+        milliseconds(400), ReadCause::None, 15 },
+    { "changes_twice",
+        [](RelayedView& view) {
+            changes(view, 10, 14, milliseconds(100));
+            changes(view, 10, 14, milliseconds(200));
+        },
+        milliseconds(400), ReadCause::None, 14 },
+    { "overlapping_changes_of_two_observers",
+        [](RelayedView& view) {
+            changes(view, 10, 14, milliseconds(100));
+            changes(view, 12, 17, milliseconds(200));
+        },
+        milliseconds(400), ReadCause::None, 17 },
+    { "lost_changes_show_in_the_next", [](RelayedView& view) { changes(view, 14, 15, milliseconds(200)); },
+        milliseconds(300), ReadCause::Gap, 10 },
+    { "lost_changes_show_in_the_next_mark",
+        [](RelayedView& view) { view.takeMark(mark(14, 16, milliseconds(5)), at(milliseconds(200))); },
+        milliseconds(300), ReadCause::Gap, 10 },
+    { "changes_right_after_the_mark",
+        [](RelayedView& view) {
+            view.takeMark(mark(14, 14, milliseconds(5)), at(milliseconds(200)));
+            changes(view, 10, 14, milliseconds(210));
+            view.takeMark(mark(14, 14, milliseconds(5)), at(milliseconds(250)));
+        },
+        milliseconds(400), ReadCause::None, 14 },
+    { "observer_that_read_all_anew",
+        [](RelayedView& view) { view.takeMark(mark(30, 30, milliseconds(5)), at(milliseconds(200))); },
+        milliseconds(300), ReadCause::Gap, 10 },
+    { "store_fills_the_gap",
+        [](RelayedView& view) {
+            changes(view, 14, 15, milliseconds(200));
+            view.heardStore(Revision(16), Revision(15), at(milliseconds(280)));
+        },
+        milliseconds(400), ReadCause::None, 16 },
+    { "history_is_gone", [](RelayedView& view) { view.unload(); }, milliseconds(10), ReadCause::NotLoaded, 0 },
+    { "changes_before_a_copy_is_loaded",
+        [](RelayedView& view) {
+            view.unload();
+            changes(view, 10, 14, milliseconds(100));
+        },
+        milliseconds(200), ReadCause::NotLoaded, 0 },
+};
+
+struct RoleCase {
+    int entries;
+    std::size_t observers;
+    ViewRole others;
+};
+std::ostream& operator<<(std::ostream& out, const RoleCase& each) { return out << each.entries; }
+
+const RoleCase roleCases[] = {
+    { 1, 0, ViewRole::Alone },
+    { 4, 0, ViewRole::Alone },
+    { 5, observersPerRegion, ViewRole::Follower },
+    { 51, observersPerRegion, ViewRole::Follower },
+};
+
+std::vector<InstanceId> entriesOf(int count)
+{
+    std::vector<InstanceId> entries;
+    for (int i = 0; i < count; ++i)
+        entries.emplace_back("entry-" + std::to_string(i));
+    return entries;
+}
+
+std::vector<InstanceId> without(std::vector<InstanceId> entries, const InstanceId& left)
+{
+    std::erase(entries, left);
+    return entries;
+}
+
+} // namespace
+
+// Guards against a copy that misses a change, or is taken for fresh when no observer has heard the store.
+BOOST_DATA_TEST_CASE(store_is_read_when_observers_do_not_suffice, data::make(readCases), each)
+{
+    RelayedView view = loadedView(10);
+    each.happens(view);
+    BOOST_TEST((view.mustRead(at(each.when)) == each.cause));
+    BOOST_TEST(view.revision().value() == each.revision);
+}
+
+// Guards against a copy that is confirmed for the time at which a datagram came instead of that of the store's answer.
+BOOST_AUTO_TEST_CASE(age_counts_from_the_answer_of_the_store)
+{
+    RelayedView view = loadedView(10);
+    view.takeMark(mark(10, 12, milliseconds(700)), at(milliseconds(1000)));
+    BOOST_TEST((view.confirmedAt() == at(milliseconds(300))));
+    BOOST_TEST((view.mark(at(milliseconds(1500))).age == milliseconds(1200)));
+}
+
+// Guards against marks that make other entries read the store although nothing changed.
+BOOST_AUTO_TEST_CASE(mark_names_the_last_change_only)
+{
+    RelayedView view = loadedView(10);
+    view.heardStore(Revision(40), Revision(12), at(milliseconds(100)));
+    view.heardStore(Revision(55), std::nullopt, at(milliseconds(200)));
+    ViewMark told = view.mark(at(milliseconds(300)));
+    BOOST_TEST(told.lastChange.value() == 12);
+    BOOST_TEST(told.revision.value() == 55);
+    RelayedView other = loadedView(12);
+    other.takeMark(told, at(milliseconds(300)));
+    BOOST_TEST(other.revision().value() == 55);
+    BOOST_TEST((other.mustRead(at(milliseconds(400))) == ReadCause::None));
+}
+
+// Guards against a region without observers, and against as many as there are entries.
+BOOST_DATA_TEST_CASE(few_entries_of_a_region_observe, data::make(roleCases), each)
+{
+    std::vector<InstanceId> entries = entriesOf(each.entries);
+    std::size_t observers = 0;
+    for (const InstanceId& entry : entries) {
+        ViewRole role = viewRole(entry, without(entries, entry));
+        if (role == ViewRole::Observer)
+            ++observers;
+        else
+            BOOST_TEST((role == each.others));
+    }
+    BOOST_TEST(observers == each.observers);
+}
+
+// Guards against the loss of an observer that leaves one only.
+BOOST_AUTO_TEST_CASE(lost_observer_is_replaced)
+{
+    std::vector<InstanceId> entries = entriesOf(20);
+    for (const InstanceId& lost : entriesOf(20)) {
+        std::vector<InstanceId> live = without(entries, lost);
+        auto observes
+            = [&](const InstanceId& entry) { return viewRole(entry, without(live, entry)) == ViewRole::Observer; };
+        BOOST_TEST(static_cast<std::size_t>(std::count_if(live.begin(), live.end(), observes)) == observersPerRegion);
+    }
+}
--- a/src/libwisteriayard/usage.cpp
+++ b/src/libwisteriayard/usage.cpp
@@ -86,16 +86,24 @@
 
 std::int64_t UsageLedger::settle(const UsageFinal& final, WindowId open)
 {
-    auto it = m_windows.find(final.window);
+    auto record = final.counted.find(m_self);
+    std::optional<std::uint64_t> counted;
+    if (record != final.counted.end())
+        counted = record->second;
+    return settle(final.window, counted, open);
+}
+
+std::int64_t UsageLedger::settle(WindowId id, std::optional<std::uint64_t> sequence, WindowId open)
+{
+    auto it = m_windows.find(id);
     if (it == m_windows.end())
         return 0;
     Window window = std::move(it->second);
     m_windows.erase(it);
-    m_settled = std::max(m_settled.value_or(final.window), final.window);
+    m_settled = std::max(m_settled.value_or(id), id);
     UsageContent counted;
-    auto record = final.counted.find(m_self);
-    if (record != final.counted.end())
-        counted = window.written[record->second];
+    if (sequence)
+        counted = window.written[*sequence];
     std::int64_t requests = 0;
     auto carry = [&](WindowId arose, const UsageLines& rest) {
         if (rest.empty())
@@ -104,7 +112,7 @@
             requests += figures.requests;
         add(openWindow(open).content.late[arose], rest);
     };
-    carry(final.window, difference(window.content.lines, counted.lines));
+    carry(id, difference(window.content.lines, counted.lines));
     for (const auto& [arose, lines] : window.content.late)
         carry(arose, difference(lines, counted.late[arose]));
     return requests;
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -124,6 +124,10 @@
         return "lines_suppressed";
     case Event::PrefillPoolResized:
         return "prefill_pool_resized";
+    case Event::ViewRoleChanged:
+        return "view_role_changed";
+    case Event::ViewRead:
+        return "view_read";
     }
     return "unknown";
 }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -74,6 +74,8 @@
     ClockCorrected = 704,
     LinesSuppressed = 705,
     PrefillPoolResized = 706,
+    ViewRoleChanged = 707,
+    ViewRead = 708,
 };
 
 /// Name of an event as in the catalogue, or `unknown`.
--- a/src/wisteriayardd/usage_closer.cpp
+++ b/src/wisteriayardd/usage_closer.cpp
@@ -9,13 +9,6 @@
 
 using boost::asio::awaitable;
 
-namespace {
-
-    /// etcd takes 128 operations in a transaction by default.
-    constexpr std::size_t deletesPerTransaction = 100;
-
-} // namespace
-
 UsageCloser::UsageCloser(boost::asio::io_context& io, UsageTimes times, StoreClient& store, LeaseKeeper& keeper,
     UsageReportSender sender, WallClock clock, std::shared_ptr<EventLog> log)
     : m_io(io)
@@ -98,6 +91,8 @@
         co_return fail(Errc::Conflict, "window " + std::to_string(next.value()) + " was closed by another holder");
     m_log->write(Event::UsageWindowClosed,
         { { "window", next.value() }, { "parts", parts.value().size() }, { "epoch", m_keeper.epoch().value() } });
+    if (m_closed)
+        m_closed(final);
     co_return true;
 }
 
@@ -157,13 +152,8 @@
     auto range = co_await m_store.range(std::string(usagePartsPrefix), usagePartPrefix(last + WindowId(1)));
     if (!range)
         co_return range.error();
-    const auto& items = range.value().items;
-    for (std::size_t first = 0; first < items.size(); first += deletesPerTransaction) {
-        Transaction transaction;
-        Revision epoch(m_keeper.epoch().value());
-        transaction.compares.emplace_back(CompareCreateRevision { m_keeper.key(), epoch });
-        for (std::size_t i = first; i < std::min(items.size(), first + deletesPerTransaction); ++i)
-            transaction.onSuccess.emplace_back(DeleteOperation { items[i].key });
+    CompareCreateRevision held { m_keeper.key(), Revision(m_keeper.epoch().value()) };
+    for (Transaction& transaction : deletions(range.value().items, held)) {
         auto result = co_await m_store.transact(std::move(transaction));
         if (!result)
             co_return result.error();
--- a/src/wisteriayardd/usage_closer.h
+++ b/src/wisteriayardd/usage_closer.h
@@ -38,6 +38,8 @@
     UsageCloser(boost::asio::io_context& io, UsageTimes times, StoreClient& store, LeaseKeeper& keeper,
         UsageReportSender sender, WallClock clock, std::shared_ptr<EventLog> log);
 
+    /// Sets what is called with each window's record right after it is closed.
+    void setClosed(std::function<void(const UsageFinal&)> closed) { m_closed = std::move(closed); }
     /// Runs until the loop ends.
     boost::asio::awaitable<void> run();
 
@@ -59,6 +61,7 @@
     StoreClient& m_store;
     LeaseKeeper& m_keeper;
     UsageReportSender m_sender;
+    std::function<void(const UsageFinal&)> m_closed;
     WallClock m_clock;
     std::shared_ptr<EventLog> m_log;
     /// The window to be closed next, once all before it are closed and reported; unset after a change of the holder.
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -17,6 +17,9 @@
 
     constexpr std::size_t incarnationBytes = 8;
     constexpr Duration flushRetry = std::chrono::milliseconds(100);
+    /// Parts of other entries that come within this time share a transaction. With the call it ends within the half
+    /// part interval after which entries write their parts themselves.
+    constexpr Duration gatherTime = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -26,6 +29,7 @@
     , m_reports(parts.reports)
     , m_clock(std::move(parts.clock))
     , m_passOn(std::move(parts.passOn))
+    , m_viaWriter(std::move(parts.viaWriter))
     , m_log(std::move(log))
     , m_self(parts.instance.value() + "." + randomHex(incarnationBytes))
     , m_store(std::move(parts.store))
@@ -33,6 +37,7 @@
     , m_closer(io, m_times, *m_store, m_keeper, std::move(parts.sender), m_clock, m_log)
     , m_ledger(m_self)
 {
+    m_closer.setClosed(std::move(parts.closed));
 }
 
 void UsageReporter::start(std::function<bool()> isCandidate)
@@ -40,6 +45,8 @@
     m_keeper.setCandidate(std::move(isCandidate));
     boost::asio::co_spawn(
         m_io, [self = shared_from_this()] { return self->writeForever(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_io, [self = shared_from_this()] { return self->writeForOthers(); }, boost::asio::detached);
     if (!m_reports)
         return;
     boost::asio::co_spawn(
@@ -72,48 +79,135 @@
 {
     boost::asio::steady_timer timer(m_io);
     while (true) {
-        timer.expires_after(m_times.partInterval);
+        // A writer that does not confirm within half of the interval is not waited for any longer.
+        timer.expires_after(m_times.partInterval / 2);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        co_await writeUnconfirmed();
+        timer.expires_after(m_times.partInterval / 2);
         co_await timer.async_wait(boost::asio::use_awaitable);
-        co_await writeParts();
+        co_await writeParts(true);
+    }
+}
+
+awaitable<bool> UsageReporter::writePart(WindowId window, const UsagePart& part)
+{
+    std::map<IncarnationId, UsagePart> own;
+    own.emplace(m_self, part);
+    auto result = co_await m_store->transact(partsTransaction(window, own));
+    if (!result) {
+        m_log->write(Event::UsagePartFailed, { { "window", window.value() }, { "error", result.error().message } });
+        // Each open window: the one that ends soon must not wait for the others.
+        if (m_passOn)
+            m_passOn(window, m_self, part);
+        co_return false;
+    }
+    if (!result.value().succeeded) {
+        // The window is closed; what its record does not count is written with a later one.
+        (void)co_await settle(window);
+        co_return false;
     }
+    m_ledger.partStored(window, part.sequence);
+    co_return true;
 }
 
-awaitable<bool> UsageReporter::writeParts()
+awaitable<void> UsageReporter::writeUnconfirmed()
+{
+    for (WindowId window : std::exchange(m_unconfirmed, {})) {
+        if (auto part = m_ledger.nextPart(window))
+            (void)co_await writePart(window, *part);
+    }
+}
+
+awaitable<bool> UsageReporter::writeParts(bool viaWriter)
 {
     bool complete = true;
     for (WindowId window : m_ledger.windows()) {
         auto part = m_ledger.nextPart(window);
-        bool refused = false;
-        if (part) {
-            auto result = co_await m_store->transact(partTransaction(window, m_self, *part));
-            if (!result) {
-                m_log->write(
-                    Event::UsagePartFailed, { { "window", window.value() }, { "error", result.error().message } });
-                if (!m_passOn)
-                    co_return false;
-                // Each open window: the one that ends soon must not wait for the others.
-                m_passOn(window, m_self, *part);
-                complete = false;
-                continue;
-            }
-            refused = !result.value().succeeded;
-            if (!refused)
-                m_ledger.partStored(window, part->sequence);
+        if (part && viaWriter && m_viaWriter && m_viaWriter(window, m_self, *part)) {
+            m_unconfirmed.insert(window);
+            complete = false;
+        } else if (part) {
+            bool stored = co_await writePart(window, *part);
+            complete = complete && stored;
+            if (!stored && !m_passOn)
+                co_return false;
         }
-        if (refused || mayBeClosed(window)) {
-            bool carried = co_await settle(window);
-            complete = complete && !carried && !refused;
+        if (mayBeClosed(window)) {
+            bool settled = co_await settle(window);
+            complete = complete && settled;
         }
     }
     co_return complete;
 }
 
-awaitable<void> UsageReporter::writeFor(WindowId window, IncarnationId entry, UsagePart part)
+void UsageReporter::writeFor(WindowId window, const IncarnationId& entry, UsagePart part, std::function<void()> written)
+{
+    ForeignPart& foreign = m_foreign[window][entry];
+    if (part.sequence >= foreign.part.sequence)
+        foreign = { std::move(part), std::move(written) };
+}
+
+awaitable<void> UsageReporter::writeForOthers()
+{
+    boost::asio::steady_timer timer(m_io);
+    while (true) {
+        timer.expires_after(gatherTime);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        while (!m_foreign.empty())
+            co_await writeForOthers(m_foreign.begin()->first);
+    }
+}
+
+awaitable<void> UsageReporter::writeForOthers(WindowId window)
 {
-    auto result = co_await m_store->transact(partTransaction(window, entry, part));
-    if (!result)
+    std::map<IncarnationId, UsagePart> parts;
+    std::vector<std::function<void()>> written;
+    auto& waiting = m_foreign[window];
+    while (!waiting.empty() && parts.size() < keysPerTransaction) {
+        auto first = waiting.begin();
+        parts[first->first] = std::move(first->second.part);
+        written.push_back(std::move(first->second.written));
+        waiting.erase(first);
+    }
+    if (waiting.empty())
+        m_foreign.erase(window);
+    auto result = co_await m_store->transact(partsTransaction(window, parts));
+    if (!result) {
+        // The entries write them themselves when no confirmation comes.
         m_log->write(Event::UsagePartFailed,
-            { { "window", window.value() }, { "entry", entry.value() }, { "error", result.error().message } });
+            { { "window", window.value() }, { "entries", parts.size() }, { "error", result.error().message } });
+        co_return;
+    }
+    if (!result.value().succeeded)
+        co_return; // closed: the entries learn it from the record
+    for (const auto& confirm : written)
+        confirm();
+}
+
+void UsageReporter::partWritten(WindowId window, const IncarnationId& entry, std::uint64_t sequence)
+{
+    if (entry != m_self)
+        return;
+    m_ledger.partStored(window, sequence);
+    m_unconfirmed.erase(window);
+}
+
+void UsageReporter::windowClosed(WindowId window, const IncarnationId& entry, std::optional<std::uint64_t> counted)
+{
+    if (entry != m_self)
+        return;
+    m_unconfirmed.erase(window);
+    (void)settleBy(window, counted);
+}
+
+bool UsageReporter::settleBy(WindowId window, std::optional<std::uint64_t> counted)
+{
+    WindowId open = std::max(windowNow(), window + WindowId(1));
+    std::int64_t late = m_ledger.settle(window, counted, open);
+    if (late != 0)
+        m_log->write(
+            Event::UsageLate, { { "window", window.value() }, { "reported_in", open.value() }, { "requests", late } });
+    return late == 0;
 }
 
 awaitable<bool> UsageReporter::settle(WindowId window)
@@ -122,7 +216,7 @@
     if (!record)
         co_return false;
     if (!record.value().final && !record.value().closed)
-        co_return false;
+        co_return true;
     if (!record.value().final) {
         // What the deleted record counted is not known: counting the rest again could bill it twice.
         m_log->write(Event::UsageLost, { { "window", window.value() } });
@@ -130,14 +224,11 @@
         Transaction cleanUp;
         cleanUp.onSuccess.emplace_back(DeleteOperation { usagePartKey(window, m_self) });
         [[maybe_unused]] auto deleted = co_await m_store->transact(std::move(cleanUp));
-        co_return false;
+        co_return true;
     }
-    WindowId open = std::max(windowNow(), window + WindowId(1));
-    std::int64_t late = m_ledger.settle(*record.value().final, open);
-    if (late != 0)
-        m_log->write(
-            Event::UsageLate, { { "window", window.value() }, { "reported_in", open.value() }, { "requests", late } });
-    co_return late != 0;
+    auto counted = record.value().final->counted.find(m_self);
+    bool isCounted = counted != record.value().final->counted.end();
+    co_return settleBy(window, isCounted ? std::optional(counted->second) : std::nullopt);
 }
 
 awaitable<void> UsageReporter::flush(Duration timeout)
@@ -145,7 +236,7 @@
     TimePoint deadline = bootTimeNow() + timeout;
     boost::asio::steady_timer timer(m_io);
     while (true) {
-        bool complete = co_await writeParts();
+        bool complete = co_await writeParts(false);
         if (complete || bootTimeNow() >= deadline)
             break;
         timer.expires_after(flushRetry);
--- a/src/wisteriayardd/usage_reporter.h
+++ b/src/wisteriayardd/usage_reporter.h
@@ -6,7 +6,9 @@
 #include "usage_closer.h"
 #include "wisteriayard/usage.h"
 
+#include <map>
 #include <memory>
+#include <set>
 
 namespace wisteriayard {
 
@@ -26,6 +28,11 @@
         WallClock clock;
         /// Takes a part that could not be written, so that another entry may write it; may be empty.
         std::function<void(WindowId window, const IncarnationId& entry, const UsagePart& part)> passOn;
+        /// Takes a part for an entry that writes those of many; empty, or false if there is none. partWritten() tells
+        /// that the part is in the store; until then it is written here after all.
+        std::function<bool(WindowId window, const IncarnationId& entry, const UsagePart& part)> viaWriter;
+        /// Takes the record of each window that this entry closed; may be empty.
+        std::function<void(const UsageFinal&)> closed;
     };
 
     UsageReporter(boost::asio::io_context& io, Parts parts, std::shared_ptr<EventLog> log);
@@ -38,16 +45,30 @@
     static constexpr Duration flushTimeout = std::chrono::seconds(30);
     /// Writes everything that is counted and gives the lease up, for shutdown.
     boost::asio::awaitable<void> flush(Duration timeout = flushTimeout);
-    /// Writes a part of another entry that can't reach the store.
-    boost::asio::awaitable<void> writeFor(WindowId window, IncarnationId entry, UsagePart part);
+    /// Writes a part of another entry, together with those of others that come at about the same time.
+    /// @param written called once the part is in the store
+    void writeFor(WindowId window, const IncarnationId& entry, UsagePart part, std::function<void()> written);
+    /// A writer has written a part of this entry.
+    void partWritten(WindowId window, const IncarnationId& entry, std::uint64_t sequence);
+    /// A window is closed.
+    /// @param counted number of the part of this entry that its record counts
+    void windowClosed(WindowId window, const IncarnationId& entry, std::optional<std::uint64_t> counted);
     /// State as JSON. Control thread only.
     nlohmann::json status() const;
 
 private:
     boost::asio::awaitable<void> writeForever();
+    /// Writes what was counted since the last time, or has it written.
     /// @return whether the store has everything
-    boost::asio::awaitable<bool> writeParts();
+    boost::asio::awaitable<bool> writeParts(bool viaWriter);
+    /// Writes the parts that no writer has confirmed.
+    boost::asio::awaitable<void> writeUnconfirmed();
+    /// @return whether the store has the part
+    boost::asio::awaitable<bool> writePart(WindowId window, const UsagePart& part);
+    boost::asio::awaitable<void> writeForOthers();
+    boost::asio::awaitable<void> writeForOthers(WindowId window);
     boost::asio::awaitable<bool> settle(WindowId window);
+    bool settleBy(WindowId window, std::optional<std::uint64_t> counted);
     WindowId windowNow() const;
     bool mayBeClosed(WindowId window) const;
 
@@ -56,12 +77,21 @@
     bool m_reports;
     WallClock m_clock;
     std::function<void(WindowId, const IncarnationId&, const UsagePart&)> m_passOn;
+    std::function<bool(WindowId, const IncarnationId&, const UsagePart&)> m_viaWriter;
     std::shared_ptr<EventLog> m_log;
     IncarnationId m_self;
     std::unique_ptr<StoreClient> m_store;
     LeaseKeeper m_keeper;
     UsageCloser m_closer;
     UsageLedger m_ledger;
+    /// Windows with a part that a writer was given and has not confirmed.
+    std::set<WindowId> m_unconfirmed;
+    /// Parts of other entries that are to be written.
+    struct ForeignPart {
+        UsagePart part;
+        std::function<void()> written;
+    };
+    std::map<WindowId, std::map<IncarnationId, ForeignPart>> m_foreign;
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/usage_store.cpp
+++ b/src/wisteriayardd/usage_store.cpp
@@ -116,12 +116,25 @@
     co_return oldest;
 }
 
-Transaction partTransaction(WindowId window, const IncarnationId& entry, const UsagePart& part)
+Transaction partsTransaction(WindowId window, const std::map<IncarnationId, UsagePart>& parts)
 {
     Transaction transaction;
     transaction.compares.emplace_back(CompareModRevision { usageFinalKey(window), Revision(0) });
-    transaction.onSuccess.emplace_back(PutOperation { usagePartKey(window, entry), usagePartJson(part), LeaseId() });
+    for (const auto& [entry, part] : parts)
+        transaction.onSuccess.emplace_back(
+            PutOperation { usagePartKey(window, entry), usagePartJson(part), LeaseId() });
     return transaction;
 }
 
+std::vector<Transaction> deletions(const std::vector<StoreItem>& items, const Compare& condition)
+{
+    std::vector<Transaction> transactions;
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        if (i % keysPerTransaction == 0)
+            transactions.emplace_back().compares.push_back(condition);
+        transactions.back().onSuccess.emplace_back(DeleteOperation { items[i].key });
+    }
+    return transactions;
+}
+
 } // namespace wisteriayard
--- a/src/wisteriayardd/usage_store.h
+++ b/src/wisteriayardd/usage_store.h
@@ -44,7 +44,12 @@
 /// The oldest window that has a part; none if there are no parts.
 boost::asio::awaitable<Result<std::optional<WindowId>>> oldestPartWindow(StoreClient& store);
 
-/// Writes a part unless its window is closed.
-Transaction partTransaction(WindowId window, const IncarnationId& entry, const UsagePart& part);
+/// Keys that one transaction changes: with a condition below the 32 entries that the users' platform allows.
+constexpr std::size_t keysPerTransaction = 30;
+/// Writes parts of a window unless it is closed.
+/// @param parts at most keysPerTransaction
+Transaction partsTransaction(WindowId window, const std::map<IncarnationId, UsagePart>& parts);
+/// Transactions that delete items under a condition.
+std::vector<Transaction> deletions(const std::vector<StoreItem>& items, const Compare& condition);
 
 } // namespace wisteriayard
