Use the equal share when a paused home can't renew an idle lease

Cause: an entry renews the lease of an idle account as long as it holds credit, and asks for no slots then. Ruled out: spend and tokens (balances of 1,814 s and 20,000), members, the home's own decision (it is paused).

The entry now gives such a lease up and works with its equal share, as it does after the lease's end; the bound of docs/decisions/limits-over-entries.md for a cut-off entry covers it.

--- a/src/include/wisteriayard/limits.h
+++ b/src/include/wisteriayard/limits.h
@@ -239,6 +239,8 @@
     static void noteDemand(Account& account, const Credits& use);
     /// Whether there is credit of a kind for a use.
     static bool hasCredit(const Account& account, const Credits& use, std::size_t kind);
+    /// Whether there is credit and a slot for a use.
+    bool suffices(const Account& account, const Credits& use) const;
     /// Whether the home may have more of everything that is used up here.
     bool mayHaveMore(const Account& account, const Credits& use) const;
     bool slotFree(const Account& account) const;
--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -306,19 +306,20 @@
     account.limits = limits;
     account.lastDemand = now;
     passTime(account, now);
-    bool leased = now < account.leaseEnd;
-    if (!leased && !account.fallback && attempt == BudgetAttempt::Last) {
-        account.homeSilent = true;
-        passTime(account, now);
-    }
     Credits use = asCredits(estimate);
     if (attempt == BudgetAttempt::First)
         noteDemand(account, use);
-    bool usable = leased || account.fallback;
-    bool enough = slotFree(account);
-    for (std::size_t kind = 0; kind < creditKinds; ++kind)
-        enough = enough && hasCredit(account, use, kind);
-    if (!usable || !enough) {
+    bool unanswered = account.askOpen && now - account.askedAt >= firstGrantWait;
+    bool ended = now >= account.leaseEnd;
+    if (attempt == BudgetAttempt::Last && !account.fallback && (ended || (unanswered && !suffices(account, use)))) {
+        // A lease that was renewed while idle holds no slots. With a silent home it must not refuse what the limits
+        // allow.
+        account.homeSilent = true;
+        account.leaseEnd = std::min(account.leaseEnd, now);
+        passTime(account, now);
+    }
+    bool leased = now < account.leaseEnd;
+    if (!(leased || account.fallback) || !suffices(account, use)) {
         bool more = mayHaveMore(account, use);
         // An answer of the home that is older says nothing on what is free now.
         bool askable = account.askOpen || more || now - account.askedAt >= earlyRenewal;
@@ -350,6 +351,14 @@
     return has || (kind == tokens && use[kind] == 0.0);
 }
 
+bool BudgetLease::suffices(const Account& account, const Credits& use) const
+{
+    bool enough = slotFree(account);
+    for (std::size_t kind = 0; kind < creditKinds; ++kind)
+        enough = enough && hasCredit(account, use, kind);
+    return enough;
+}
+
 bool BudgetLease::slotFree(const Account& account) const
 {
     return !account.limits.concurrent || account.running < slots(account);
--- a/src/libwisteriayard/limits_test.cpp
+++ b/src/libwisteriayard/limits_test.cpp
@@ -191,6 +191,30 @@
     BOOST_TEST(admitted >= 100);
 }
 
+// Guards against a false refusal: the lease of an idle account was renewed without slots, and when the home then fell
+// silent, the first request was refused although nothing of the limits was used (case_usage_windows, pause_holder).
+BOOST_DATA_TEST_CASE(
+    silent_home_does_not_refuse_an_idle_account, boost::unit_test::data::make({ 0, 500, 1500, 2500, 7000 }), idle)
+{
+    AccountLimits limits = limitsOf(200, 400);
+    limits.tokensPerSecond = 60'000;
+    limits.spendEndpointSecondsPerDay = 1'500'000;
+    Pair pair(limits);
+    pair.lease.membersChanged({ home, InstanceId("b"), InstanceId("c") });
+    TimePoint now = start + std::chrono::seconds(10);
+    BOOST_TEST(pair.admitMany(1, now) == 1);
+    pair.lease.release(account, use, { Tokens(30), 0.03 });
+    for (TimePoint end = now + std::chrono::milliseconds(idle); now < end; now += std::chrono::milliseconds(10))
+        pair.exchange(now);
+    pair.homeAnswers = false;
+    auto decision = pair.lease.admit(account, limits, use, BudgetAttempt::First, now);
+    pair.exchange(now);
+    now += firstGrantWait;
+    if (std::holds_alternative<BudgetPending>(decision))
+        decision = pair.lease.admit(account, limits, use, BudgetAttempt::Last, now);
+    BOOST_TEST(std::holds_alternative<BudgetAdmitted>(decision));
+}
+
 // Guards against a late grant of a former ask that is counted as well as the present one.
 BOOST_AUTO_TEST_CASE(late_grant_is_dropped)
 {
--- a/src/wisteriayardd/entry_control.cpp
+++ b/src/wisteriayardd/entry_control.cpp
@@ -271,6 +271,8 @@
     m_log->write(Event::RequestClassified, inputs);
     LiveRequest live { std::move(request), account.value(), *requestClass, contract->weight,
         m_view.contractRevision(account.value()), 0, 0, false, {}, {}, {} };
+    // A request that its account's limits refuse is never placed, but its wait is logged too.
+    live.submittedAt = bootTimeNow();
     RequestId id = live.arrived.id;
     m_requestsByKey[live.arrived.key].insert(id);
     auto inserted = m_requests.emplace(id, std::move(live)).first;
