Give up answers and requests without an end

Cause: the parser bounds heads and bodies, but not the line before a chunk, the fields after the last chunk or the number of informational heads, and the event splitter kept an event until its end came. An endpoint or a caller that sends bytes without an end there filled the memory until its request's time was over, and the caller waited for all of that time. An answer that states that a request has not run also kept the caller until its endless body ended.

Unparsed bytes, informational heads, events, skipped answers and the memory of whole answers together are bounded; a refusal's body is read for 100 ms at most. The caller gets 502, or 503 where the endpoint stated that nothing ran, at once.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -16,6 +16,9 @@
 namespace {
 
     constexpr std::size_t readBytes = 16 * 1024;
+    /// Bytes beyond the limit of a head that may wait for the rest of a line: the parser bounds neither the line before
+    /// a chunk nor the fields after the last one.
+    constexpr std::size_t maxUnparsedBytes = 32 * 1024;
     /// Longest time for a body to arrive after its head.
     constexpr Duration bodyTimeout = std::chrono::seconds(10);
 
@@ -96,6 +99,8 @@
         if (used == 0)
             break;
     }
+    if (!parser.is_done() && m_buffer.size() > limits().maxHeaderBytes + maxUnparsedBytes)
+        return ReadEnd::Malformed;
     return ReadEnd::Whole;
 }
 
--- a/src/gateway/endpoint_exchange.cpp
+++ b/src/gateway/endpoint_exchange.cpp
@@ -17,6 +17,11 @@
 
     constexpr std::size_t readBytes = 8 * 1024;
     constexpr std::uint32_t maxHeadBytes = 16 * 1024;
+    /// Bytes that may wait for the rest of a line: the parser bounds heads, but neither the line before a chunk nor the
+    /// fields after the last one.
+    constexpr std::size_t maxUnparsedBytes = 32 * 1024;
+    /// Informational answers before the final one; endpoints send one at most.
+    constexpr int maxInformational = 8;
 
     /// A request that is being written; outlives the exchange if the answer comes first.
     struct PendingWrite {
@@ -57,6 +62,8 @@
         if (used == 0)
             break;
     }
+    if (!m_parser->is_done() && buffer.size() > maxUnparsedBytes)
+        return fail(Errc::Protocol, "the answer has a line without an end");
     return boost::outcome_v2::success();
 }
 
@@ -80,7 +87,7 @@
 
 awaitable<Status> EndpointExchange::readHead()
 {
-    while (true) {
+    for (int heads = 0; heads <= maxInformational; ++heads) {
         m_parser.emplace();
         m_parser->eager(true);
         m_parser->header_limit(maxHeadBytes);
@@ -97,6 +104,7 @@
         if (http::to_status_class(m_parser->get().result()) != http::status_class::informational)
             co_return boost::outcome_v2::success();
     }
+    co_return fail(Errc::Protocol, "too many informational answers");
 }
 
 awaitable<Result<std::string>> EndpointExchange::readBody()
@@ -111,6 +119,20 @@
     co_return bytes;
 }
 
+awaitable<Status> EndpointExchange::skipBody(std::size_t most)
+{
+    std::size_t skipped = 0;
+    while (!isComplete()) {
+        auto part = co_await readBody();
+        if (!part)
+            co_return part.error();
+        skipped += part.value().size();
+        if (skipped > most)
+            co_return fail(Errc::Protocol, "the answer has more bytes than it may have");
+    }
+    co_return boost::outcome_v2::success();
+}
+
 bool EndpointExchange::isReusable() const
 {
     return isComplete() && m_parser->get().keep_alive() && !m_parser->need_eof() && !m_connection->writing
--- a/src/gateway/endpoint_exchange.h
+++ b/src/gateway/endpoint_exchange.h
@@ -34,6 +34,10 @@
     /// Reads the next bytes of the body.
     /// @return the bytes; empty at the end of a complete body
     boost::asio::awaitable<Result<std::string>> readBody();
+    /// Reads the rest of the body and drops it.
+    /// @param most bytes that the body may have
+    /// @return Protocol for a longer body, Unavailable if the connection broke
+    boost::asio::awaitable<Status> skipBody(std::size_t most);
     bool isComplete() const { return m_parser && m_parser->is_done(); }
     /// The connection may serve another request: whole request, whole answer, nothing beyond it.
     bool isReusable() const;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -42,6 +42,8 @@
     /// Set from SIGTERM on.
     std::optional<TimePoint> drainingSince;
     int activeRequests = 0;
+    /// Bytes of answers that are kept until they are whole.
+    std::size_t answerBytes = 0;
 
     /// Takes a new configuration unless it is older than the one in force.
     void configure(RoutingConfig config);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -26,6 +26,39 @@
     constexpr int maxForeignAnswers = 2;
     /// Largest answer that is kept in memory until it is whole.
     constexpr std::size_t maxWholeAnswer = 8 * 1024 * 1024;
+    /// Part of the process's memory that such answers may take together.
+    constexpr double answerMemoryShare = 0.125;
+    /// Body of an answer to an earlier request, which is skipped.
+    constexpr std::size_t maxForeignBody = 1024 * 1024;
+    /// Body of an answer that states that the request has not run, and the time to read it: the connection is given up
+    /// rather than the request kept waiting.
+    constexpr std::size_t maxRefusalBody = 64 * 1024;
+    constexpr Duration refusalBodyTimeout = std::chrono::milliseconds(100);
+
+    /// Counts bytes of an answer in memory for as long as it is kept.
+    class AnswerBytes {
+    public:
+        explicit AnswerBytes(GatewayState& state)
+            : m_state(state)
+        {
+        }
+        AnswerBytes(const AnswerBytes&) = delete;
+        AnswerBytes& operator=(const AnswerBytes&) = delete;
+        ~AnswerBytes() { m_state.answerBytes -= m_bytes; }
+
+        /// @return whether there is room for them
+        bool add(std::size_t bytes)
+        {
+            m_bytes += bytes;
+            m_state.answerBytes += bytes;
+            auto most = answerMemoryShare * static_cast<double>(m_state.settings.memory.value());
+            return m_bytes <= maxWholeAnswer && static_cast<double>(m_state.answerBytes) <= most;
+        }
+
+    private:
+        GatewayState& m_state;
+        std::size_t m_bytes = 0;
+    };
 
     bool isSuccess(const AnswerHead& head)
     {
@@ -145,9 +178,9 @@
         m_state.directory.misdirected(record.id);
     if (claimsNotRun) {
         outcome = NotRun { traits.claim == AnswerClaim::NotRun ? "endpoint_refused" : "address_reused", true };
-        auto body = co_await exchange.readBody();
-        while (body && !body.value().empty())
-            body = co_await exchange.readBody();
+        m_connectExpiry.set(bootTimeNow() + refusalBodyTimeout);
+        (void)co_await exchange.skipBody(maxRefusalBody); // an incomplete answer makes the connection unusable only
+        m_connectExpiry.clear();
     } else if (traits.claim == AnswerClaim::Ran && success && m_route->kind == RequestKind::Stream) {
         outcome = co_await passStream(exchange, placement);
     } else if (traits.claim == AnswerClaim::Ran) {
@@ -171,11 +204,9 @@
         if (own)
             co_return boost::outcome_v2::success();
         // A late second answer to an earlier request of this connection.
-        auto body = co_await exchange.readBody();
-        while (body && !body.value().empty())
-            body = co_await exchange.readBody();
-        if (!body)
-            co_return body.error();
+        Status skipped = co_await exchange.skipBody(maxForeignBody);
+        if (!skipped)
+            co_return skipped;
     }
     co_return fail(Errc::Protocol, "the connection carries answers to other requests");
 }
@@ -183,6 +214,7 @@
 awaitable<AttemptOutcome> RequestRun::passWhole(EndpointExchange& exchange, Placement& placement, bool success)
 {
     std::string body;
+    AnswerBytes kept(m_state);
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
@@ -191,7 +223,7 @@
         if (part.value().empty())
             break;
         body += part.value();
-        if (body.size() > maxWholeAnswer)
+        if (!kept.add(part.value().size()))
             co_return MayHaveRun { "the answer is too large" };
     }
     if (!success)
@@ -255,6 +287,8 @@
         Status passed = co_await passEvents(exchange, events, placement);
         if (!passed)
             co_return CallerLeft {};
+        if (events.isOversized())
+            co_return MayHaveRun { "an event has no end" };
     }
     if (!events.rest().empty() || !m_headSent)
         co_return MayHaveRun { "the stream ended within an event" };
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -17,6 +17,8 @@
 namespace {
 
     constexpr std::size_t readChunkBytes = 16 * 1024;
+    /// The parser takes bodies out of the buffer as they come, but keeps a line without an end there.
+    constexpr std::size_t maxUnparsedBytes = 256 * 1024;
 
     /// An error after the request may have reached the server.
     Error exchangeError(const boost::system::error_code& error, const char* what)
@@ -32,6 +34,7 @@
     : m_executor(std::move(executor))
     , m_server(std::move(server))
     , m_maxBody(maxBody)
+    , m_buffer(maxUnparsedBytes)
 {
 }
 
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -25,6 +25,8 @@
     /// Pause after a failed accept, so that a lack of descriptors does not spin the loop.
     constexpr Duration acceptRetry = std::chrono::milliseconds(20);
     constexpr Duration writeTimeout = std::chrono::seconds(30);
+    /// Bytes beyond a head that may wait for the rest of a line.
+    constexpr std::size_t maxUnparsedBytes = 64 * 1024;
 
     std::string errorBody(std::string_view message)
     {
@@ -179,7 +181,8 @@
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    // The parser bounds head and body, but not the line before a chunk.
+    beast::flat_buffer buffer(m_limits.maxHeaderBytes + maxUnparsedBytes);
     m_streams[&stream] = false;
     while (!m_draining && co_await serveOne(stream, buffer)) { }
     m_streams.erase(&stream);
--- a/src/libwisteriayard/event_stream_test.cpp
+++ b/src/libwisteriayard/event_stream_test.cpp
@@ -49,3 +49,26 @@
         BOOST_TEST(stream.rest() == each.rest);
     }
 }
+
+struct SizeCase {
+    const char* name;
+    std::size_t bytes;
+    const char* end;
+    bool oversized;
+};
+std::ostream& operator<<(std::ostream& out, const SizeCase& each) { return out << each.name; }
+
+const SizeCase sizeCases[] = {
+    { "whole", EventStream::mostEventBytes + 10, "\n\n", false },
+    { "at_the_limit", EventStream::mostEventBytes, "", false },
+    { "above_the_limit", EventStream::mostEventBytes + 1, "", true },
+};
+
+// Guards against an event without an end that is kept until the process has no memory left.
+BOOST_DATA_TEST_CASE(event_without_end_is_noticed, data::make(sizeCases), each)
+{
+    EventStream stream;
+    stream.feed(std::string(each.bytes, 'x') + each.end);
+    while (stream.next()) { }
+    BOOST_TEST(stream.isOversized() == each.oversized);
+}
--- a/testsuite/gateway/run.py
+++ b/testsuite/gateway/run.py
@@ -8,12 +8,13 @@
 import json
 import os
 import signal
+import socket
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from platform_deployment import KEY, SECOND_KEY, Deployment, wait_until  # noqa: E402
+from platform_deployment import HOST, KEY, SECOND_KEY, Deployment, wait_until  # noqa: E402
 
 
 def nothing_is_served_before_a_configuration(bin_folder):
@@ -125,6 +126,68 @@
     assert all(len(holders) == 1 for holders in deployment.reports.holders.values())
 
 
+def answers_without_end_are_given_up(deployment):
+    """Bytes without an end are neither kept in memory nor waited for, and the caller gets a true answer."""
+    gateway = deployment.gateways[0]
+    plain, model = deployment.endpoints[:2], deployment.endpoints[2:]
+    most = gateway.settings["limits"]["memory_mb"] * 1024 * 1024 // 2
+    for mode, endpoints, path, status in (
+            ("head", plain, "/charge/1", 502), ("heads", plain, "/charge/1", 502), ("no_http", plain, "/charge/1", 502),
+            ("chunk_line", plain, "/charge/1", 502), ("trailer", plain, "/charge/1", 502),
+            ("body", plain, "/charge/1", 502), ("foreign", plain, "/charge/1", 502),
+            ("refusal_body", plain, "/charge/1", 503), ("chunk_line", model, "/chat/1", 502),
+            ("event", model, "/chat/1", 502)):
+        for endpoint in endpoints:
+            endpoint.endless, endpoint.endless_bytes = mode, []
+        answers = []
+        threads = [threading.Thread(target=lambda: answers.append(gateway.call(path))) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for endpoint in endpoints:
+            endpoint.endless = None
+        assert {answer.status for answer in answers} == {status}, (mode, [answer.status for answer in answers])
+        expected = 0 if status == 503 else 1
+        assert all(deployment.runs(answer.request) == expected for answer in answers), mode
+        wait_until(lambda: sum(len(endpoint.endless_bytes) for endpoint in endpoints) >= 6, "the connections to close")
+        assert all(sent < most for endpoint in endpoints for sent in endpoint.endless_bytes), mode
+        # Failed answers eject endpoints; the next mode needs them back.
+        wait_until(lambda: all(gateway.call(path).status == 200 for _ in range(4)), "the endpoints to be used again")
+    assert gateway.peak_memory() < most, gateway.peak_memory()
+
+
+def stalled_stream_ends_with_its_time(deployment):
+    """A byte now and then does not keep a stream open beyond the time for its request."""
+    model = deployment.endpoints[2:]
+    for endpoint in model:
+        endpoint.endless, endpoint.endless_pause_s, endpoint.endless_bytes = "event", 0.2, []
+    answer = deployment.gateways[0].call("/chat/1", timeout=1.5)
+    for endpoint in model:
+        endpoint.endless, endpoint.endless_pause_s = None, 0
+    assert answer.status in (None, 502, 504), answer.status
+    wait_until(lambda: any(endpoint.endless_bytes for endpoint in model), "the stream to be closed")
+
+
+def callers_without_end_are_closed(deployment):
+    """A caller's line without an end is neither kept in memory nor answered as if it were a request."""
+    gateway = deployment.gateways[0]
+    head = f"POST /charge/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: endless\r\n"
+    for start in ("X-Filler: ", "Transfer-Encoding: chunked\r\n\r\n5;", "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: "):
+        sent = 0
+        with socket.create_connection((gateway.ip, gateway.ports[0]), timeout=5) as connection:
+            try:
+                connection.sendall((head + start).encode())
+                while sent < 64 * 1024 * 1024:
+                    connection.sendall(b"f" * 8192)
+                    sent += 8192
+            except OSError:
+                pass
+        assert sent < 16 * 1024 * 1024, (start, sent)
+    assert gateway.call("/charge/1").status == 200
+    assert deployment.runs("endless") == 0
+
+
 def metrics_are_served(deployment):
     text = deployment.gateways[0].metrics()
     for name in ("requests_total", "first_event_seconds_bucket", "config_version", "view_age_seconds"):
@@ -163,7 +226,8 @@
     nothing_is_served_before_a_configuration(bin_folder)
     with Deployment(bin_folder).start(2) as deployment:
         for case in (requests_run_by_route_and_key, idempotent_requests_are_tried_elsewhere,
-                     broken_streams_go_on_elsewhere, leaving_endpoint_gets_no_new_requests, configuration_takes_effect,
+                     broken_streams_go_on_elsewhere, answers_without_end_are_given_up,
+                     stalled_stream_ends_with_its_time, callers_without_end_are_closed, leaving_endpoint_gets_no_new_requests, configuration_takes_effect,
                      bad_settings_keep_the_former, metrics_are_served, usage_is_reported_once_and_complete,
                      shutdown_cuts_no_request):
             case(deployment)
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -97,6 +97,11 @@
         if self.process:
             self.process.wait()
 
+    def peak_memory(self):
+        """Largest resident memory of the process so far, in bytes."""
+        with open(f"/proc/{self.process.pid}/status") as status:
+            return next(int(line.split()[1]) * 1024 for line in status if line.startswith("VmHWM:"))
+
     def events(self, name):
         """Fields of the log's events with a name."""
         with open(self.log) as log:
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -217,6 +217,7 @@
         self.seen_keys = []
         self.tenants = {}
         self.fail, self.break_after = 0.0, None
+        self.endless, self.endless_bytes, self.endless_pause_s = None, [], 0
         self.arrivals_after_leave = 0
         self.left_at = None
         self.random = random.Random(name)
@@ -239,8 +240,12 @@
             return self.answer(421, None, [("Instance-Id", endpoint.name)])
         if "Authorization" in headers:
             endpoint.seen_keys.append(request)
+        if endpoint.endless and endpoint.endless.startswith("refusal"):
+            return self.without_end(endpoint, request)
         endpoint.runs[request] += 1
         endpoint.tenants[request] = headers.get("Tenant")
+        if endpoint.endless:
+            return self.without_end(endpoint, request)
         time.sleep(endpoint.delay_s)
         if endpoint.random.random() < endpoint.fail:
             return self.answer(500, {"error": "own"}, self.signature(request))
@@ -248,6 +253,34 @@
             return self.stream(endpoint, request, int(headers.get("Last-Event-Id", 0)))
         return self.answer(200, {"echo": body.decode(), "request": request}, self.signature(request))
 
+    def without_end(self, endpoint, request):
+        """Sends bytes that never become a whole answer, until the caller closes or the stand-in has sent plenty."""
+        signed = f"Request-Id: {request}\r\nResponse-Seal: seal-{request}\r\n".encode()
+        ok = b"HTTP/1.1 200 OK\r\n" + signed
+        start, more = {
+            "head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"f" * 8192),
+            "heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 64),
+            "no_http": (b"", b"\x00\xff" * 4096),
+            "chunk_line": (ok + b"Transfer-Encoding: chunked\r\n\r\n5;", b"e" * 8192),
+            "trailer": (ok + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: ", b"f" * 8192),
+            "body": (ok + b"\r\n", b"b" * 8192),
+            "event": (ok + b"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", b"d" * 8192),
+            "foreign": (b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", b"o" * 8192),
+            "refusal_body": (b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: %s\r\n\r\n" % request.encode(),
+                             b"r" * 8192),
+        }[endpoint.endless]
+        self.close_connection = True
+        sent = 0
+        try:
+            self.wfile.write(start)
+            while sent < 256 * 1024 * 1024:
+                self.wfile.write(more)
+                sent += len(more)
+                time.sleep(endpoint.endless_pause_s)
+        except OSError:
+            pass
+        endpoint.endless_bytes.append(sent)
+
     def signature(self, request):
         return [("Request-Id", request), ("Response-Seal", "seal-" + request)]
 
