Take the usage lease over at once where nobody acted before

The store was away from 18 s to 26 s; the windows that ended at 13 s and 18 s would have been closed 5 s later. After the outage the lease of the stopped holder had to run out in the store until 29 s, and the new holder then waited 3.6 s more, because the platform of these sites does not check fencing tokens.

The wait is 0.5 s now for an instance that can't have acted within a lease time, and windows are closed 3.5 s after their end instead of 5 s, with parts every 1.6 s instead of 2 s. Ruled out: the report itself (sent within 0.2 s of the closing). Left: a window that ends at the outage's start (28 s) and one whose entries were stopped before they could write.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,6 +38,9 @@
     /// Store calls for leases have to end well within the lease.
     constexpr Duration leaseCallTimeout = std::chrono::milliseconds(700);
     constexpr Duration leaseMargin = std::chrono::milliseconds(600);
+    /// Without fencing a new holder of the lease waits until the reports of the former one have arrived: it stopped the
+    /// margin before its lease ended, and its connections drop what they have not sent.
+    constexpr Duration unfencedWait = std::chrono::milliseconds(500);
     /// The settings file is compared with the one in force this often, in case no signal tells of a change.
     constexpr Duration settingsCheckInterval = std::chrono::seconds(2);
     /// After SIGTERM: connections are accepted for at least this long, because the balancer asks for readiness once a
@@ -52,10 +55,10 @@
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
     constexpr Duration acceptRetry = std::chrono::milliseconds(20);
     /// Time between two writes of an entry's usage: what a killed process loses.
-    constexpr Duration usagePartInterval = std::chrono::milliseconds(2000);
+    constexpr Duration usagePartInterval = std::chrono::milliseconds(1600);
     /// Share of the allowed delay of a usage report after which its window is closed: late enough for the parts of
     /// entries that stood still, early enough for another holder of the lease to take over.
-    constexpr double usageGraceShare = 0.5;
+    constexpr double usageGraceShare = 0.35;
     constexpr Duration usageSettleDelay = std::chrono::milliseconds(1500);
     constexpr Duration usageStepInterval = std::chrono::milliseconds(400);
     constexpr std::int64_t usageRetainedWindows = 24;
@@ -250,8 +253,12 @@
             parts.times.retainedWindows = usageRetainedWindows;
             parts.lease.lease = settings.leaseTime;
             parts.lease.margin = leaseMargin;
-            if (settings.checksFencing)
+            if (settings.checksFencing) {
                 parts.lease.wait = Duration(0);
+            } else {
+                parts.lease.wait = unfencedWait;
+                parts.lease.returnGap = settings.leaseTime + leaseMargin;
+            }
             parts.store = m_platform.makeStore(m_io.get_executor(), leaseCallTimeout);
             parts.sender = [this](LeaseKeeper& keeper, WindowId window, const std::string& record) {
                 return sendUsage(keeper, window, record);
--- a/src/include/wisteriayard/lease.h
+++ b/src/include/wisteriayard/lease.h
@@ -18,6 +18,9 @@
     /// Time from taking the lease to acting on it; without a value lease + margin. Receivers that refuse a lower
     /// fencing token make it needless: an order of the former holder that comes late is then refused.
     std::optional<Duration> wait = std::nullopt;
+    /// A process that held the lease, or a former process of its instance, does not act again for so long: another one
+    /// may have acted in between, and the receiver can't tell the orders of the first time from those of the second.
+    Duration returnGap { 0 };
 };
 
 /// What a lease holder may do.
@@ -43,7 +46,8 @@
 /// store keeps it. Events that a state does not allow change nothing and are Conflict.
 class LeaseHolder {
 public:
-    explicit LeaseHolder(LeaseTimes times);
+    /// @param startedAt when this process began; a former one of the same instance may have acted until then
+    explicit LeaseHolder(LeaseTimes times, TimePoint startedAt = {});
     LeaseHolder(LeaseHolder&&) noexcept;
     LeaseHolder& operator=(LeaseHolder&&) noexcept;
     ~LeaseHolder();
--- a/src/libwisteriayard/lease.cpp
+++ b/src/libwisteriayard/lease.cpp
@@ -47,6 +47,7 @@
         {
             machine.epoch = event.epoch;
             machine.readyAt = event.now + machine.times.wait.value_or(machine.times.lease + machine.times.margin);
+            machine.readyAt = std::max(machine.readyAt, machine.actedUntil + machine.times.returnGap);
         }
     };
 
@@ -58,6 +59,14 @@
         }
     };
 
+    struct NoteEnd {
+        template <typename Event, typename Machine, typename From, typename To>
+        void operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            machine.actedUntil = machine.authorityEnds();
+        }
+    };
+
     struct HasRunOut {
         template <typename Event, typename Machine, typename From, typename To>
         bool operator()(const Event& event, Machine& machine, From&, To&) const
@@ -98,8 +107,8 @@
             Row<Waiting, TimePassed, Free, none, HasRunOut>,
             Row<Waiting, TimePassed, Holding, none, WaitIsOver>,
             Row<Holding, Renewed, none, NoteRenewed, none>,
-            Row<Holding, Lost, Free, none, none>,
-            Row<Holding, TimePassed, Free, none, HasRunOut>
+            Row<Holding, Lost, Free, NoteEnd, none>,
+            Row<Holding, TimePassed, Free, NoteEnd, HasRunOut>
         > { };
         // clang-format on
 
@@ -110,6 +119,8 @@
         LeaseTimes times;
         TimePoint sent {};
         TimePoint readyAt {};
+        /// This instance may have acted until then.
+        TimePoint actedUntil {};
         Epoch epoch {};
     };
 
@@ -148,10 +159,11 @@
 
 } // namespace
 
-LeaseHolder::LeaseHolder(LeaseTimes times)
+LeaseHolder::LeaseHolder(LeaseTimes times, TimePoint startedAt)
     : m_machine(std::make_unique<Machine>())
 {
     m_machine->times = times;
+    m_machine->actedUntil = startedAt;
     m_machine->start();
 }
 
--- a/src/libwisteriayard/lease_test.cpp
+++ b/src/libwisteriayard/lease_test.cpp
@@ -95,3 +95,43 @@
     BOOST_REQUIRE(holder.renewed(at(2)));
     BOOST_TEST((holder.authorityEnds(at(8)) == at(9)));
 }
+
+struct ReturnCase {
+    const char* name;
+    /// Start of the process.
+    int startedAt;
+    /// When it held the lease before, if it did.
+    std::optional<int> heldAt;
+    int acquiredAt;
+    int actsAt;
+};
+std::ostream& operator<<(std::ostream& out, const ReturnCase& each) { return out << each.name; }
+
+// Lease of 6 s, margin of 1 s, wait of 1 s, gap of 7 s.
+const ReturnCase returnCases[] = {
+    { "another_instance", 0, std::nullopt, 20, 21 },
+    { "restarted_instance", 19, std::nullopt, 20, 26 },
+    { "instance_that_held_it", 0, 20, 26, 32 },
+    { "instance_that_held_it_long_ago", 0, 20, 50, 51 },
+};
+
+// Guards against an instance that acts before and after another one within a lease time, where the receiver does not
+// check fencing tokens, and against a needless wait of all others.
+BOOST_DATA_TEST_CASE(instance_returns_after_a_gap, boost::unit_test::data::make(returnCases), each)
+{
+    LeaseTimes times { seconds(6), seconds(1), seconds(1), seconds(7) };
+    LeaseHolder holder(times, at(each.startedAt));
+    if (each.heldAt) {
+        BOOST_REQUIRE(holder.requestSent(at(*each.heldAt)));
+        BOOST_REQUIRE(holder.acquired(Epoch(3), at(*each.heldAt)));
+        holder.timePassed(at(*each.heldAt + 1));
+        BOOST_REQUIRE(holder.lost());
+    }
+    BOOST_REQUIRE(holder.requestSent(at(each.acquiredAt)));
+    BOOST_REQUIRE(holder.acquired(Epoch(9), at(each.acquiredAt)));
+    for (int second = each.acquiredAt; second <= each.actsAt; ++second) {
+        BOOST_REQUIRE(holder.renewed(at(second)));
+        holder.timePassed(at(second));
+        BOOST_TEST(holder.authorityEnds(at(second)).has_value() == (second >= each.actsAt));
+    }
+}
--- a/src/wisteriayardd/lease_keeper.cpp
+++ b/src/wisteriayardd/lease_keeper.cpp
@@ -44,7 +44,7 @@
     , m_key("lease/" + m_name)
     , m_self(std::move(self))
     , m_times(times)
-    , m_holder(times)
+    , m_holder(times, bootTimeNow())
 {
 }
 
