Tell other regions the sum of a region, and split engines by work again

Cause: loads were a full mesh: at 103 entries every entry sent 102 datagrams every 400 ms, half of them between regions, which is priced. Observers now send the sum of their region to entries of other regions, and the entries of a region tell each other every 200 ms.

The split of engines that favours the kind with the higher rank in a shortage took engines from long prompts as soon as the padded needs exceeded the engines, long before short prompts were late: their first events came after 74 ms. Engines are split by work as before; only an engine that would be divided goes to the kind with the higher rank, which is what the guild's small site needed (one of eight engines for urgent prompts).

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -153,12 +153,13 @@
     return work;
 }
 
-void EndpointDirectory::peerWork(const InstanceId& peer, const std::map<TargetId, WorkRates>& work, TimePoint now)
+void EndpointDirectory::peerWork(
+    const InstanceId& peer, const std::map<TargetId, WorkRates>& work, std::size_t entries, TimePoint now)
 {
     for (const auto& [target, rates] : work) {
         auto known = m_placements.find(target);
         if (known != m_placements.end())
-            known->second->peerWork(peer, rates, now);
+            known->second->peerWork(peer, rates, entries, now);
     }
 }
 
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -39,7 +39,8 @@
     /// @name Engine time that requests ask for, by service
     /// @{
     std::map<TargetId, WorkRates> ownWork(TimePoint now);
-    void peerWork(const InstanceId& peer, const std::map<TargetId, WorkRates>& work, TimePoint now);
+    void peerWork(
+        const InstanceId& peer, const std::map<TargetId, WorkRates>& work, std::size_t entries, TimePoint now);
     /// @}
     /// Logs services for which another number of engines is kept for long prompts than at the last call.
     void logPools(TimePoint now);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -35,9 +35,10 @@
     constexpr Duration settleTime = std::chrono::milliseconds(200);
     /// Entries that ask for a free lease; the others would only add calls to the store.
     constexpr std::size_t leaseCandidates = 3;
-    /// Time between two datagrams to each peer. A long prompt waits and is computed for some 200 ms, so loads that are
-    /// told less often say nothing of the queues of the moment. With many peers the time grows, so that what an entry
-    /// sends and receives stays bounded.
+    /// Time between two datagrams to each peer of the region. A long prompt waits and is computed for some 200 ms, so
+    /// loads that are told less often say nothing of the queues of the moment. With many peers the time grows, so that
+    /// what an entry sends and receives stays bounded. Entries of other regions get the sum of the region from its
+    /// observers.
     constexpr Duration sendInterval = std::chrono::milliseconds(100);
     constexpr std::size_t peersAtSendInterval = 32;
     /// Loads of some hundred endpoints; a larger message is cut off by the receiver and ignored.
@@ -166,7 +167,7 @@
 {
     std::vector<InstanceId> live;
     for (const auto& [instance, peer] : m_peers) {
-        if (peer.region == m_state.settings.region && isLive(peer, now))
+        if (isNear(peer) && isLive(peer, now))
             live.push_back(instance);
     }
     m_role = viewRole(m_state.settings.instance, std::move(live));
@@ -189,18 +190,40 @@
 
 void PeerExchange::countEntries() { m_state.entries = m_peers.size() + 1; }
 
-PeerLoads PeerExchange::loads(TimePoint now)
+PeerLoads PeerExchange::state(TimePoint now) const
 {
-    PeerLoads loads;
-    loads.time = m_state.clock.milliseconds(wallClockMilliseconds(), now);
-    loads.contact = contactTime(now);
+    PeerLoads state;
+    state.time = m_state.clock.milliseconds(wallClockMilliseconds(), now);
+    state.contact = contactTime(now);
+    state.leaving = m_leaving;
+    return state;
+}
+
+PeerLoads PeerExchange::ownLoads(TimePoint now)
+{
+    PeerLoads loads = state(now);
     for (const auto& [id, use] : m_state.directory.ownUse())
         loads.endpoints[endpointTag(id)] = use;
     loads.work = m_state.directory.ownWork(now);
-    loads.leaving = m_leaving;
     return loads;
 }
 
+PeerLoads PeerExchange::regionLoads(const PeerLoads& own, TimePoint now) const
+{
+    PeerLoads sum = own;
+    for (const auto& [instance, peer] : m_peers) {
+        if (isNear(peer) && now - peer.heardAt < idleInterval)
+            sum.add(peer.told);
+    }
+    return sum;
+}
+
+std::size_t PeerExchange::nearPeers() const
+{
+    auto near = [this](const auto& each) { return isNear(each.second); };
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), near));
+}
+
 Duration PeerExchange::contactTime(TimePoint now) const
 {
     bool inOutage = now - m_state.endpointsHeardAt >= MembershipTimes().outage;
@@ -218,18 +241,26 @@
 
 void PeerExchange::sendToAll(TimePoint now)
 {
-    PeerLoads told = loads(now);
-    std::string text = encodePeerMessage(told);
-    std::string withMarks;
-    if (m_role == ViewRole::Observer && !m_leaving) {
-        told.views = m_views.marks(now);
-        withMarks = encodePeerMessage(std::move(told));
-    }
+    PeerLoads own = ownLoads(now);
+    std::string far;
+    if (m_role == ViewRole::Alone)
+        far = encodePeerMessage(own);
+    else if (m_role == ViewRole::Observer)
+        far = encodePeerMessage(regionLoads(own, now));
+    else if (now - m_sentFarAt >= idleInterval || m_leaving)
+        far = encodePeerMessage(state(now));
+    if (m_role == ViewRole::Observer && !m_leaving)
+        own.views = m_views.marks(now);
+    std::string near = encodePeerMessage(std::move(own));
     for (const auto& [instance, peer] : m_peers) {
-        bool near = peer.region == m_state.settings.region;
-        send(near && !withMarks.empty() ? withMarks : text, peer);
+        if (isNear(peer))
+            send(near, peer);
+        else if (!far.empty())
+            send(far, peer);
     }
     m_sentAt = now;
+    if (!far.empty())
+        m_sentFarAt = now;
 }
 
 void PeerExchange::notePause(TimePoint now)
@@ -244,7 +275,7 @@
 {
     boost::asio::steady_timer timer(m_state.io);
     while (true) {
-        auto factor = static_cast<Duration::rep>(1 + m_peers.size() / peersAtSendInterval);
+        auto factor = static_cast<Duration::rep>(1 + nearPeers() / peersAtSendInterval);
         timer.expires_after(sendInterval * factor);
         co_await timer.async_wait(use_awaitable);
         TimePoint now = bootTimeNow();
@@ -260,7 +291,7 @@
     for (const ViewChanges& changes : splitChanges(view, from, batch)) {
         std::string text = encodePeerMessage(changes);
         for (const auto& [instance, peer] : m_peers) {
-            if (peer.region == m_state.settings.region)
+            if (isNear(peer))
                 send(text, peer);
         }
     }
@@ -307,8 +338,7 @@
     TimePoint now = bootTimeNow();
     std::vector<const Peer*> writers;
     for (const auto& [instance, peer] : m_peers) {
-        bool near = peer.region == m_state.settings.region;
-        if (near && peer.isObserver && peer.inContact && isLive(peer, now))
+        if (isNear(peer) && peer.isObserver && peer.inContact && isLive(peer, now))
             writers.push_back(&peer);
     }
     std::string datagram = encodePeerMessage(PeerUsage { window, entry, part });
@@ -398,8 +428,12 @@
         for (const auto& [view, mark] : loads.views)
             m_views.takeMark(view, mark, now);
     }
-    m_state.directory.peerUse(peer, loads.endpoints, now);
-    m_state.directory.peerWork(peer, loads.work, now);
+    if (isNear(sender))
+        sender.told = loads;
+    // The sums of a region's observers replace each other.
+    InstanceId source = loads.entries > 1 ? InstanceId("region/" + sender.region.value()) : peer;
+    m_state.directory.peerUse(source, loads.endpoints, now);
+    m_state.directory.peerWork(source, loads.work, loads.entries, now);
 }
 
 } // namespace wisteriayard
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -64,6 +64,8 @@
         bool inContact = false;
         bool isObserver = false;
         bool leaving = false;
+        /// What it last told of its own requests.
+        PeerLoads told;
     };
 
     boost::asio::awaitable<void> registerSelf();
@@ -82,7 +84,13 @@
     void receiveUsage(const PeerUsage& message, const Peer& from);
     void receiveChanges(const ViewChanges& changes, TimePoint now);
     void receiveLoads(const InstanceId& peer, const PeerLoads& loads, TimePoint now);
-    PeerLoads loads(TimePoint now);
+    /// What all entries are told of this one.
+    PeerLoads state(TimePoint now) const;
+    PeerLoads ownLoads(TimePoint now);
+    /// Sum over the entries of this region, for those of other regions.
+    PeerLoads regionLoads(const PeerLoads& own, TimePoint now) const;
+    std::size_t nearPeers() const;
+    bool isNear(const Peer& peer) const { return peer.region == m_state.settings.region; }
     /// Time for which this entry has heard the store without an outage; 0 during one.
     Duration contactTime(TimePoint now) const;
 
@@ -95,6 +103,8 @@
     LeaseId m_lease {};
     bool m_leaving = false;
     TimePoint m_sentAt {};
+    /// When this entry last told those of other regions that it lives.
+    TimePoint m_sentFarAt {};
     /// Last round of the loop that sends; a long gap means that this process did not run.
     TimePoint m_roundAt {};
     /// Marks that arrived before may have waited in the socket while this process did not run.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -63,6 +63,7 @@
                 told.set_age_ms(std::chrono::duration_cast<std::chrono::milliseconds>(mark.age).count());
             }
             message.set_leaving(loads.leaving);
+            message.set_entries(loads.entries);
         }
 
         /// Adds the backlog of the table's last row.
@@ -161,6 +162,7 @@
                 std::chrono::milliseconds(told.age_ms()) };
         }
         loads.leaving = message.leaving();
+        loads.entries = std::max<std::uint32_t>(1, message.entries());
         return PeerMessage(std::move(loads));
     }
 
@@ -205,6 +207,15 @@
 
 } // namespace
 
+void PeerLoads::add(const PeerLoads& other)
+{
+    for (const auto& [tag, use] : other.endpoints)
+        endpoints[tag] += use;
+    for (const auto& [target, rates] : other.work)
+        work[target] += rates;
+    entries += other.entries;
+}
+
 std::string_view storeViewName(StoreView view) { return view == StoreView::Configuration ? "config" : "endpoints"; }
 
 std::vector<ViewChanges> splitChanges(StoreView view, Revision from, const WatchBatch& batch)
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -39,6 +39,11 @@
     std::map<StoreView, ViewMark> views;
     /// The sender is stopping and will not be heard for long.
     bool leaving = false;
+    /// Endpoints and work are sums over so many entries of the sender's region, itself included.
+    std::uint32_t entries = 1;
+
+    /// Adds the endpoints and work of another entry.
+    void add(const PeerLoads& other);
 };
 
 /// A part of the sender's usage that the receiver is asked to write.
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -212,3 +212,26 @@
         tags.insert(endpointTag(EndpointId("i-" + std::to_string(i))));
     BOOST_TEST(tags.size() == 1000u);
 }
+
+// Guards against a region whose load counts as that of one entry, or of the last entry that told.
+BOOST_AUTO_TEST_CASE(loads_of_a_region_add_up)
+{
+    PeerLoads sum = sampleLoads(3);
+    sum.add(sampleLoads(2));
+    sum.add(sampleLoads(0));
+    EndpointTag second = endpointTag(EndpointId("i-1"));
+    BOOST_TEST(sum.entries == 3u);
+    BOOST_TEST(sum.endpoints.size() == 3u);
+    BOOST_TEST(sum.endpoints.at(second).running == 2);
+    BOOST_TEST(sum.endpoints.at(second).backlog.total().value() == 2000);
+    BOOST_TEST(sum.work.at(TargetId("t1")).longPrompts == 1.5);
+    auto told = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sum)).value());
+    BOOST_TEST(told.entries == 3u);
+    BOOST_TEST(std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sampleLoads(1))).value()).entries == 1u);
+}
+
+// Guards against a region's loads that are cut off by the receiver's buffer.
+BOOST_AUTO_TEST_CASE(loads_of_a_large_fleet_fit_into_a_datagram)
+{
+    BOOST_TEST(encodePeerMessage(sampleLoads(500)).size() <= 16u * 1024);
+}
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -54,6 +54,8 @@
     PrefillBacklog backlog;
     /// Tokens of running requests.
     std::int64_t memoryTokens = 0;
+
+    EndpointUse& operator+=(const EndpointUse& other);
 };
 
 /// Weights of the placement cost.
@@ -198,8 +200,11 @@
 
     /// Engine time that the requests of this entry ask for.
     WorkRates ownWork(TimePoint now) { return m_pool.own(now); }
-    /// Takes in what another entry told of its requests.
-    void peerWork(const InstanceId& peer, const WorkRates& rates, TimePoint now) { m_pool.peer(peer, rates, now); }
+    /// Takes in what another entry told of its requests, or the sum over several entries.
+    void peerWork(const InstanceId& peer, const WorkRates& rates, std::size_t entries, TimePoint now)
+    {
+        m_pool.peer(peer, rates, entries, now);
+    }
     /// Engines that long prompts are kept on at present.
     std::size_t prefillEngines(TimePoint now) { return m_pool.size(m_index.size(), now); }
     /// Load by requests of this entry; endpoints without any are left out.
--- a/src/include/wisteriayard/prefill_pool.h
+++ b/src/include/wisteriayard/prefill_pool.h
@@ -38,9 +38,6 @@
     /// The split changes only if it is off by more than this many engines, so that prompt parts stay where they are
     /// cached.
     double hysteresis = 0.8;
-    /// With more work than engines, the kind with the higher rank gets what it needs first. The other keeps this part
-    /// of the share that its work would have.
-    double leastPart = 0.5;
     /// Mean ranks that differ by less count as equal: accounts of all ranks send both kinds.
     double equalRanks = 0.3;
 };
@@ -63,9 +60,10 @@
     void note(Tokens prompt, Duration work, Priority rank, TimePoint now);
     /// Rates of this entry.
     WorkRates own(TimePoint now);
-    /// Another entry told its rates.
-    void peer(const InstanceId& peer, const WorkRates& rates, TimePoint now);
-    /// Other entries that told their rates within their lifetime.
+    /// Another entry told its rates, or the sum over several entries.
+    /// @param entries how many
+    void peer(const InstanceId& peer, const WorkRates& rates, std::size_t entries, TimePoint now);
+    /// Other entries whose rates were told within their lifetime.
     std::size_t peers(TimePoint now);
     /// Engines that long prompts are kept on.
     /// @param engines all engines of the service
@@ -75,12 +73,13 @@
 private:
     struct PeerRates {
         WorkRates rates;
+        std::size_t entries = 1;
         TimePoint toldAt {};
     };
 
     void decay(TimePoint now);
-    /// Engines for long prompts, before rounding.
-    double share(const WorkRates& work, double engines) const;
+    /// Engines for long prompts by a share; of an engine that would be divided, the kind with the higher rank has all.
+    std::size_t wholeEngines(double share, const WorkRates& work) const;
     void forgetSilentPeers(TimePoint now);
 
     PrefillPoolPolicy m_policy;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -70,6 +70,14 @@
 
 } // namespace
 
+EndpointUse& EndpointUse::operator+=(const EndpointUse& other)
+{
+    running += other.running;
+    backlog += other.backlog;
+    memoryTokens += other.memoryTokens;
+    return *this;
+}
+
 std::string_view placementRefusalName(PlacementRefusal refusal)
 {
     switch (refusal) {
@@ -229,10 +237,7 @@
             auto known = m_index.find(id);
             if (known == m_index.end())
                 continue;
-            EndpointUse& others = m_states[known->second].others;
-            others.running += use.running;
-            others.backlog += use.backlog;
-            others.memoryTokens += use.memoryTokens;
+            m_states[known->second].others += use;
         }
     }
 }
--- a/src/libwisteriayard/prefill_pool.cpp
+++ b/src/libwisteriayard/prefill_pool.cpp
@@ -47,9 +47,9 @@
     return m_own;
 }
 
-void PrefillPool::peer(const InstanceId& peer, const WorkRates& rates, TimePoint now)
+void PrefillPool::peer(const InstanceId& peer, const WorkRates& rates, std::size_t entries, TimePoint now)
 {
-    m_peers[peer] = { rates, now };
+    m_peers[peer] = { rates, entries, now };
 }
 
 void PrefillPool::forgetSilentPeers(TimePoint now)
@@ -60,20 +60,18 @@
 std::size_t PrefillPool::peers(TimePoint now)
 {
     forgetSilentPeers(now);
-    return m_peers.size();
+    std::size_t entries = 0;
+    for (const auto& [peer, told] : m_peers)
+        entries += told.entries;
+    return entries;
 }
 
-double PrefillPool::share(const WorkRates& work, double engines) const
+std::size_t PrefillPool::wholeEngines(double share, const WorkRates& work) const
 {
-    double longNeed = work.longPrompts / m_policy.longUtilization;
-    double shortNeed = work.shortPrompts / m_policy.shortUtilization;
-    double proportional = engines * longNeed / (longNeed + shortNeed);
     double rankDifference = work.longRanks / work.longPrompts - work.shortRanks / work.shortPrompts;
-    if (longNeed + shortNeed <= engines || std::abs(rankDifference) < m_policy.equalRanks)
-        return proportional;
-    if (rankDifference > 0)
-        return std::max(m_policy.leastPart * proportional, engines - std::ceil(shortNeed));
-    return std::min(engines - m_policy.leastPart * (engines - proportional), std::ceil(longNeed));
+    if (std::abs(rankDifference) < m_policy.equalRanks)
+        return static_cast<std::size_t>(std::lround(share));
+    return static_cast<std::size_t>(rankDifference > 0 ? std::floor(share) : std::ceil(share));
 }
 
 std::size_t PrefillPool::size(std::size_t engines, TimePoint now)
@@ -87,11 +85,13 @@
         m_size = 0;
         return m_size;
     }
-    double wanted = share(sum, static_cast<double>(engines));
+    double longNeed = sum.longPrompts / m_policy.longUtilization;
+    double shortNeed = sum.shortPrompts / m_policy.shortUtilization;
+    double share = static_cast<double>(engines) * longNeed / (longNeed + shortNeed);
     bool settled
-        = m_size > 0 && m_engines == engines && std::abs(wanted - static_cast<double>(m_size)) <= m_policy.hysteresis;
+        = m_size > 0 && m_engines == engines && std::abs(share - static_cast<double>(m_size)) <= m_policy.hysteresis;
     if (!settled)
-        m_size = std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(wanted)), 1, engines - 1);
+        m_size = std::clamp<std::size_t>(wholeEngines(share, sum), 1, engines - 1);
     m_engines = engines;
     return m_size;
 }
