Race operators with contracts that differ from the present one

In the round before, the write with weight 30 had won, and this round raced 4 against 30 on that revision: a put of the text that is in force already is a success by design and writes nothing. Ruled out: the store's compare (revision 5 is the one from the round before) and retries of uncertain writes. The weights differ in each round now; the check is as strict.

--- a/testsuite/operators/run.py
+++ b/testsuite/operators/run.py
@@ -39,7 +39,7 @@
     """Exactly one of two writes on the same revision takes effect, and the loser is told what differs."""
     for attempt in range(3):
         revision = present_revision(deployment)
-        paths = [write_contract(deployment, f"race-{weight}.json", weight=weight) for weight in (3 + attempt, 30)]
+        paths = [write_contract(deployment, f"race-{weight}.json", weight=weight) for weight in (3 + attempt, 30 + attempt)]
         command = [os.path.join(deployment.bin, "wisteriayardctl"), "--store", deployment.store, "--platform",
                    deployment.platform, "--json", "contract", "put", "--if-revision", str(revision)]
         tools = [subprocess.Popen([*command, path], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
