Do not count streams that waited at a crashed endpoint as used

A stream without an answer counts only if its endpoint has probably begun it by then, three times the expected first event and 200 ms after it was placed; so answers that were lost after the run still count.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -159,8 +159,10 @@
         exchange.close();
         ++m_attempts;
         m_mayHaveRun = true;
-        // A stream begins with its first event; one that was given up before has not been used.
-        bool begun = m_route->kind != RequestKind::Stream || !interruption();
+        // A stream begins with its first event. One that was given up before has not been used, nor has one that waited
+        // at an endpoint which crashed; one whose answer was lost has.
+        bool begun
+            = m_route->kind != RequestKind::Stream || (!interruption() && placement.hasProbablyBegun(bootTimeNow()));
         if (begun)
             countUsage();
         co_return MayHaveRun { read.error().message };
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -130,6 +130,9 @@
     Duration expectedFirstEvent {};
     TimePoint placedAt {};
     bool firstEventSeen = false;
+
+    /// Whether the endpoint has probably begun to answer although nothing of the answer arrived.
+    bool hasProbablyBegun(TimePoint now) const;
 };
 
 /// Why no endpoint was chosen.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -50,6 +50,11 @@
 
     constexpr Duration leastRetryAfter = std::chrono::milliseconds(100);
 
+    /// First events of the lowest rank come after up to three times the expected time in a crowd, and a little later
+    /// than expected at any time.
+    constexpr int mostLateness = 3;
+    constexpr Duration latenessSlack = std::chrono::milliseconds(200);
+
     double microseconds(Duration time) { return static_cast<double>(time.count()); }
 
     std::int64_t promptTokens(const PlacementRequest& request)
@@ -91,6 +96,11 @@
     return "unknown";
 }
 
+bool Placement::hasProbablyBegun(TimePoint now) const
+{
+    return now - placedAt >= mostLateness * expectedFirstEvent + latenessSlack;
+}
+
 std::string_view promptHomeName(PromptHome home)
 {
     switch (home) {
