Choose observers that reach the store, and back off in its outages

Changes: observers are entries that heard the store lately; followers double their pause after failures up to 2 s; an observer that had to read all anew passes the differences on as changes.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -24,6 +24,7 @@
     constexpr Duration renewalInterval = std::chrono::milliseconds(2800);
     /// Registrations are read this often, and soon after a datagram of an entry that is not known.
     constexpr Duration registrationReadInterval = std::chrono::seconds(6);
+    constexpr Duration registrationRetry = std::chrono::seconds(2);
     constexpr Duration strangerReadInterval = std::chrono::milliseconds(600);
     /// Peers that were silent for longer count as gone for roles: above two times the idle interval.
     constexpr Duration liveTime = std::chrono::milliseconds(2500);
@@ -136,10 +137,9 @@
         if (now - readAt >= registrationReadInterval || std::exchange(m_strangerHeard, false)) {
             std::string prefix = registrationPrefix();
             auto range = co_await m_store->range(prefix, prefixEnd(prefix), ReadConsistency::Serializable);
-            if (range) {
+            if (range)
                 replace(range.value()); // otherwise the former peers are kept; their loads expire by themselves
-                readAt = now;
-            }
+            readAt = range ? now : now - registrationReadInterval + registrationRetry;
         }
         timer.expires_after(strangerReadInterval);
         co_await timer.async_wait(use_awaitable);
@@ -166,11 +166,15 @@
 void PeerExchange::updateRole(TimePoint now)
 {
     std::vector<InstanceId> live;
+    std::vector<InstanceId> reaching;
     for (const auto& [instance, peer] : m_peers) {
-        if (isNear(peer) && isLive(peer, now))
-            live.push_back(instance);
+        if (!isNear(peer) || !isLive(peer, now))
+            continue;
+        live.push_back(instance);
+        if (peer.inContact)
+            reaching.push_back(instance);
     }
-    m_role = viewRole(m_state.settings.instance, std::move(live));
+    m_role = viewRole(m_state.settings.instance, contactTime(now) > Duration(0), live, reaching);
 }
 
 void PeerExchange::takeIn(const StoreItem& item)
@@ -218,12 +222,6 @@
     return sum;
 }
 
-std::size_t PeerExchange::nearPeers() const
-{
-    auto near = [this](const auto& each) { return isNear(each.second); };
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), near));
-}
-
 Duration PeerExchange::contactTime(TimePoint now) const
 {
     bool inOutage = now - m_state.endpointsHeardAt >= MembershipTimes().outage;
@@ -275,7 +273,7 @@
 {
     boost::asio::steady_timer timer(m_state.io);
     while (true) {
-        auto factor = static_cast<Duration::rep>(1 + nearPeers() / peersAtSendInterval);
+        auto factor = static_cast<Duration::rep>(1 + m_peers.size() / peersAtSendInterval);
         timer.expires_after(sendInterval * factor);
         co_await timer.async_wait(use_awaitable);
         TimePoint now = bootTimeNow();
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -89,7 +89,6 @@
     PeerLoads ownLoads(TimePoint now);
     /// Sum over the entries of this region, for those of other regions.
     PeerLoads regionLoads(const PeerLoads& own, TimePoint now) const;
-    std::size_t nearPeers() const;
     bool isNear(const Peer& peer) const { return peer.region == m_state.settings.region; }
     /// Time for which this entry has heard the store without an outage; 0 during one.
     Duration contactTime(TimePoint now) const;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -12,6 +12,9 @@
     /// Pause after a failed call: short against the time in which changes must take effect, long against the store's
     /// rates when all instances retry at once.
     constexpr Duration retryPause = std::chrono::milliseconds(250);
+    /// Longest pause of a follower, which doubles its pause with each failure: in an outage of the store its observers
+    /// go on trying and tell when it is over.
+    constexpr Duration longestPause = std::chrono::seconds(2);
     /// Longest time without an answer to a watch of an entry that reads for itself only.
     constexpr Duration ownSilence = std::chrono::seconds(3);
     /// The same if others rely on the answers, or if this entry waits for observers to come back.
@@ -21,6 +24,20 @@
 
 } // namespace
 
+WatchBatch changesSince(const std::set<std::string>& keys, Revision from, const StoreRange& range)
+{
+    WatchBatch batch { range.revision, {} };
+    std::set<std::string> removed = keys;
+    for (const StoreItem& item : range.items) {
+        removed.erase(item.key);
+        if (item.modRevision > from)
+            batch.items.push_back(item);
+    }
+    for (const std::string& key : removed)
+        batch.items.push_back({ key, std::string(), range.revision, Revision() });
+    return batch;
+}
+
 StoreFollower::StoreFollower(boost::asio::io_context& io, std::unique_ptr<StoreClient> store, std::string prefix,
     Handlers handlers, std::shared_ptr<EventLog> log)
     : m_io(io)
@@ -49,11 +66,19 @@
             m_cause = ReadCause::None;
         if (m_view.isLoaded() && !m_lost && mustWatch())
             continue;
-        timer.expires_after(m_lost ? retryPause : lookInterval);
+        timer.expires_after(m_lost ? pauseAfterFailure() : lookInterval);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 }
 
+Duration StoreFollower::pauseAfterFailure()
+{
+    if (m_handlers.role() != ViewRole::Follower || !m_view.isLoaded())
+        return retryPause;
+    m_pause = std::min(2 * m_pause, longestPause);
+    return m_pause;
+}
+
 boost::asio::awaitable<void> StoreFollower::readAll()
 {
     noteReading(ReadCause::NotLoaded);
@@ -65,6 +90,12 @@
     noteHeard();
     TimePoint now = bootTimeNow();
     m_view.loaded(range.value().revision, now);
+    // Without the lost history the other entries of the region would all read the store anew.
+    auto lostAt = std::exchange(m_lostAt, std::nullopt);
+    if (lostAt && m_handlers.role() == ViewRole::Observer)
+        m_handlers.passOn(*lostAt, changesSince(m_keys, *lostAt, range.value()));
+    m_keys.clear();
+    noteKeys(range.value().items);
     m_handlers.snapshot(range.value(), now);
 }
 
@@ -89,6 +120,7 @@
     noteError(ended);
     if (ended.code == Errc::Conflict) {
         // The history is gone: read anew at once.
+        m_lostAt = m_view.revision();
         m_view.unload();
         m_lost = false;
     }
@@ -113,6 +145,7 @@
     Revision known = m_view.revision();
     dropKnown(batch, known);
     m_view.heardStore(batch.revision, lastChange(batch), now);
+    noteKeys(batch.items);
     m_handlers.changes(batch, now);
     if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
         m_handlers.passOn(known, batch);
@@ -125,15 +158,28 @@
     if (!m_view.takeChanges(changes.from, changes.to, lastChange(batch), now))
         return;
     dropKnown(batch, known);
+    noteKeys(batch.items);
     m_handlers.changes(batch, now);
 }
 
+void StoreFollower::noteKeys(const std::vector<StoreItem>& items)
+{
+    for (const StoreItem& item : items) {
+        if (item.value.empty())
+            m_keys.erase(item.key);
+        else
+            m_keys.insert(item.key);
+    }
+}
+
 void StoreFollower::takeMark(const ViewMark& mark, TimePoint now)
 {
     TimePoint before = m_view.confirmedAt();
     m_view.takeMark(mark, now);
-    if (m_view.confirmedAt() > before)
-        m_handlers.changes(WatchBatch { m_view.revision(), {} }, m_view.confirmedAt());
+    if (m_view.confirmedAt() <= before)
+        return;
+    noteHeard();
+    m_handlers.changes(WatchBatch { m_view.revision(), {} }, m_view.confirmedAt());
 }
 
 void StoreFollower::noteRole(ViewRole role)
@@ -161,6 +207,7 @@
     if (m_lost)
         return;
     m_lost = true;
+    m_pause = retryPause;
     m_log->write(Event::WatchEnded, { { "prefix", m_prefix }, { "error", error.message } });
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -10,10 +10,16 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace wisteriayard {
 
+/// Changes that lead from a copy of a part of the store to a newer complete reading of it.
+/// @param keys the keys of the copy
+/// @param from revision that the copy is complete up to
+WatchBatch changesSince(const std::set<std::string>& keys, Revision from, const StoreRange& range);
+
 /// Keeps a copy of all keys with a prefix. Reads them once, and then follows their changes: by a watch of the store if
 /// this entry is an observer or hears none, otherwise by what observers pass on.
 class StoreFollower {
@@ -45,7 +51,9 @@
     boost::asio::awaitable<void> readAll();
     boost::asio::awaitable<void> watch();
     bool mustWatch() const;
+    Duration pauseAfterFailure();
     void takeBatch(WatchBatch batch, TimePoint now);
+    void noteKeys(const std::vector<StoreItem>& items);
     /// Drops changes that the copy has already: an older version of a key must not replace a newer one.
     static void dropKnown(WatchBatch& batch, Revision known);
     static std::optional<Revision> lastChange(const WatchBatch& batch);
@@ -61,7 +69,13 @@
     Handlers m_handlers;
     std::shared_ptr<EventLog> m_log;
     RelayedView m_view;
+    /// Keys of the copy.
+    std::set<std::string> m_keys;
+    /// Where the copy ended when the store's history was gone.
+    std::optional<Revision> m_lostAt;
     bool m_lost = false;
+    /// Last pause after a failed call.
+    Duration m_pause {};
     std::optional<ViewRole> m_role;
     ReadCause m_cause = ReadCause::None;
 };
--- a/src/include/wisteriayard/relayed_view.h
+++ b/src/include/wisteriayard/relayed_view.h
@@ -108,7 +108,10 @@
 
 /// Role of an entry in its region. Entries that see different peers may choose more observers for a while, or none:
 /// then the copies become stale and are read from the store.
+/// @param reachesStore this entry has heard the store lately
 /// @param live other entries of the region that were heard lately
-ViewRole viewRole(const InstanceId& self, std::vector<InstanceId> live);
+/// @param reaching those of them that have heard the store lately: if the store refuses some, the others observe
+ViewRole viewRole(const InstanceId& self, bool reachesStore, const std::vector<InstanceId>& live,
+    const std::vector<InstanceId>& reaching);
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -50,8 +50,8 @@
 
     constexpr Duration leastRetryAfter = std::chrono::milliseconds(100);
 
-    /// First events of the lowest rank come after up to three times the expected time in a crowd, and a little later
-    /// than expected at any time.
+    /// Behind a queue, first events of the lowest rank come after up to three times the expected time and a little
+    /// more. Without a queue they come in the expected time.
     constexpr int mostLateness = 3;
     constexpr Duration latenessSlack = std::chrono::milliseconds(200);
 
@@ -98,7 +98,8 @@
 
 bool Placement::hasProbablyBegun(TimePoint now) const
 {
-    return now - placedAt >= mostLateness * expectedFirstEvent + latenessSlack;
+    Duration latest = tokensAhead > 0 ? mostLateness * expectedFirstEvent + latenessSlack : expectedFirstEvent;
+    return now - placedAt >= latest;
 }
 
 std::string_view promptHomeName(PromptHome home)
--- a/src/libwisteriayard/relayed_view.cpp
+++ b/src/libwisteriayard/relayed_view.cpp
@@ -103,12 +103,17 @@
     return "unknown";
 }
 
-ViewRole viewRole(const InstanceId& self, std::vector<InstanceId> live)
+ViewRole viewRole(const InstanceId& self, bool reachesStore, const std::vector<InstanceId>& live,
+    const std::vector<InstanceId>& reaching)
 {
-    live.push_back(self);
-    if (live.size() <= mostWithoutObservers)
+    if (live.size() + 1 <= mostWithoutObservers)
         return ViewRole::Alone;
-    std::vector<InstanceId> observers = rendezvousTop("observer", live, observersPerRegion);
+    if (!reachesStore && !reaching.empty())
+        return ViewRole::Follower;
+    // Nobody hears the store in an outage; then those go on trying that are chosen anyway.
+    std::vector<InstanceId> candidates = reachesStore ? reaching : live;
+    candidates.push_back(self);
+    std::vector<InstanceId> observers = rendezvousTop("observer", candidates, observersPerRegion);
     bool chosen = std::find(observers.begin(), observers.end(), self) != observers.end();
     return chosen ? ViewRole::Observer : ViewRole::Follower;
 }
