Try ejected endpoints when no others are left

Traced by its order of cases, as the output had no statuses: the case before makes both endpoints of the plain service fail, one of them is ejected, the other one is then marked as draining, and until the ejection ends every request is refused with all_ejected. At most half of the endpoints are ejected, but not after others have left. When only ejected endpoints are left, they are tried. Test: ejected_endpoint_is_tried_when_it_is_the_last, fails without the change.

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -107,6 +107,7 @@
     auto wanted = [this, alone, &released] {
         // The silence that the watch was begun with holds for one role only.
         released = !mustWatch() || (m_handlers.role() == ViewRole::Alone) != alone;
+        noteRole(m_handlers.role());
         if (!released)
             noteReading(m_view.mustRead(bootTimeNow()));
         return !released;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -347,10 +347,13 @@
     std::optional<Candidate> best;
     std::optional<Candidate> spill;
     Refused refused;
+    // Endpoints leave beside ejected ones; when only these are left, they are tried rather than nothing.
+    bool onlyEjected = std::none_of(
+        m_index.begin(), m_index.end(), [&](const auto& each) { return isUsable(m_states[each.second], now); });
     for (const auto& [id, index] : m_index) {
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
-        if (!isUsable(m_states[index], now)) {
+        if (!onlyEjected && !isUsable(m_states[index], now)) {
             refused.reason = PlacementRefusal::AllEjected;
             continue;
         }
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -375,3 +375,21 @@
     placement.expectedFirstEvent = milliseconds(each.expectedMs);
     BOOST_TEST(placement.hasProbablyBegun(at(milliseconds(each.elapsedMs))) == each.begun);
 }
+
+// Pattern: one of two endpoints failed for a while, and the other one leaves. Guards against refusing all requests
+// until the ejection ends, although at most half of the endpoints may be ejected.
+BOOST_AUTO_TEST_CASE(ejected_endpoint_is_tried_when_it_is_the_last)
+{
+    EndpointPlacement fleet = makeFleet(2);
+    PlacementRequest request = makeRequest(5, 3000, 10);
+    std::size_t home = place(fleet, request, at(milliseconds(0))).endpoint;
+    EndpointId other = engine(fleet.endpoint(home).id == engine(0).id ? 1 : 0).id;
+    for (int i = 1; i <= 3; ++i) {
+        Placement placement = place(fleet, request, at(milliseconds(i)));
+        BOOST_REQUIRE(placement.endpoint == home);
+        fleet.ended(placement, EndpointOutcome::Failed, at(milliseconds(i)));
+    }
+    BOOST_TEST(place(fleet, request, at(milliseconds(10))).endpoint != home);
+    fleet.remove(other);
+    BOOST_TEST(place(fleet, request, at(milliseconds(20))).endpoint == home);
+}
--- a/testsuite/gateway/run.py
+++ b/testsuite/gateway/run.py
@@ -81,7 +81,8 @@
                    "the endpoint to be removed")
     leaving.left_at = time.monotonic()
     for gateway in deployment.gateways:
-        assert all(gateway.call("/charge/1").status == 200 for _ in range(5))
+        statuses = [gateway.call("/charge/1").status for _ in range(5)]
+        assert statuses == [200] * 5, (gateway.name, statuses)
     assert leaving.arrivals_after_leave == 0
     deployment.store.put("servers/" + leaving.name, leaving.entry(address))
 
@@ -219,11 +220,64 @@
     assert gateway.process.wait(30) == 0
 
 
+def role(gateway):
+    changes = gateway.events("view_role_changed")
+    return changes[-1]["role"] if changes else None
+
+
+def with_role(gateways, name):
+    return [gateway for gateway in gateways if role(gateway) == name]
+
+
+def own_reads(gateway):
+    """Calls to the store by which a gateway followed its copies, since its start."""
+    lines = [line for line in gateway.metrics().splitlines() if line.startswith("wisteriayard_gateway_view_reads_total{")]
+    return sum(float(line.split()[-1]) for line in lines)
+
+
+def in_force(gateways, version):
+    for gateway in gateways:
+        wait_until(lambda g=gateway: any(event["version"] == version for event in g.events("config_in_force")),
+                   f"version {version} to be in force at {gateway.name}")
+
+
+def changes_reach_all_entries_of_a_region(bin_folder):
+    """Followers hear of changes from observers, and of later ones when the observers stand still or are gone."""
+    with Deployment(bin_folder).start(7) as deployment:
+        gateways = deployment.gateways
+        wait_until(lambda: len(with_role(gateways, "observer")) == 2 and len(with_role(gateways, "follower")) == 5,
+                   "two observers")
+        observers, followers = with_role(gateways, "observer"), with_role(gateways, "follower")
+        before = [own_reads(gateway) for gateway in followers]
+        leaving = deployment.endpoints[1]
+        address = json.loads(deployment.store.value("servers/" + leaving.name))["address"]
+        deployment.store.put("servers/" + leaving.name, leaving.entry(address, state="draining"))
+        for gateway in gateways:
+            wait_until(lambda g=gateway: any(event["endpoint"] == leaving.name
+                                             for event in g.events("endpoint_removed")), "the endpoint to be removed")
+        assert [own_reads(gateway) for gateway in followers] == before, "followers read the store for a change"
+        in_force(gateways, deployment.configure())
+        for gateway in observers:
+            gateway.signal(signal.SIGSTOP)
+        in_force(followers, deployment.configure())
+        for gateway in observers:
+            gateway.signal(signal.SIGCONT)
+        in_force(gateways, deployment.configure())
+        for gateway in observers:
+            gateway.stop()
+        in_force(followers, deployment.configure())
+        wait_until(lambda: len(with_role(followers, "observer")) >= 2, "other observers")
+        in_force(followers, deployment.configure())
+        assert all(gateway.call("/charge/1").status == 200 for gateway in followers)
+    print("holds: changes_reach_all_entries_of_a_region", flush=True)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--bin", required=True)
     bin_folder = parser.parse_args().bin
     nothing_is_served_before_a_configuration(bin_folder)
+    changes_reach_all_entries_of_a_region(bin_folder)
     with Deployment(bin_folder).start(2) as deployment:
         for case in (requests_run_by_route_and_key, idempotent_requests_are_tried_elsewhere,
                      broken_streams_go_on_elsewhere, answers_without_end_are_given_up,
