Tell other entries which prompt parts engines have

Queues were off by whole prompts: first events of the lowest rank behind a queue came after 2.0 times the expected time (median; 4.8 times at the ninth tenth), 154 of 700 were late, and the time per token was taken as 20 us where it is 35. Parts were computed again after each move of a home, since nobody knew where they were.

Change: entries tell each other first uses of parts at engines, twice each and again after 4 s; a part is cached where someone said so, and its computation is counted in the queue. The second home with a factor of its own is gone. The split of engines weighs less (150 and 50 ms instead of 500 and 250), what is left of a prompt in hand is taken as 7,000 tokens instead of 10,000, and the time per token starts from 30 us, from where it falls fast.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -133,18 +133,40 @@
         placement(record.target).put(placementEndpoint(record));
 }
 
-void EndpointDirectory::peerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& told, TimePoint now)
+template <typename Value>
+std::map<EndpointId, Value> EndpointDirectory::byId(const std::map<EndpointTag, Value>& told) const
 {
-    std::map<EndpointId, EndpointUse> use;
-    for (const auto& [tag, each] : told) {
+    std::map<EndpointId, Value> values;
+    for (const auto& [tag, value] : told) {
         auto known = m_tags.find(tag);
         if (known != m_tags.end())
-            use[known->second] = each;
+            values[known->second] = value;
     }
+    return values;
+}
+
+void EndpointDirectory::peerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& told, TimePoint now)
+{
+    std::map<EndpointId, EndpointUse> use = byId(told);
     for (auto& [target, placement] : m_placements)
         placement->peerUse(peer, use, now);
 }
 
+std::map<EndpointId, std::vector<PartTag>> EndpointDirectory::partNews()
+{
+    std::map<EndpointId, std::vector<PartTag>> news;
+    for (auto& [target, placement] : m_placements)
+        news.merge(placement->partNews());
+    return news;
+}
+
+void EndpointDirectory::peerParts(const std::map<EndpointTag, std::vector<PartTag>>& told, TimePoint now)
+{
+    std::map<EndpointId, std::vector<PartTag>> parts = byId(told);
+    for (auto& [target, placement] : m_placements)
+        placement->peerParts(parts, now);
+}
+
 std::map<EndpointId, EndpointUse> EndpointDirectory::ownUse() const
 {
     std::map<EndpointId, EndpointUse> use;
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -39,6 +39,11 @@
     void configure(const RoutingConfig& config);
     /// Takes in the load that another entry puts on endpoints.
     void peerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& told, TimePoint now);
+    /// @name Shared prompt parts that requests began to use at endpoints
+    /// @{
+    std::map<EndpointId, std::vector<PartTag>> partNews();
+    void peerParts(const std::map<EndpointTag, std::vector<PartTag>>& told, TimePoint now);
+    /// @}
     /// @name Engine time that requests ask for, by service
     /// @{
     std::map<TargetId, WorkRates> ownWork(TimePoint now);
@@ -62,6 +67,8 @@
     void put(const EndpointRecord& record);
     void remove(const EndpointId& id, std::string_view reason);
     EndpointId idOf(const std::string& key) const;
+    /// What was told of endpoints by their names in datagrams, without those that are not known here.
+    template <typename Value> std::map<EndpointId, Value> byId(const std::map<EndpointTag, Value>& told) const;
     PlacementEndpoint placementEndpoint(const EndpointRecord& record) const;
 
     const GatewaySettings& m_settings;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -209,6 +209,8 @@
     for (const auto& [id, use] : m_state.directory.ownUse())
         loads.endpoints[endpointTag(id)] = use;
     loads.work = m_state.directory.ownWork(now);
+    for (auto& [id, parts] : m_state.directory.partNews())
+        loads.parts[endpointTag(id)] = std::move(parts);
     return loads;
 }
 
@@ -431,6 +433,7 @@
     // The sums of a region's observers replace each other.
     InstanceId source = loads.entries > 1 ? InstanceId("region/" + sender.region.value()) : peer;
     m_state.directory.peerUse(source, loads.endpoints, now);
+    m_state.directory.peerParts(loads.parts, now);
     m_state.directory.peerWork(source, loads.work, loads.entries, now);
 }
 
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -55,6 +55,12 @@
                 work.set_long_ranks(static_cast<float>(rates.longRanks));
                 work.set_short_ranks(static_cast<float>(rates.shortRanks));
             }
+            for (const auto& [endpoint, parts] : loads.parts) {
+                for (PartTag part : parts) {
+                    message.add_part_endpoints(static_cast<std::uint32_t>(endpoint));
+                    message.add_part_tags(static_cast<std::uint32_t>(part));
+                }
+            }
             for (const auto& [view, mark] : loads.views) {
                 peer::ViewMark& told = *message.add_views();
                 told.set_view(static_cast<std::uint32_t>(view));
@@ -128,8 +134,10 @@
         loads.contact = std::chrono::milliseconds(message.contact_ms());
         int rows = message.endpoint_tags_size();
         int backlogs = message.backlog_rows_size();
+        int parts = message.part_tags_size();
         if (message.running_size() != rows || message.memory_tokens_size() != rows
-            || message.backlog_ranks_size() != backlogs || message.backlog_tokens_size() != backlogs)
+            || message.backlog_ranks_size() != backlogs || message.backlog_tokens_size() != backlogs
+            || message.part_endpoints_size() != parts)
             return fail(Errc::Protocol, "peer datagram: columns of different lengths");
         for (int i = 0; i < rows; ++i) {
             EndpointUse use;
@@ -146,6 +154,8 @@
             loads.endpoints[EndpointTag(message.endpoint_tags(static_cast<int>(row)))].backlog.add(
                 Priority(static_cast<std::int32_t>(rank)), Tokens(message.backlog_tokens(i)));
         }
+        for (int i = 0; i < parts; ++i)
+            loads.parts[EndpointTag(message.part_endpoints(i))].push_back(PartTag(message.part_tags(i)));
         for (const peer::TargetWork& work : message.work()) {
             if (!isRate(work.long_prompts()) || !isRate(work.short_prompts()) || !isRate(work.long_ranks())
                 || !isRate(work.short_ranks()))
@@ -211,6 +221,8 @@
 {
     for (const auto& [tag, use] : other.endpoints)
         endpoints[tag] += use;
+    for (const auto& [endpoint, told] : other.parts)
+        parts[endpoint].insert(parts[endpoint].end(), told.begin(), told.end());
     for (const auto& [target, rates] : other.work)
         work[target] += rates;
     entries += other.entries;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -35,6 +35,8 @@
     Duration contact {};
     std::map<EndpointTag, EndpointUse> endpoints;
     std::map<TargetId, WorkRates> work;
+    /// Shared prompt parts that requests began to use at endpoints.
+    std::map<EndpointTag, std::vector<PartTag>> parts;
     /// How far the sender's copies of the store reach; empty if it is no observer.
     std::map<StoreView, ViewMark> views;
     /// The sender is stopping and will not be heard for long.
@@ -42,7 +44,7 @@
     /// Endpoints and work are sums over so many entries of the sender's region, itself included.
     std::uint32_t entries = 1;
 
-    /// Adds the endpoints and work of another entry.
+    /// Adds the endpoints, parts and work of another entry.
     void add(const PeerLoads& other);
 };
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace wisteriayard {
 
 namespace http = boost::beast::http;
@@ -283,6 +285,8 @@
         co_return boost::outcome_v2::success();
     std::string output;
     TimePoint now = bootTimeNow();
+    if (m_headSent)
+        m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
     if (placement.firstEventSeen)
         m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
     m_lastEventAt = now;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -313,7 +313,7 @@
             { "attempt", m_offers + 1 }, { "priority", m_priority.value() },
             { "expected_ms", placement.expectedFirstEvent.count() / 1000 },
             { "uncached_tokens", placement.uncachedTokens }, { "tokens_ahead", placement.tokensAhead },
-            { "home", promptHomeName(placement.home) }, { "config_version", m_routes->config().version.value() },
+            { "home", placement.atHome }, { "config_version", m_routes->config().version.value() },
             { "endpoints_age_ms", (now - m_state.endpointsHeardAt).count() / 1000 },
             { "time_left_ms", timeLeft(now).count() / 1000 } },
         now);
@@ -339,7 +339,11 @@
     m_state.logRequest(event,
         { { "request", m_traits.id.value() }, { "route", route }, { "account", account.value() },
             { "outcome", outcome }, { "detail", detail }, { "total_ms", time.count() / 1000 },
-            { "first_event_ms", m_firstEventTime.count() / 1000 }, { "offers", m_offers },
+            { "first_event_ms", m_firstEventTime.count() / 1000 },
+            { "objective_ms", (m_route ? m_route->objective : Duration(0)).count() / 1000 },
+            { "longest_pause_ms", m_longestPause.count() / 1000 },
+            { "pause_objective_ms", (m_route ? m_route->gapObjective : Duration(0)).count() / 1000 },
+            { "last_event", m_lastEvent.value_or(0) }, { "offers", m_offers },
             { "config_version", m_routes ? m_routes->config().version.value() : 0 } },
         now);
 }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -132,6 +132,8 @@
     TimePoint m_lastEventAt {};
     /// Time from the request to the first event; 0 before it.
     Duration m_firstEventTime {};
+    /// Longest time between two writes of events to the caller.
+    Duration m_longestPause {};
     int m_attempts = 0;
     int m_offers = 0;
     int m_connectFailures = 0;
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wisteriayard/cached_parts.h"
 #include "wisteriayard/endpoint_pause.h"
 #include "wisteriayard/ids.h"
 #include "wisteriayard/part_rates.h"
@@ -67,12 +68,11 @@
     Duration regionCost = std::chrono::milliseconds(25);
     /// Slower decoding for all by one more request of the batch.
     Duration runningCost = std::chrono::milliseconds(2);
-    /// A shared token that is computed again counts this many times. It displaces cached parts and takes engine time
-    /// that other requests need; with a factor of 5, two thirds of the requests of a busy fleet left their home for a
-    /// queue that was shorter by one prompt, and a quarter of the engine time went into computing parts again.
+    /// A shared token that is computed at an endpoint which is no home of its part counts this many times. It displaces
+    /// cached parts and takes engine time that other requests need; with a factor of 5, two thirds of the requests of a
+    /// busy fleet left their home for a queue that was shorter by one prompt, and a quarter of the engine time went
+    /// into computing parts again.
     double recomputeFactor = 20.0;
-    /// The same at the endpoint with the next highest weight after the homes, so that what they can't take meets there.
-    double secondRecomputeFactor = 4.0;
     /// Engine time in each second that the requests with one shared part may ask of each of its homes.
     double homeUtilization = 0.4;
     /// A part also gets a further home for each such time that prompts of this entry with it have to be computed.
@@ -82,9 +82,9 @@
     /// Cost of placing a request where its tokens don't fit.
     Duration memoryCost = std::chrono::milliseconds(1500);
     /// Cost of a long prompt outside of the engines for long prompts: it makes the streams there late.
-    Duration longOutsideCost = std::chrono::milliseconds(500);
+    Duration longOutsideCost = std::chrono::milliseconds(150);
     /// Cost of a short prompt on an engine for long prompts: its own stream will be late.
-    Duration shortInsideCost = std::chrono::milliseconds(250);
+    Duration shortInsideCost = std::chrono::milliseconds(50);
     /// A request is refused if its first event is expected later than this share of the time it has left.
     double latestShare = 0.8;
     /// A request is also refused if its first event is expected later than this many objectives: a longer queue makes
@@ -103,17 +103,6 @@
     Duration cacheLifetime = std::chrono::seconds(15);
 };
 
-/// How an endpoint stands to the last shared part of a prompt.
-enum class PromptHome {
-    /// Among the highest rendezvous weights, as many as the part's load needs.
-    First,
-    /// The next highest.
-    Second,
-    /// Any other, or a prompt without shared parts.
-    None,
-};
-std::string_view promptHomeName(PromptHome home);
-
 /// Where a request was placed; given back when its state changes.
 struct Placement {
     std::size_t endpoint = 0;
@@ -125,7 +114,10 @@
     Priority rank { 0 };
     /// Uncached tokens that were to be computed there before its own.
     std::int64_t tokensAhead = 0;
-    PromptHome home = PromptHome::None;
+    /// Shared tokens among the uncached ones.
+    std::int64_t recomputedTokens = 0;
+    /// The endpoint is a home of the last shared part.
+    bool atHome = false;
     /// The last shared part of the prompt.
     std::optional<std::uint64_t> part;
     Duration expectedFirstEvent {};
@@ -222,6 +214,10 @@
     std::map<EndpointId, EndpointUse> ownUse() const;
     /// Takes in what another entry told of its requests.
     void peerUse(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now);
+    /// Shared prompt parts that requests of this entry began to use at endpoints, for one round of datagrams.
+    std::map<EndpointId, std::vector<PartTag>> partNews() { return m_partNews.nextRound(); }
+    /// Takes in the same of another entry.
+    void peerParts(const std::map<EndpointId, std::vector<PartTag>>& parts, TimePoint now);
 
 private:
     /// What another entry told last.
@@ -246,8 +242,7 @@
         bool probing = false;
         bool ejected = false;
         EndpointPause pause;
-        /// When the last use of each prompt part began here, by this entry.
-        std::unordered_map<std::uint64_t, TimePoint> parts;
+        CachedParts parts { PlacementPolicy().cacheLifetime };
         /// Moving average of the time to compute one prompt token, in microseconds.
         double tokenTime = 0;
         TimePoint tokenTimeAt {};
@@ -262,24 +257,17 @@
         double firstEvent = 0;
         /// Shared tokens among the uncached ones.
         std::int64_t recomputed = 0;
-        PromptHome home = PromptHome::None;
+        bool atHome = false;
         /// Other requests go before this one there.
         bool queued = false;
     };
 
-    /// Endpoints with the highest weights for the last shared prompt part.
-    struct Homes {
-        PromptHome rank(std::size_t index) const;
-
-        std::vector<std::size_t> members;
-        std::optional<std::size_t> reserve;
-    };
-
     std::size_t homeCount(std::uint64_t part, TimePoint now);
-    Homes homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now);
-    std::int64_t uncachedTokens(const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const;
-    Candidate evaluate(std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize,
-        TimePoint now) const;
+    /// Endpoints with the highest rendezvous weights for the last shared part, as many as its load needs.
+    std::vector<std::size_t> homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now);
+    static std::int64_t uncachedTokens(const State& state, const PlacementRequest& request, TimePoint now);
+    Candidate evaluate(std::size_t index, const PlacementRequest& request, const std::vector<std::size_t>& homes,
+        std::size_t poolSize, TimePoint now) const;
     void orderEndpoints();
     Duration expectedWork(
         const State& state, std::int64_t uncachedTokens, const PlacementRequest& request, TimePoint now) const;
@@ -296,7 +284,6 @@
     void prefillEnded(const Placement& placement);
     HealthChange noteFailure(State& state, TimePoint now);
     HealthChange noteSuccess(State& state);
-    void forgetOldParts(State& state, TimePoint now) const;
 
     PlacementPolicy m_policy;
     ZoneId m_zone;
@@ -308,7 +295,9 @@
     ReturnSpread m_returns;
     PrefillPool m_pool;
     PartRates m_partRates;
-    /// Prompt tokens that requests of this entry are waiting for, by their last shared part.
+    PartNews m_partNews;
+    /// Prompt tokens that requests of this entry are waiting for, by their last shared part and without shared ones:
+    /// another home would have to compute these too.
     std::unordered_map<std::uint64_t, std::int64_t> m_waitingTokens;
     /// Moving average of the time between two events of a stream, in microseconds.
     double m_eventTime;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     /// Time per prompt token before the first answer, in microseconds: that of a mid-size model.
-    constexpr double initialTokenTime = 20;
+    constexpr double initialTokenTime = 30;
     constexpr double minTokenTime = 3;
     constexpr double maxTokenTime = 300;
     /// Prompts below this say little about the time per token: their first event waits for the batch.
@@ -45,9 +45,6 @@
     /// At most this share of the endpoints is ejected: beyond it the cause lies elsewhere, and the rest would drown.
     constexpr double mostEjected = 0.5;
 
-    /// Records of prompt parts of one endpoint above which old ones are dropped.
-    constexpr std::size_t partRecords = 512;
-
     constexpr Duration leastRetryAfter = std::chrono::milliseconds(100);
 
     /// Behind a queue, first events of the lowest rank come after up to three times the expected time and a little
@@ -104,19 +101,6 @@
     return now - placedAt >= latest;
 }
 
-std::string_view promptHomeName(PromptHome home)
-{
-    switch (home) {
-    case PromptHome::First:
-        return "first";
-    case PromptHome::Second:
-        return "second";
-    case PromptHome::None:
-        return "none";
-    }
-    return "unknown";
-}
-
 EndpointPlacement::EndpointPlacement(PlacementPolicy policy, ZoneId zone, RegionId region)
     : m_policy(policy)
     , m_zone(std::move(zone))
@@ -191,9 +175,9 @@
         + static_cast<std::size_t>(wait / m_policy.waitPerHome);
 }
 
-EndpointPlacement::Homes EndpointPlacement::homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now)
+std::vector<std::size_t> EndpointPlacement::homes(const PlacementRequest& request, std::size_t poolSize, TimePoint now)
 {
-    Homes homes;
+    std::vector<std::size_t> homes;
     if (request.prompt.size() < 2)
         return homes;
     std::uint64_t key = lastSharedPart(request);
@@ -205,34 +189,19 @@
             weights.emplace_back(mixHash(key ^ state.hash), index);
     }
     std::size_t count = std::min(homeCount(key, now), weights.size());
-    std::size_t ranked = std::min(count + 1, weights.size());
     std::partial_sort(
-        weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(ranked), weights.end(), std::greater<>());
+        weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(count), weights.end(), std::greater<>());
     for (std::size_t i = 0; i < count; ++i)
-        homes.members.push_back(weights[i].second);
-    if (ranked > count)
-        homes.reserve = weights[count].second;
+        homes.push_back(weights[i].second);
     return homes;
 }
 
-PromptHome EndpointPlacement::Homes::rank(std::size_t index) const
-{
-    if (std::find(members.begin(), members.end(), index) != members.end())
-        return PromptHome::First;
-    return index == reserve ? PromptHome::Second : PromptHome::None;
-}
-
-std::int64_t EndpointPlacement::uncachedTokens(
-    const State& state, const PlacementRequest& request, bool isHome, TimePoint now) const
+std::int64_t EndpointPlacement::uncachedTokens(const State& state, const PlacementRequest& request, TimePoint now)
 {
     std::int64_t uncached = 0;
     bool prefixCached = true;
-    for (std::size_t i = 0; i < request.prompt.size(); ++i) {
-        const PromptPart& part = request.prompt[i];
-        bool own = i + 1 == request.prompt.size();
-        auto used = state.parts.find(part.id);
-        bool recent = used != state.parts.end() && now - used->second < m_policy.cacheLifetime;
-        prefixCached = prefixCached && (recent || (isHome && !own));
+    for (const PromptPart& part : request.prompt) {
+        prefixCached = prefixCached && state.parts.holds(partTag(part.id), now);
         if (!prefixCached)
             uncached += part.tokens.value();
     }
@@ -270,8 +239,8 @@
     return all.ahead(rank).value();
 }
 
-EndpointPlacement::Candidate EndpointPlacement::evaluate(
-    std::size_t index, const PlacementRequest& request, const Homes& homes, std::size_t poolSize, TimePoint now) const
+EndpointPlacement::Candidate EndpointPlacement::evaluate(std::size_t index, const PlacementRequest& request,
+    const std::vector<std::size_t>& homes, std::size_t poolSize, TimePoint now) const
 {
     const State& state = m_states[index];
     Candidate candidate;
@@ -285,14 +254,14 @@
     double wait = 0;
     double charge = distance;
     if (state.info.memory.value() > 0) {
-        candidate.home = homes.rank(index);
-        candidate.uncached = uncachedTokens(state, request, candidate.home == PromptHome::First, now);
+        candidate.atHome = std::find(homes.begin(), homes.end(), index) != homes.end();
+        candidate.uncached = uncachedTokens(state, request, now);
         std::int64_t ahead = tokensAhead(state, request.rank);
         wait = m_baseTime + tokenTime(state, now) * static_cast<double>(ahead + candidate.uncached);
         std::int64_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens.value();
         candidate.recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
-        double factor
-            = candidate.home == PromptHome::Second ? m_policy.secondRecomputeFactor : m_policy.recomputeFactor;
+        // A part has to be computed once at each of its homes, so that is no reason to go elsewhere.
+        double factor = candidate.atHome ? 0 : m_policy.recomputeFactor;
         charge += (factor - 1) * tokenTime(state, now) * static_cast<double>(candidate.recomputed);
         charge += microseconds(m_policy.runningCost) * running;
         candidate.queued = ahead > 0 || running >= state.info.slots;
@@ -364,7 +333,7 @@
 {
     sumPeers(now);
     std::size_t poolSize = m_pool.size(m_index.size(), now);
-    Homes homeEndpoints = homes(request, poolSize, now);
+    std::vector<std::size_t> homeEndpoints = homes(request, poolSize, now);
     double latest = std::min(m_policy.latestShare * microseconds(request.timeLeft),
         m_policy.mostObjectives * microseconds(request.objective));
     std::optional<Candidate> best;
@@ -411,7 +380,8 @@
     placement.tokensAhead = tokensAhead(state, request.rank);
     placement.expectedFirstEvent = Duration(static_cast<std::int64_t>(best->firstEvent));
     placement.placedAt = now;
-    placement.home = best->home;
+    placement.recomputedTokens = best->recomputed;
+    placement.atHome = best->atHome;
     if (state.info.memory.value() > 0 && request.prompt.size() > 1)
         placement.part = lastSharedPart(request);
     return placement;
@@ -425,13 +395,6 @@
     return state.present && state.generation == placement.generation ? &state : nullptr;
 }
 
-void EndpointPlacement::forgetOldParts(State& state, TimePoint now) const
-{
-    if (state.parts.size() < partRecords)
-        return;
-    std::erase_if(state.parts, [&](const auto& part) { return now - part.second >= m_policy.cacheLifetime; });
-}
-
 void EndpointPlacement::started(const Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     State* state = find(placement);
@@ -446,12 +409,15 @@
     Duration work = expectedWork(*state, placement.uncachedTokens, request, now);
     m_pool.note(Tokens(promptTokens(request)), work, request.rank, now);
     if (placement.part) {
-        m_partRates.note(*placement.part, work, now);
-        m_waitingTokens[*placement.part] += placement.uncachedTokens;
+        std::int64_t ownTokens = placement.uncachedTokens - placement.recomputedTokens;
+        m_partRates.note(*placement.part, expectedWork(*state, ownTokens, request, now), now);
+        m_waitingTokens[*placement.part] += ownTokens;
+    }
+    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+        PartTag part = partTag(request.prompt[i].id);
+        if (state->parts.used(part, now))
+            m_partNews.add(state->info.id, part);
     }
-    forgetOldParts(*state, now);
-    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
-        state->parts[request.prompt[i].id] = now;
 }
 
 Duration EndpointPlacement::expectedWork(
@@ -503,7 +469,7 @@
     auto waiting = m_waitingTokens.find(*placement.part);
     if (waiting == m_waitingTokens.end())
         return;
-    waiting->second -= placement.uncachedTokens;
+    waiting->second -= placement.uncachedTokens - placement.recomputedTokens;
     if (waiting->second <= 0)
         m_waitingTokens.erase(waiting);
 }
@@ -594,4 +560,15 @@
     m_peerReports[peer] = { use, now };
 }
 
+void EndpointPlacement::peerParts(const std::map<EndpointId, std::vector<PartTag>>& parts, TimePoint now)
+{
+    for (const auto& [id, told] : parts) {
+        auto known = m_index.find(id);
+        if (known == m_index.end())
+            continue;
+        for (PartTag part : told)
+            m_states[known->second].parts.told(part, now);
+    }
+}
+
 } // namespace wisteriayard
--- a/src/libwisteriayard/prefill_backlog.cpp
+++ b/src/libwisteriayard/prefill_backlog.cpp
@@ -9,7 +9,7 @@
 
     /// What is left on average of a prompt of a lower rank that the engine has begun. Urgent prompts wait for the time
     /// of some 12,000 tokens behind a queue of long ones.
-    constexpr std::int64_t begunTokens = 10'000;
+    constexpr std::int64_t begunTokens = 7'000;
 
     std::size_t index(Priority rank)
     {
