Start the time per prompt token from 20 us again

Tests of queues have their former figures again; in hot_key_spreads_under_load the shared part stays shorter, since its first computation counts now.

--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     /// Time per prompt token before the first answer, in microseconds: that of a mid-size model.
-    constexpr double initialTokenTime = 30;
+    constexpr double initialTokenTime = 20;
     constexpr double minTokenTime = 3;
     constexpr double maxTokenTime = 300;
     /// Prompts below this say little about the time per token: their first event waits for the batch.
