Keep a later word of a leaving endpoint, and use the policy's cache lifetime

Cause, found by reading the change: a late answer of a former incarnation replaced the mark of the present one, so that the list brought the leaving endpoint back; and the lifetime of cached parts came from the default policy instead of the one in force. The first has a test that fails on the code before.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -226,6 +226,11 @@
         TimePoint toldAt {};
     };
     struct State {
+        explicit State(Duration cacheLifetime)
+            : parts(cacheLifetime)
+        {
+        }
+
         PlacementEndpoint info;
         std::uint64_t hash = 0;
         /// Place in the order in which engines are given to long prompts.
@@ -242,7 +247,7 @@
         bool probing = false;
         bool ejected = false;
         EndpointPause pause;
-        CachedParts parts { PlacementPolicy().cacheLifetime };
+        CachedParts parts;
         /// Moving average of the time to compute one prompt token, in microseconds.
         double tokenTime = 0;
         TimePoint tokenTimeAt {};
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -122,8 +122,8 @@
     auto free = std::find_if(m_states.begin(), m_states.end(), [](const State& state) { return !state.present; });
     std::size_t index = static_cast<std::size_t>(free - m_states.begin());
     if (free == m_states.end())
-        m_states.emplace_back();
-    State state;
+        m_states.emplace_back(m_policy.cacheLifetime);
+    State state(m_policy.cacheLifetime);
     state.info = endpoint;
     state.hash = rendezvousWeight("placement", InstanceId(endpoint.id.value()));
     state.generation = ++m_generation;
@@ -156,7 +156,7 @@
     auto known = m_index.find(id);
     if (known == m_index.end())
         return;
-    m_states[known->second] = State();
+    m_states[known->second] = State(m_policy.cacheLifetime);
     m_index.erase(known);
     orderEndpoints();
 }
--- a/src/libwisteriayard/membership.cpp
+++ b/src/libwisteriayard/membership.cpp
@@ -41,7 +41,10 @@
 void Membership::saidToLeave(const EndpointId& id, Incarnation incarnation, TimePoint now)
 {
     std::erase_if(m_leaving, [&](const auto& each) { return now - each.second.saidAt > m_times.leavingMemory; });
-    m_leaving[id] = { incarnation, now };
+    auto known = m_leaving.find(id);
+    // A late answer of a former incarnation does not end what a later one said.
+    if (known == m_leaving.end() || known->second.incarnation < incarnation)
+        m_leaving[id] = { incarnation, now };
 }
 
 bool Membership::unlisted(const EndpointId& id, TimePoint now)
--- a/src/libwisteriayard/membership_test.cpp
+++ b/src/libwisteriayard/membership_test.cpp
@@ -66,6 +66,17 @@
     BOOST_TEST(membership.listed(id, each.listed) == each.usable);
 }
 
+// Guards against requests to a restarted endpoint that leaves too, after a late answer of its former incarnation.
+BOOST_AUTO_TEST_CASE(late_word_of_a_former_incarnation_changes_nothing)
+{
+    Membership membership;
+    membership.heard(start);
+    membership.listed(id, second);
+    membership.saidToLeave(id, second, start);
+    membership.saidToLeave(id, first, start + milliseconds(10));
+    BOOST_TEST(!membership.listed(id, second));
+}
+
 // Guards against dropping all endpoints whose entries lapsed with the store, and against keeping those that left
 // while only this entry was cut off (DRAIN on scale-2, seed 617213339173).
 BOOST_DATA_TEST_CASE(missing_entries_get_grace_after_an_outage_only, data::make(outageCases), each)
--- a/src/libwisteriayard/prefill_backlog.cpp
+++ b/src/libwisteriayard/prefill_backlog.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /// What is left on average of a prompt of a lower rank that the engine has begun. Urgent prompts wait for the time
-    /// of some 12,000 tokens behind a queue of long ones.
+    /// What is left on average of a prompt of a lower rank that the engine has begun. Long prompts differ much in
+    /// length, so this is more than half of a mean one.
     constexpr std::int64_t begunTokens = 7'000;
 
     std::size_t index(Priority rank)
