Log and count what endpoints state about their rate limits

No decision depends on the limit yet.

An unreadable value is logged like an unreadable pause and changes nothing. A response without a limit ends it only if its request was sent after the limit was last named: slow responses may be older.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -4,6 +4,11 @@
 
 namespace wisteriayard {
 
+nlohmann::json rateField(const std::optional<RequestRate>& rate)
+{
+    return rate ? nlohmann::json(rate->value()) : nlohmann::json();
+}
+
 EndpointDirectory::EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform,
     std::shared_ptr<EventLog> log, std::function<void(const EndpointId&)> onRemoved)
     : m_settings(settings)
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -13,6 +13,9 @@
 
 namespace wisteriayard {
 
+/// Value of a rate in a log line; null if there is none.
+nlohmann::json rateField(const std::optional<RequestRate>& rate);
+
 /// The endpoints that may receive requests, by service, as listed in the platform's store.
 class EndpointDirectory {
 public:
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -44,6 +44,8 @@
           "Attempts after the first, by whether the budget allowed them"))
     , m_pauses(counter(*m_registry, "wisteriayard_gateway_endpoint_pauses_total",
           "Answers after which an endpoint gets no requests for the time that it named"))
+    , m_limitedRequests(counter(*m_registry, "wisteriayard_gateway_limited_requests_total",
+          "Requests sent to endpoints that name a rate limit, by attempt"))
     , m_peerDatagrams(counter(*m_registry, "wisteriayard_gateway_peer_datagrams_refused_total",
           "Datagrams of registered entries that could not be decoded"))
     , m_viewReads(counter(*m_registry, "wisteriayard_gateway_view_reads_total",
@@ -88,6 +90,11 @@
 
 void GatewayMetrics::endpointPaused() { m_pauses.Add({}).Increment(); }
 
+void GatewayMetrics::limitedRequestSent(bool further)
+{
+    m_limitedRequests.Add({ { "attempt", further ? "further" : "first" } }).Increment();
+}
+
 void GatewayMetrics::peerDatagramRefused() { m_peerDatagrams.Add({}).Increment(); }
 
 void GatewayMetrics::viewRead(const std::string& view, const std::string& cause)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -30,6 +30,8 @@
     void attemptEnded(const std::string& outcome);
     void retryRequested(bool allowed);
     void endpointPaused();
+    /// @param further whether the request had been sent to an endpoint before
+    void limitedRequestSent(bool further);
     void peerDatagramRefused();
     void setEndpointCount(std::size_t count);
     void setConfigVersion(std::int64_t version);
@@ -52,6 +54,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_pauses;
+    prometheus::Family<prometheus::Counter>& m_limitedRequests;
     prometheus::Family<prometheus::Counter>& m_peerDatagrams;
     prometheus::Family<prometheus::Counter>& m_viewReads;
     prometheus::Family<prometheus::Gauge>& m_endpoints;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -22,6 +22,7 @@
     metrics.attemptEnded("delivered");
     metrics.retryRequested(true);
     metrics.endpointPaused();
+    metrics.limitedRequestSent(false);
     metrics.peerDatagramRefused();
     metrics.setEndpointCount(1);
     metrics.setConfigVersion(1);
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -77,6 +77,10 @@
     std::optional<Duration> pause;
     /// Value of the pause field if it is not a valid number of seconds.
     std::string invalidPause;
+    /// Rate of requests that the endpoint accepts from all entries together; absent if the response names none.
+    std::optional<RequestRate> rateLimit;
+    /// Value of the rate limit field if it is not a rate: neither a new limit nor the end of the former one.
+    std::string invalidRateLimit;
 };
 
 /// State of an endpoint as published in the list of endpoints.
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -157,6 +157,9 @@
         bodySize = m_request.body->size();
     ForwardingHeaders headers = forwardingHeaders(record, bootTimeNow());
     ++m_requestsSent;
+    m_sentAt = bootTimeNow();
+    if (m_state.directory.placement(m_target).limit(placement))
+        m_state.metrics.limitedRequestSent(m_requestsSent > 1);
     exchange.send(endpointRequestHead(m_request.head, m_state.platform.codec(), headers, bodySize), m_request.body);
     ResponseTraits traits;
     Status read = co_await readMatchingHead(exchange, record, placement, traits);
@@ -205,6 +208,34 @@
     co_return outcome;
 }
 
+void RequestHandler::logUnreadableField(
+    const EndpointRecord& record, std::string_view field, const std::string& value, TimePoint now)
+{
+    if (value.empty())
+        return;
+    m_state.logRequest(Event::AnswerFieldUnreadable,
+        { { "request", m_traits.id.value() }, { "endpoint", record.id.value() }, { "field", field },
+            { "value", value.substr(0, maxLoggedValue) } },
+        now);
+}
+
+void RequestHandler::recordRateLimit(
+    const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits, TimePoint now)
+{
+    // A late response to an earlier request may be older than the limit in force, so it doesn't end it.
+    bool isLate = !traits.request.empty() && traits.request != m_traits.id;
+    if (!traits.invalidRateLimit.empty() || (isLate && !traits.rateLimit))
+        return;
+    EndpointPlacement& endpoints = m_state.directory.placement(m_target);
+    std::optional<RequestRate> former = endpoints.limit(placement);
+    if (!endpoints.recordLimit(placement, traits.rateLimit, m_sentAt, now))
+        return;
+    m_state.logRequest(Event::EndpointLimitChanged,
+        { { "request", m_traits.id.value() }, { "endpoint", record.id.value() },
+            { "per_second", rateField(traits.rateLimit) }, { "former_per_second", rateField(former) } },
+        now);
+}
+
 void RequestHandler::recordAvailability(
     const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits)
 {
@@ -212,11 +243,9 @@
     if (traits.execution == ExecutionStatus::Misdirected)
         return;
     TimePoint now = bootTimeNow();
-    if (!traits.invalidPause.empty())
-        m_state.logRequest(Event::AnswerFieldUnreadable,
-            { { "request", m_traits.id.value() }, { "endpoint", record.id.value() }, { "field", "pause" },
-                { "value", traits.invalidPause.substr(0, maxLoggedValue) } },
-            now);
+    logUnreadableField(record, "pause", traits.invalidPause, now);
+    logUnreadableField(record, "limit", traits.invalidRateLimit, now);
+    recordRateLimit(record, placement, traits, now);
     if (traits.pause && m_state.directory.placement(m_target).pause(placement, *traits.pause, now)) {
         m_state.metrics.endpointPaused();
         m_state.logRequest(Event::EndpointPaused,
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -318,6 +318,7 @@
             { "uncached_tokens", placement.uncachedTokens }, { "tokens_ahead", placement.tokensAhead },
             { "home", placement.atPreferredEndpoint }, { "config_version", m_routes->config().version.value() },
             { "endpoints_age_ms", (now - m_state.endpointsConfirmedAt).count() / 1000 },
+            { "limit_per_second", rateField(m_state.directory.placement(m_target).limit(placement)) },
             { "time_left_ms", timeLeft(now).count() / 1000 } },
         now);
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -77,7 +77,13 @@
         EndpointConnectionPtr connection, const EndpointRecord& record, Placement& placement);
     boost::asio::awaitable<Status> readMatchingHead(
         EndpointExchange& exchange, const EndpointRecord& record, const Placement& placement, ResponseTraits& traits);
-    /// Applies a pause or shutdown announcement in a response to the state of its endpoint.
+    /// Logs a field of a response that can't be decoded; does nothing if the value is empty.
+    void logUnreadableField(
+        const EndpointRecord& record, std::string_view field, const std::string& value, TimePoint now);
+    /// Records the rate limit that a response names, or the end of the limit.
+    void recordRateLimit(
+        const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits, TimePoint now);
+    /// Applies a pause, rate limit or shutdown announcement in a response to the state of its endpoint.
     void recordAvailability(const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits);
     boost::asio::awaitable<AttemptOutcome> forwardBufferedResponse(
         EndpointExchange& exchange, Placement& placement, bool success);
@@ -142,6 +148,8 @@
     /// Attempts in which the request was sent to an endpoint.
     int m_requestsSent = 0;
     int m_connectFailures = 0;
+    /// Time at which the request was last sent to an endpoint.
+    TimePoint m_sentAt {};
     std::vector<EndpointId> m_triedEndpoints;
 };
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wisteriayard/cached_segments.h"
+#include "wisteriayard/endpoint_limit.h"
 #include "wisteriayard/endpoint_pause.h"
 #include "wisteriayard/ids.h"
 #include "wisteriayard/prefill_backlog.h"
@@ -200,6 +201,12 @@
     /// Records that the endpoint rejected a request and asked for a pause. This doesn't affect its health.
     /// @return whether the pause now ends later than before
     bool pause(const Placement& placement, Duration time, TimePoint now);
+    /// Records the rate limit that a response names, or that it names none.
+    /// @param sentAt time at which the request of that response was sent
+    /// @return whether the endpoint's limit changed
+    bool recordLimit(const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now);
+    /// Rate limit that the endpoint of a placement names for all entries together, if any.
+    std::optional<RequestRate> limit(const Placement& placement) const;
     /// Whether the request may still be sent: the endpoint is known and has not been paused since choose().
     bool accepts(const Placement& placement, TimePoint now);
     /// Records that the attempt ended.
@@ -251,6 +258,7 @@
         bool probing = false;
         bool ejected = false;
         EndpointPause pause;
+        EndpointLimit limit;
         CachedSegments cachedSegments;
         /// Moving average of the time to compute one prompt token, in microseconds.
         double tokenTime = 0;
@@ -290,6 +298,7 @@
     static std::int64_t tokensAhead(const State& state, Priority rank);
     double tokenTime(const State& state, TimePoint now) const;
     State* find(const Placement& placement);
+    const State* find(const Placement& placement) const;
     void prefillEnded(const Placement& placement);
     HealthChange recordFailure(State& state, TimePoint now);
     HealthChange recordSuccess(State& state);
--- a/src/include/wisteriayard/units.h
+++ b/src/include/wisteriayard/units.h
@@ -19,6 +19,9 @@
 /// Start time of an endpoint in milliseconds since 1970; distinguishes restarts under the same id.
 using Incarnation = StrongNumber<struct IncarnationTag, std::int64_t>;
 
+/// Requests per second.
+using RequestRate = StrongNumber<struct RequestRateTag, double>;
+
 using Duration = std::chrono::microseconds;
 
 /// A duration as a number of seconds.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace wisteriayard {
 
@@ -389,14 +390,19 @@
     return placement;
 }
 
-EndpointPlacement::State* EndpointPlacement::find(const Placement& placement)
+const EndpointPlacement::State* EndpointPlacement::find(const Placement& placement) const
 {
     if (placement.endpoint >= m_states.size())
         return nullptr;
-    State& state = m_states[placement.endpoint];
+    const State& state = m_states[placement.endpoint];
     return state.present && state.generation == placement.generation ? &state : nullptr;
 }
 
+EndpointPlacement::State* EndpointPlacement::find(const Placement& placement)
+{
+    return const_cast<State*>(std::as_const(*this).find(placement));
+}
+
 void EndpointPlacement::started(const Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     State* state = find(placement);
@@ -482,6 +488,19 @@
     return state && state->pause.extend(time, now);
 }
 
+bool EndpointPlacement::recordLimit(
+    const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now)
+{
+    State* state = find(placement);
+    return state && state->limit.recordResponse(rate, sentAt, now);
+}
+
+std::optional<RequestRate> EndpointPlacement::limit(const Placement& placement) const
+{
+    const State* state = find(placement);
+    return state ? state->limit.rate() : std::nullopt;
+}
+
 bool EndpointPlacement::accepts(const Placement& placement, TimePoint now)
 {
     State* state = find(placement);
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -44,6 +44,8 @@
         return "endpoint_taken_back";
     case Event::EndpointPaused:
         return "endpoint_paused";
+    case Event::EndpointLimitChanged:
+        return "endpoint_limit_changed";
     case Event::AnswerFieldUnreadable:
         return "answer_field_unreadable";
     case Event::ContractInForce:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -35,6 +35,7 @@
     EndpointTakenBack = 212,
     EndpointPaused = 213,
     AnswerFieldUnreadable = 214,
+    EndpointLimitChanged = 215,
     ContractInForce = 300,
     KeyWithdrawnInForce = 301,
     ConfigRejected = 302,
