--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -59,6 +59,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 14u);
+    BOOST_TEST(code.size() == 15u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -124,7 +124,8 @@
 
     def call_on(self, connection, path, method="POST", body=b"x", key=KEY, headers=None, timeout=5, request=None):
         request = request or uuid.uuid4().hex[:16]
-        fields = {"Host": HOST, "Request-Id": request, "Deadline-Ms": str(int(timeout * 1000)), **(headers or {})}
+        fields = {"Host": HOST, "Request-Id": request, "Deadline-Ms": str(int(timeout * 1000)),
+                  "X-Entry": f"{self.name}#{self.process.pid}", **(headers or {})}
         if key:
             fields["Authorization"] = "Bearer " + key
         try:
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -211,6 +211,80 @@
         return self.answer(200, {})
 
 
+class RateLimit:
+    """The rate limit that an endpoint names, and the requests that it gets.
+
+    `rate` is the value of the Server-Limit header in all responses, in requests per second; None omits the header.
+    """
+
+    RULE_WINDOW_S = 4
+    # Time from the first naming until the limit must be kept: `contact_ms` of the platform.
+    NOTICE_S = 3
+    # Time from an entry's first response with the limit until its requests count.
+    TOLD_S = 0.5
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.history = [(float("-inf"), None)]
+        self.arrivals = []
+        self.told = {}
+        self.first_named = None
+
+    def set(self, rate):
+        with self.lock:
+            self.history.append((time.monotonic(), rate))
+
+    @property
+    def rate(self):
+        return self.history[-1][1]
+
+    def arrived(self, entry):
+        with self.lock:
+            self.arrivals.append((time.monotonic(), entry))
+
+    def headers(self, entry):
+        """Headers of a response that is sent to an entry now."""
+        with self.lock:
+            if self.rate is None:
+                return []
+            now = time.monotonic()
+            self.first_named = self.first_named or now
+            self.told.setdefault(entry, now)
+            return [("Server-Limit", str(self.rate))]
+
+    def allowed(self, start):
+        """Requests allowed in the window from `start`; None if there was no limit during a part of it."""
+        end, total = start + self.RULE_WINDOW_S, 0.0
+        for (since, rate), (until, _) in zip(self.history, self.history[1:] + [(float("inf"), None)]):
+            overlap = min(end, until) - max(start, since)
+            if overlap <= 0:
+                continue
+            if not isinstance(rate, (int, float)):
+                return None
+            total += overlap * rate
+        return 1.5 * total + 5
+
+    def violations(self, excused=lambda entry, at: False):
+        """Windows with more requests than the limit allows, from entries that knew it.
+
+        @param excused whether a request of an entry at a time does not count
+        """
+        with self.lock:
+            arrivals, told = sorted(self.arrivals), dict(self.told)
+        if self.first_named is None:
+            return []
+        counted = [at for at, entry in arrivals
+                   if told.get(entry, float("inf")) + self.TOLD_S <= at and not excused(entry, at)]
+        found = []
+        for index, start in enumerate(counted):
+            if start < self.first_named + self.NOTICE_S or self.allowed(start) is None:
+                continue
+            count = sum(at < start + self.RULE_WINDOW_S for at in counted[index:])
+            if count > self.allowed(start):
+                found.append(f"{count} requests in {self.RULE_WINDOW_S} s, allowed {self.allowed(start):.1f}")
+        return found
+
+
 class Endpoint(Server):
     """An endpoint of a plain or a model service. Records the requests that it executes."""
 
@@ -228,6 +302,7 @@
         # announces_shutdown adds Server-Leaving to responses to executed requests. retry_after refuses requests
         # with this Retry-After value, without executing them.
         self.announces_shutdown, self.retry_after = False, None
+        self.rate_limit = RateLimit()
         self.random = random.Random(name)
         super().__init__(EndpointHandler)
 
@@ -250,9 +325,11 @@
             endpoint.seen_keys.append(request)
         if endpoint.endless and endpoint.endless.startswith("refusal"):
             return self.send_endless(endpoint, request)
+        endpoint.rate_limit.arrived(self.sending_entry())
         if endpoint.retry_after is not None:
             return self.answer(503, None, [("Request-Id", request), ("Not-Executed", "1"),
-                                           ("Retry-After", endpoint.retry_after)])
+                                           ("Retry-After", endpoint.retry_after)]
+                               + endpoint.rate_limit.headers(self.sending_entry()))
         endpoint.runs[request] += 1
         endpoint.tenants[request] = headers.get("Tenant")
         if endpoint.endless:
@@ -294,7 +371,12 @@
 
     def response_headers(self, request):
         leaving = [("Server-Leaving", "1")] if self.server.announces_shutdown else []
-        return [("Request-Id", request), ("Response-Seal", "seal-" + request)] + leaving
+        return ([("Request-Id", request), ("Response-Seal", "seal-" + request)] + leaving
+                + self.server.rate_limit.headers(self.sending_entry()))
+
+    def sending_entry(self):
+        """The entry that sent the request, as stated by the caller; a restarted entry counts as another one."""
+        return self.headers.get("X-Entry")
 
     def stream(self, endpoint, request, last):
         self.send_response(200)
