Keep the rate limits that endpoints name, over all entries together

Cause: the limit was not read, so no decision depended on it. It is a limit for all entries, and an entry that applied it alone would break it as well: in the incident no entry alone exceeded it.

Fix: an endpoint with a limit gets requests from the few entries that hold equal shares of it (shareHolders() in limits.h, the rendezvous order that already selects budget owners): floor(limit) of the entries, at least one. Smaller shares for all entries would not be bounded: each could send one request at the same moment.

- Each attempt takes credit when it is placed, also retries, probes of ejected endpoints and the last resort to ejected ones; requests that are not sent return it.
A limit that becomes known while a connection is opened applies.
- An entry uses its shares 8 s after its registration, when the others count it, and not while its registration may have lapsed.
Entries that miss in the list keep theirs for two renewal intervals, because an outage of the store removes all registrations at once.
- Entries report responses of limited endpoints to each other, newest first, and pass unused credit on to entries of the region with requests.
- Requests beyond the limit go to other endpoints; a limited engine is no preferred endpoint of a segment.
If all are limited, three of four requests that are served are the more urgent ones, others are refused with 503 and a Retry-After at the rate of the limits.
- Limits below 0.1/s, 0 included, are tried once in 10 s: otherwise their end would not be noticed.

Ruled out: budget leases as for accounts. They allow 4 s of the limit on top and more at each change of the owner, and n entries in fallback start with n requests.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -199,6 +199,64 @@
     }
 }
 
+void EndpointDirectory::setLimitEntries(const LimitEntries& entries, TimePoint now)
+{
+    m_limitEntries = entries;
+    for (auto& [target, placement] : m_placements)
+        placement->setLimitEntries(entries, now);
+    m_log->write(Event::LimitEntriesChanged, { { "entries", entries.regions.size() }, { "active", entries.active } });
+}
+
+std::map<EndpointTag, ReportedLimit> EndpointDirectory::limitReports(TimePoint now) const
+{
+    std::map<EndpointTag, ReportedLimit> reports;
+    for (const auto& [target, placement] : m_placements) {
+        for (const auto& [id, observation] : placement->limitReports(now))
+            reports[endpointTag(id)] = { observation.rate, now - observation.at };
+    }
+    return reports;
+}
+
+void EndpointDirectory::applyLimitReports(
+    const InstanceId& peer, const std::map<EndpointTag, ReportedLimit>& reported, TimePoint now)
+{
+    for (const auto& [id, limit] : resolveTags(reported)) {
+        EndpointPlacement& endpoints = placement(record(id)->target);
+        std::optional<RequestRate> former = endpoints.limit(id);
+        if (!endpoints.applyLimitReport(id, { limit.rate, now - limit.age }, now))
+            continue;
+        logLimitChanged(
+            id, former, { { "peer", peer.value() }, { "age_ms", limit.age / std::chrono::milliseconds(1) } });
+    }
+}
+
+void EndpointDirectory::logLimitChanged(
+    const EndpointId& id, const std::optional<RequestRate>& former, nlohmann::json source)
+{
+    const EndpointPlacement& endpoints = placement(record(id)->target);
+    source.update({ { "endpoint", id.value() }, { "per_second", rateField(endpoints.limit(id)) },
+        { "former_per_second", rateField(former) }, { "share_per_second", endpoints.limitShare(id).value() },
+        { "entries", m_limitEntries.regions.size() } });
+    m_log->write(Event::EndpointLimitChanged, std::move(source));
+}
+
+std::vector<EndpointTag> EndpointDirectory::takeUnusedCredit(TimePoint now)
+{
+    std::vector<EndpointTag> taken;
+    for (auto& [target, placement] : m_placements) {
+        for (const EndpointId& id : placement->takeUnusedCredit(now))
+            taken.push_back(endpointTag(id));
+    }
+    return taken;
+}
+
+void EndpointDirectory::addPassedOnCredit(EndpointTag endpoint, TimePoint now)
+{
+    auto known = m_idsByTag.find(endpoint);
+    if (known != m_idsByTag.end())
+        placement(record(known->second)->target).addPassedOnCredit(known->second, now);
+}
+
 void EndpointDirectory::logPrefillPools(TimePoint now)
 {
     for (auto& [target, placement] : m_placements) {
@@ -215,8 +273,10 @@
 EndpointPlacement& EndpointDirectory::placement(const TargetId& target)
 {
     auto& placement = m_placements[target];
-    if (!placement)
+    if (!placement) {
         placement = std::make_unique<EndpointPlacement>(PlacementPolicy(), m_settings.zone, m_settings.region);
+        placement->setLimitEntries(m_limitEntries, TimePoint());
+    }
     return *placement;
 }
 
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -55,6 +55,15 @@
     void updatePeerWork(
         const InstanceId& peer, const std::map<TargetId, WorkRates>& work, std::size_t entries, TimePoint now);
     /// @}
+    /// @name Rate limits that endpoints name for all entries together
+    /// @{
+    void setLimitEntries(const LimitEntries& entries, TimePoint now);
+    std::map<EndpointTag, ReportedLimit> limitReports(TimePoint now) const;
+    void applyLimitReports(const InstanceId& peer, const std::map<EndpointTag, ReportedLimit>& reported, TimePoint now);
+    /// Takes unused credit for one request to each limited endpoint, to pass it on to other entries.
+    std::vector<EndpointTag> takeUnusedCredit(TimePoint now);
+    void addPassedOnCredit(EndpointTag endpoint, TimePoint now);
+    /// @}
     /// Logs the services whose number of engines reserved for long prompts changed since the last call.
     void logPrefillPools(TimePoint now);
     /// Load by requests of this entry on all endpoints.
@@ -67,6 +76,10 @@
     const EndpointRecord* record(const EndpointId& id) const;
     std::size_t size() const { return m_records.size(); }
 
+    /// Logs the change of an endpoint's rate limit.
+    /// @param source fields that name where the change was observed
+    void logLimitChanged(const EndpointId& id, const std::optional<RequestRate>& former, nlohmann::json source);
+
 private:
     void applyItem(const StoreItem& item, TimePoint now);
     void put(const EndpointRecord& record);
@@ -87,6 +100,7 @@
     std::map<TargetId, std::unique_ptr<EndpointPlacement>> m_placements;
     std::map<TargetId, TargetInfo> m_targets;
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
+    LimitEntries m_limitEntries;
     bool m_loaded = false;
 };
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -42,6 +42,12 @@
     /// the traffic of an entry. Entries of other regions receive the sum of the region's loads from its observers.
     constexpr Duration sendInterval = std::chrono::milliseconds(100);
     constexpr std::size_t peersAtSendInterval = 32;
+    /// Time after its registration from which an entry uses its shares of rate limits. By then all entries that reach
+    /// the store have read the registrations, and those that it displaces have stopped to use theirs.
+    constexpr Duration limitShareDelay = registrationReadInterval + registrationRetryDelay;
+    /// Time for which an entry without registration still counts as holder of its shares. After an outage of the store
+    /// in which the registrations lapsed, entries register again within this time.
+    constexpr Duration missingPeerGrace = 2 * renewalInterval;
     /// Fits the loads of several hundred endpoints; a larger message is truncated by the receiver and ignored.
     constexpr std::size_t maxDatagramBytes = 16 * 1024;
 
@@ -74,6 +80,7 @@
 
 awaitable<void> PeerExchange::registerSelf()
 {
+    TimePoint start = bootTimeNow();
     auto lease = co_await m_store->grantLease(registrationTimeToLive);
     if (!lease)
         co_return;
@@ -84,8 +91,11 @@
     put.lease = lease.value();
     transaction.onSuccess.emplace_back(std::move(put));
     auto result = co_await m_store->transact(std::move(transaction));
-    if (result && result.value().succeeded)
-        m_lease = lease.value();
+    if (!result || !result.value().succeeded)
+        co_return;
+    m_lease = lease.value();
+    m_registeredSince = bootTimeNow();
+    m_registrationConfirmedAt = start;
 }
 
 awaitable<void> PeerExchange::keepRegistered()
@@ -95,9 +105,12 @@
         if (m_lease.value() == 0) {
             co_await registerSelf();
         } else {
+            TimePoint start = bootTimeNow();
             auto left = co_await m_store->keepAlive(m_lease);
             if (left && left.value() == Duration(0))
                 m_lease = LeaseId();
+            else if (left)
+                m_registrationConfirmedAt = start;
         }
         timer.expires_after(renewalInterval);
         co_await timer.async_wait(use_awaitable);
@@ -124,7 +137,14 @@
         auto known = previous.find(instance);
         if (known != previous.end() && known->second.address == peer.address)
             peer = known->second;
+        m_missingPeers.erase(instance);
+    }
+    TimePoint now = bootTimeNow();
+    for (const auto& [instance, peer] : previous) {
+        if (m_peers.count(instance) == 0 && !peer.leaving)
+            m_missingPeers.try_emplace(instance, MissingPeer { peer.region, now });
     }
+    m_registrationsReadAt = now;
     updateEntryCount();
 }
 
@@ -194,6 +214,59 @@
 
 void PeerExchange::updateEntryCount() { m_state.liveEntries = m_peers.size() + 1; }
 
+bool PeerExchange::isRegistrationKnown(TimePoint now) const
+{
+    bool wasRead = m_registrationsReadAt > m_registeredSince;
+    if (m_leaving || m_lease.value() == 0 || !wasRead || now - m_registeredSince < limitShareDelay)
+        return false;
+    if (now - m_registrationConfirmedAt < registrationTimeToLive)
+        return true;
+    // The registration may have lapsed. While no entry reaches the store, none can notice that.
+    bool anyLive = false;
+    bool storeReached = false;
+    for (const auto& [instance, peer] : m_peers) {
+        anyLive = anyLive || isLive(peer, now);
+        storeReached = storeReached || (isLive(peer, now) && peer.reachesStore);
+    }
+    return (anyLive || m_peers.empty()) && !storeReached;
+}
+
+void PeerExchange::updateLimitEntries(TimePoint now)
+{
+    std::erase_if(m_missingPeers, [now](const auto& each) { return now - each.second.since >= missingPeerGrace; });
+    LimitEntries entries;
+    entries.self = m_state.settings.instance;
+    entries.active = isRegistrationKnown(now);
+    if (!m_leaving)
+        entries.regions[entries.self] = m_state.settings.region;
+    for (const auto& [instance, peer] : m_peers) {
+        if (!peer.leaving)
+            entries.regions[instance] = peer.region;
+    }
+    for (const auto& [instance, peer] : m_missingPeers)
+        entries.regions[instance] = peer.region;
+    if (entries == m_limitEntries)
+        return;
+    m_limitEntries = std::move(entries);
+    m_state.directory.setLimitEntries(m_limitEntries, now);
+}
+
+void PeerExchange::passOnCredit(TimePoint now)
+{
+    std::vector<EndpointTag> unused = m_state.directory.takeUnusedCredit(now);
+    if (unused.empty())
+        return;
+    std::vector<const Peer*> receivers;
+    for (const auto& [instance, peer] : m_peers) {
+        if (isInSameRegion(peer) && isLive(peer, now) && !peer.loads.endpoints.empty())
+            receivers.push_back(&peer);
+    }
+    if (receivers.empty())
+        return;
+    for (EndpointTag endpoint : unused)
+        send(encodePeerMessage(PeerLimitCredit { endpoint }), *receivers[m_nextCreditReceiver++ % receivers.size()]);
+}
+
 PeerLoads PeerExchange::livenessReport(TimePoint now) const
 {
     PeerLoads report;
@@ -211,6 +284,7 @@
     loads.work = m_state.directory.ownWork(now);
     for (auto& [id, hints] : m_state.directory.nextCacheHints())
         loads.cacheHints[endpointTag(id)] = std::move(hints);
+    loads.limits = m_state.directory.limitReports(now);
     return loads;
 }
 
@@ -219,7 +293,7 @@
     PeerLoads sum = own;
     for (const auto& [instance, peer] : m_peers) {
         if (isInSameRegion(peer) && now - peer.lastContact < idleSendInterval)
-            sum.add(peer.loads);
+            sum.add(peer.loads, now - peer.lastContact);
     }
     return sum;
 }
@@ -281,6 +355,8 @@
         TimePoint now = bootTimeNow();
         detectPause(now);
         updateRole(now);
+        updateLimitEntries(now);
+        passOnCredit(now);
         if (m_state.activeRequests > 0 || m_role == ViewRole::Observer || now - m_sentAt >= idleSendInterval)
             sendToAll(now);
     }
@@ -300,6 +376,7 @@
 void PeerExchange::announceShutdown()
 {
     m_leaving = true;
+    updateLimitEntries(bootTimeNow());
     sendToAll(bootTimeNow());
 }
 
@@ -373,6 +450,12 @@
         if (exchange.m_state.usage)
             exchange.m_state.usage->partialRecordStored(written.window, written.entry, written.sequence);
     }
+    void operator()(const PeerLimitCredit& credit) const
+    {
+        exchange.detectPause(now);
+        if (now >= exchange.m_ignoreViewsUntil)
+            exchange.m_state.directory.addPassedOnCredit(credit.endpoint, now);
+    }
     void operator()(const PeerWindowClosed& closed) const
     {
         if (exchange.m_state.usage)
@@ -429,6 +512,7 @@
     if (now >= m_ignoreViewsUntil) {
         for (const auto& [view, progress] : loads.viewProgress)
             m_views.applyProgress(view, progress, now);
+        m_state.directory.applyLimitReports(peer, loads.limits, now);
     }
     if (isInSameRegion(sender))
         sender.loads = loads;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -71,6 +71,11 @@
         /// Its last report.
         PeerLoads loads;
     };
+    /// An entry that is no longer registered, and may be again soon.
+    struct MissingPeer {
+        RegionId region;
+        TimePoint since {};
+    };
 
     boost::asio::awaitable<void> registerSelf();
     std::string registration() const;
@@ -82,6 +87,12 @@
     void replaceRegistrations(const StoreRange& range);
     void applyRegistration(const StoreItem& item);
     void updateEntryCount();
+    /// Determines the entries among which rate limits of endpoints are divided.
+    void updateLimitEntries(TimePoint now);
+    /// Whether the other entries count this one.
+    bool isRegistrationKnown(TimePoint now) const;
+    /// Passes unused credit for limited endpoints on to entries of this region that have requests.
+    void passOnCredit(TimePoint now);
     /// Visitor that handles a decoded message.
     struct MessageHandler;
     void receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now);
@@ -103,7 +114,15 @@
     Views m_views;
     std::map<InstanceId, Peer> m_peers;
     ViewRole m_role = ViewRole::Alone;
+    /// Entries that were registered until recently. They keep their shares of rate limits for a while.
+    std::map<InstanceId, MissingPeer> m_missingPeers;
+    LimitEntries m_limitEntries;
     LeaseId m_lease {};
+    /// Start of the current registration, and the last time at which it was certainly in force.
+    TimePoint m_registeredSince {};
+    TimePoint m_registrationConfirmedAt {};
+    /// Last time at which the registrations were read.
+    TimePoint m_registrationsReadAt {};
     bool m_leaving = false;
     TimePoint m_sentAt {};
     /// Time of the last report to the entries of other regions.
@@ -117,6 +136,8 @@
     bool m_unknownSenderSeen = false;
     /// Selects the peers that write usage records in turn.
     std::size_t m_nextUsageWriter = 0;
+    /// Selects the peers that unused credit is passed on to in turn.
+    std::size_t m_nextCreditReceiver = 0;
 };
 
 } // namespace wisteriayard
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -22,6 +22,8 @@
     /// Limit for the keys and values in one message with changes: half of the largest datagram, which leaves room for
     /// revisions and framing.
     constexpr std::size_t maxItemBytes = 8 * 1024;
+    /// Rate in the table of limits of an endpoint that names none.
+    constexpr float noRateLimit = -1;
 
     Result<StoreView> decodeView(std::uint32_t view)
     {
@@ -70,6 +72,11 @@
                 encoded.set_revision(progress.revision.value());
                 encoded.set_age_ms(std::chrono::duration_cast<std::chrono::milliseconds>(progress.age).count());
             }
+            for (const auto& [endpoint, limit] : loads.limits) {
+                message.add_limit_endpoints(static_cast<std::uint32_t>(endpoint));
+                message.add_limit_rates(limit.rate ? static_cast<float>(limit.rate->value()) : noRateLimit);
+                message.add_limit_ages_ms(clampToUint32(limit.age / std::chrono::milliseconds(1)));
+            }
             message.set_leaving(loads.leaving);
             message.set_entries(loads.entryCount);
         }
@@ -112,6 +119,11 @@
                 message.set_counted(*closed.countedSequence);
         }
 
+        void operator()(const PeerLimitCredit& credit) const
+        {
+            datagram.mutable_credit()->set_endpoint(static_cast<std::uint32_t>(credit.endpoint));
+        }
+
         void operator()(const ViewChanges& changes) const
         {
             peer::ViewChanges& message = *datagram.mutable_changes();
@@ -127,6 +139,24 @@
         }
     };
 
+    Result<std::map<EndpointTag, ReportedLimit>> decodeLimits(const peer::Loads& message)
+    {
+        int rows = message.limit_endpoints_size();
+        if (message.limit_rates_size() != rows || message.limit_ages_ms_size() != rows)
+            return fail(Errc::Protocol, "peer datagram: columns of limits have different lengths");
+        std::map<EndpointTag, ReportedLimit> limits;
+        for (int i = 0; i < rows; ++i) {
+            float rate = message.limit_rates(i);
+            if (!isRate(rate) && rate != noRateLimit)
+                return fail(Errc::Protocol, "peer datagram: rate limit is not a rate");
+            ReportedLimit& limit = limits[EndpointTag(message.limit_endpoints(i))];
+            if (rate != noRateLimit)
+                limit.rate = RequestRate(rate);
+            limit.age = std::chrono::milliseconds(message.limit_ages_ms(i));
+        }
+        return limits;
+    }
+
     Result<PeerMessage> decodeLoads(const peer::Loads& message)
     {
         PeerLoads loads;
@@ -173,6 +203,7 @@
             loads.viewProgress[view] = ViewProgress { Revision(reported.last_change()), Revision(reported.revision()),
                 std::chrono::milliseconds(reported.age_ms()) };
         }
+        BOOST_OUTCOME_TRY(loads.limits, decodeLimits(message));
         loads.leaving = message.leaving();
         loads.entryCount = std::max<std::uint32_t>(1, message.entries());
         return PeerMessage(std::move(loads));
@@ -219,8 +250,14 @@
 
 } // namespace
 
-void PeerLoads::add(const PeerLoads& other)
+void PeerLoads::add(const PeerLoads& other, Duration age)
 {
+    for (const auto& [endpoint, limit] : other.limits) {
+        ReportedLimit aged { limit.rate, limit.age + age };
+        auto [known, inserted] = limits.try_emplace(endpoint, aged);
+        if (!inserted && aged.age < known->second.age)
+            known->second = aged;
+    }
     for (const auto& [tag, use] : other.endpoints)
         endpoints[tag] += use;
     for (const auto& [endpoint, hints] : other.cacheHints)
@@ -293,6 +330,8 @@
             IncarnationId(decoded.written().entry()), decoded.written().sequence() });
     case peer::Datagram::kClosed:
         return decodeClosed(decoded.closed());
+    case peer::Datagram::kCredit:
+        return PeerMessage(PeerLimitCredit { EndpointTag(decoded.credit().endpoint()) });
     case peer::Datagram::CONTENT_NOT_SET:
         break;
     }
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -28,6 +28,14 @@
 };
 std::string_view storeViewName(StoreView view);
 
+/// Rate limit that an endpoint named in a response to the sender of a report.
+struct ReportedLimit {
+    /// Absent if the endpoint named none.
+    std::optional<RequestRate> rate;
+    /// Age of the response.
+    Duration age {};
+};
+
 /// Report of an entry's load on endpoints and its contact with the store, sent regularly to its peers.
 struct PeerLoads {
     /// Wall-clock time of the sender in milliseconds.
@@ -38,6 +46,8 @@
     std::map<TargetId, WorkRates> work;
     /// Shared prompt segments that requests started to use at endpoints.
     std::map<EndpointTag, std::vector<SegmentTag>> cacheHints;
+    /// Recent responses of endpoints that name a rate limit or have withdrawn it.
+    std::map<EndpointTag, ReportedLimit> limits;
     /// Progress of the sender's copies of the store; empty if it is not an observer.
     std::map<StoreView, ViewProgress> viewProgress;
     /// The sender is shutting down and will soon stop sending.
@@ -45,8 +55,9 @@
     /// Number of entries of the sender's region, including the sender, whose endpoint load and work are summed up.
     std::uint32_t entryCount = 1;
 
-    /// Adds the endpoint load, cache hints, work and entry count of another report.
-    void add(const PeerLoads& other);
+    /// Adds the endpoint load, cache hints, work, rate limits and entry count of another report.
+    /// @param age time since the other report was received
+    void add(const PeerLoads& other, Duration age);
 };
 
 /// Partial usage record of the sender that the receiver is requested to write to the store.
@@ -71,6 +82,11 @@
     std::optional<std::uint64_t> countedSequence;
 };
 
+/// Passes on the sender's unused credit for one request to an endpoint that names a rate limit.
+struct PeerLimitCredit {
+    EndpointTag endpoint {};
+};
+
 /// Changes of a part of the store that an observer relays: all changes after `from` up to `to`.
 struct ViewChanges {
     StoreView view = StoreView::Configuration;
@@ -84,7 +100,8 @@
 /// items before it; the receivers detect the gap and read the store.
 std::vector<ViewChanges> splitChanges(StoreView view, Revision from, const WatchBatch& batch);
 
-using PeerMessage = std::variant<PeerLoads, PeerUsageToWrite, ViewChanges, PeerUsageWritten, PeerWindowClosed>;
+using PeerMessage
+    = std::variant<PeerLoads, PeerUsageToWrite, ViewChanges, PeerUsageWritten, PeerWindowClosed, PeerLimitCredit>;
 
 std::string encodePeerMessage(const PeerMessage& message);
 /// @return Protocol if the datagram is truncated, has another version, unknown content or values out of range
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -50,12 +50,18 @@
 /// Loads with a progress report whose last change is after its revision.
 const std::string impossibleProgress("\x0a\x08\x5a\x06\x08\x01\x10\x09\x18\x08", 10);
 
+/// Loads with a limit without an endpoint, and with one of NaN.
+const std::string limitWithoutEndpoint("\x0a\x07\x8a\x01\x04\x00\x00\x80\x3f", 9);
+const std::string limitNotFinite(
+    "\x0a\x12\x82\x01\x04\x01\x02\x03\x04\x8a\x01\x04\x00\x00\xc0\x7f\x92\x01\x01\x05", 20);
+
 /// Loads with a cache hint without an endpoint: one row in field 15.
 const std::string hintWithoutEndpoint("\x0a\x06\x7a\x04\x01\x02\x03\x04", 8);
 
-const std::string badDatagrams[] = { hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView,
-    impossibleProgress, backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text",
-    std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
+const std::string badDatagrams[]
+    = { limitWithoutEndpoint, limitNotFinite, hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView,
+          impossibleProgress, backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text",
+          std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
 
 /// Version field with the current version, appended to a datagram.
 const std::string versionField("\x78\x02", 2);
@@ -224,8 +230,8 @@
 BOOST_AUTO_TEST_CASE(loads_of_a_region_add_up)
 {
     PeerLoads sum = sampleLoads(3);
-    sum.add(sampleLoads(2));
-    sum.add(sampleLoads(0));
+    sum.add(sampleLoads(2), milliseconds(0));
+    sum.add(sampleLoads(0), milliseconds(0));
     EndpointTag second = endpointTag(EndpointId("i-1"));
     BOOST_TEST(sum.entryCount == 3u);
     BOOST_TEST(sum.endpoints.size() == 3u);
@@ -239,6 +245,28 @@
     BOOST_TEST(std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sampleLoads(1))).value()).entryCount == 1u);
 }
 
+// Guards against rate limits that change on their way through the reports of a region: a limit taken as withdrawn, or
+// an older observation that replaces a newer one.
+BOOST_AUTO_TEST_CASE(newest_limits_of_a_region_are_reported)
+{
+    PeerLoads sum = sampleLoads(1);
+    EndpointTag limited = endpointTag(EndpointId("i-1"));
+    EndpointTag withdrawn = endpointTag(EndpointId("i-2"));
+    sum.limits[limited] = { RequestRate(2.5), milliseconds(300) };
+    PeerLoads other;
+    other.limits[limited] = { RequestRate(1), milliseconds(250) };
+    other.limits[withdrawn] = { std::nullopt, milliseconds(20) };
+    sum.add(other, milliseconds(100));
+    auto decoded = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sum)).value());
+    BOOST_TEST(decoded.limits.size() == 2u);
+    BOOST_TEST((decoded.limits.at(limited).rate == RequestRate(2.5)));
+    BOOST_TEST((decoded.limits.at(limited).age == milliseconds(300)));
+    BOOST_TEST((decoded.limits.at(withdrawn).rate == std::nullopt));
+    BOOST_TEST((decoded.limits.at(withdrawn).age == milliseconds(120)));
+    auto credit = decodePeerMessage(encodePeerMessage(PeerLimitCredit { limited }));
+    BOOST_TEST((std::get<PeerLimitCredit>(credit.value()).endpoint == limited));
+}
+
 // Guards against loads of a region that exceed the receiver's buffer and are truncated.
 BOOST_AUTO_TEST_CASE(loads_of_a_large_fleet_fit_into_a_datagram)
 {
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -85,15 +85,18 @@
     endpoints.started(placement, placementRequest(now), now);
     logAdmitted(placement, id, now);
     AttemptOutcome outcome = NotExecuted { "connect_failed", false };
+    int requestsSentBefore = m_requestsSent;
     EndpointConnectionPtr connection = co_await connect(record);
     if (connection && !endpoints.accepts(placement, bootTimeNow()))
-        outcome = NotExecuted { "endpoint_left_or_paused", false };
+        outcome = NotExecuted { endpoints.limit(placement) ? "endpoint_limited" : "endpoint_left_or_paused", false };
     else if (connection && !interruption())
         outcome = co_await exchangeWithEndpoint(connection, record, placement);
     now = bootTimeNow();
     if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
         outcome = *interrupted;
     m_endpoint.reset();
+    if (m_requestsSent == requestsSentBefore)
+        endpoints.notSent(placement, now);
     HealthChange change = endpoints.ended(placement, healthOutcome(outcome), now);
     if (change == HealthChange::Ejected)
         m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
@@ -228,12 +231,8 @@
         return;
     EndpointPlacement& endpoints = m_state.directory.placement(m_target);
     std::optional<RequestRate> former = endpoints.limit(placement);
-    if (!endpoints.recordLimit(placement, traits.rateLimit, m_sentAt, now))
-        return;
-    m_state.logRequest(Event::EndpointLimitChanged,
-        { { "request", m_traits.id.value() }, { "endpoint", record.id.value() },
-            { "per_second", rateField(traits.rateLimit) }, { "former_per_second", rateField(former) } },
-        now);
+    if (endpoints.recordLimit(placement, traits.rateLimit, m_sentAt, now))
+        m_state.directory.logLimitChanged(record.id, former, { { "request", m_traits.id.value() } });
 }
 
 void RequestHandler::recordAvailability(
--- a/src/include/wisteriayard/endpoint_pause.h
+++ b/src/include/wisteriayard/endpoint_pause.h
@@ -2,6 +2,8 @@
 
 #include "wisteriayard/units.h"
 
+#include <cstdint>
+
 namespace wisteriayard {
 
 /// Period during which this entry sends no requests to an endpoint, at the endpoint's request.
@@ -22,16 +24,19 @@
     TimePoint m_end {};
 };
 
-/// Spreads the retries of callers that were refused during a pause, so that they don't reach the endpoint all at once.
+/// Spreads the retries of callers that were refused for a while, so that they don't reach the endpoint all at once.
 class RetrySpread {
 public:
     /// @param pauseEnd earliest end of the endpoints' pauses
     /// @return delay after which the next refused caller may retry; never before the end of the pause
     Duration nextRetryAfter(TimePoint pauseEnd, TimePoint now);
+    /// @param spacing time between the retries of two callers
+    /// @return delay of the next refused caller after the first one
+    Duration nextOffset(Duration spacing);
 
 private:
     TimePoint m_pauseEnd {};
-    int m_callers = 0;
+    std::int64_t m_callers = 0;
 };
 
 } // namespace wisteriayard
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -128,6 +128,8 @@
     Duration expectedFirstEvent {};
     TimePoint placedAt {};
     bool firstEventSeen = false;
+    /// Credit for the endpoint's rate limit was taken for this request.
+    bool tookCredit = false;
 
     /// Whether the endpoint has probably started to process the request, although no part of its response has arrived.
     bool hasProbablyBegun(TimePoint now) const;
@@ -141,6 +143,8 @@
     AllEjected,
     /// All endpoints that are not excluded are paused.
     Paused,
+    /// This entry has no credit for the rate limits that the endpoints name.
+    Limited,
     /// The first event is expected too late everywhere.
     Overloaded,
 };
@@ -192,8 +196,10 @@
     /// Chooses an endpoint.
     /// @param excluded endpoints of earlier attempts of the request
     PlacementDecision choose(const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now);
-    /// Records that the request is being sent to its endpoint.
-    void started(const Placement& placement, const PlacementRequest& request, TimePoint now);
+    /// Records that the request is being sent to its endpoint. Takes credit if the endpoint has a rate limit.
+    void started(Placement& placement, const PlacementRequest& request, TimePoint now);
+    /// Records that the request of a started placement was not sent, which returns its credit.
+    void notSent(Placement& placement, TimePoint now);
     /// Records that the first event or the head of the response arrived.
     void firstEvent(Placement& placement, TimePoint now);
     /// Records that whole events arrived, to estimate the decoding speed.
@@ -207,8 +213,27 @@
     bool recordLimit(const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now);
     /// Rate limit that the endpoint of a placement names for all entries together, if any.
     std::optional<RequestRate> limit(const Placement& placement) const;
-    /// Whether the request may still be sent: the endpoint is known and has not been paused since choose().
-    bool accepts(const Placement& placement, TimePoint now);
+    /// Whether the request may still be sent: the endpoint is known and has not been paused since choose(). If it has
+    /// named a rate limit since, credit is taken for the request.
+    bool accepts(Placement& placement, TimePoint now);
+    /// @name Rate limits of endpoints, divided among the entries
+    /// @{
+
+    /// Sets the entries that limits are divided among.
+    void setLimitEntries(const LimitEntries& entries, TimePoint now);
+    /// Latest recent responses to this entry from endpoints that name a limit or have withdrawn it.
+    std::map<EndpointId, LimitObservation> limitReports(TimePoint now) const;
+    /// Records a response to another entry.
+    /// @return whether the endpoint's limit changed
+    bool applyLimitReport(const EndpointId& id, const LimitObservation& observation, TimePoint now);
+    /// Takes unused credit for one request to each limited endpoint, to pass it on to other entries.
+    std::vector<EndpointId> takeUnusedCredit(TimePoint now);
+    /// Adds credit for one request that another entry passed on.
+    void addPassedOnCredit(const EndpointId& id, TimePoint now);
+    /// Rate limit that an endpoint names and this entry's share of it; absent for an endpoint without a limit.
+    std::optional<RequestRate> limit(const EndpointId& id) const;
+    RequestRate limitShare(const EndpointId& id) const;
+    /// @}
     /// Records that the attempt ended.
     HealthChange ended(const Placement& placement, EndpointOutcome outcome, TimePoint now);
 
@@ -272,6 +297,8 @@
         double cost = 0;
         std::int64_t uncached = 0;
         double firstEvent = 0;
+        /// The endpoint names a rate limit.
+        bool limited = false;
         /// Shared tokens among the uncached ones.
         std::int64_t recomputed = 0;
         bool preferred = false;
@@ -292,8 +319,15 @@
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
     void sumPeerLoads(TimePoint now);
     bool isUsable(const State& state, TimePoint now) const;
+    void updateLimitShare(State& state, TimePoint now);
+    void takeCredit(State& state, Placement& placement, TimePoint now);
+    const State* find(const EndpointId& id) const;
+    State* find(const EndpointId& id);
+    /// Delay after which the next caller that was refused for lack of credit may return, so that the callers of all
+    /// entries together return at the rate at which the endpoints accept requests.
+    Duration limitedRetryAfter();
     /// Reason why no endpoint is available, and when to retry.
-    Refused refusal(const std::vector<EndpointId>& excluded, TimePoint now);
+    Refused refusal(const std::vector<EndpointId>& excluded, Priority rank, TimePoint now);
     /// Tokens, for requests of all entries, that an endpoint computes before a request of this rank.
     static std::int64_t tokensAhead(const State& state, Priority rank);
     double tokenTime(const State& state, TimePoint now) const;
@@ -311,6 +345,9 @@
     std::uint64_t m_generation = 0;
     std::unordered_map<InstanceId, PeerLoad> m_peerLoads;
     RetrySpread m_retrySpread;
+    RetrySpread m_limitedRetrySpread;
+    LimitEntries m_limitEntries;
+    LimitTurns m_limitTurns;
     PrefillPool m_pool;
     SegmentRates m_segmentRates;
     CacheHints m_cacheHints;
--- a/src/libwisteriayard/endpoint_limit.cpp
+++ b/src/libwisteriayard/endpoint_limit.cpp
@@ -1,15 +1,120 @@
 #include "wisteriayard/endpoint_limit.h"
 
+#include "wisteriayard/limits.h"
+
+#include <algorithm>
+
 namespace wisteriayard {
 
+namespace {
+
+    /// Lowest rate at which requests are sent: without any, the end of the limit would not be noticed.
+    constexpr RequestRate minRate { 0.1 };
+    /// Age up to which an observation is reported, so that it reaches entries that miss a few datagrams.
+    constexpr Duration reportTime = std::chrono::seconds(3);
+    /// Time for which credit must be unused before it is passed on. Requests of this entry come first.
+    constexpr Duration unusedDelay = std::chrono::milliseconds(300);
+    /// Time within which passed-on credit must be used. The requests of an endpoint in any period can exceed its limit
+    /// by the credit outstanding at the start.
+    constexpr Duration passedOnLifetime = std::chrono::seconds(1);
+    /// Time for which a refused request counts as waiting for credit: most callers return within it.
+    constexpr Duration refusalMemory = std::chrono::seconds(1);
+    /// Each request of this number is kept for less urgent requests.
+    constexpr unsigned lessUrgentTurn = 4;
+
+} // namespace
+
 bool EndpointLimit::recordResponse(std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now)
 {
     // The response to an earlier request may have been written before the endpoint named its limit.
     if (!rate && m_latest.rate && sentAt <= m_latest.at)
         return false;
-    bool changed = rate != m_latest.rate;
-    m_latest = { rate, now };
+    m_own = { rate, now };
+    return recordPeerObservation(m_own);
+}
+
+bool EndpointLimit::recordPeerObservation(const LimitObservation& observation)
+{
+    if (observation.at <= m_latest.at)
+        return false;
+    bool changed = observation.rate != m_latest.rate;
+    m_latest = observation;
     return changed;
 }
 
+std::optional<LimitObservation> EndpointLimit::reportable(TimePoint now) const
+{
+    if (m_own.at == TimePoint() || now - m_own.at > reportTime)
+        return std::nullopt;
+    return m_own;
+}
+
+void EndpointLimit::updateShare(
+    const EndpointId& endpoint, const RegionId& region, const LimitEntries& entries, TimePoint now)
+{
+    if (!m_latest.rate) {
+        m_credit = TokenBucket();
+        m_passedOn.clear();
+        return;
+    }
+    std::vector<InstanceId> candidates;
+    for (const auto& [instance, home] : entries.regions) {
+        if (home == region)
+            candidates.push_back(instance);
+    }
+    if (candidates.empty()) {
+        for (const auto& [instance, home] : entries.regions)
+            candidates.push_back(instance);
+    }
+    RequestRate rate = std::max(*m_latest.rate, minRate);
+    std::vector<InstanceId> holders = shareHolders(endpoint.value(), rate, candidates);
+    bool isHolder = entries.active && std::find(holders.begin(), holders.end(), entries.self) != holders.end();
+    double share = isHolder ? rate.value() / static_cast<double>(holders.size()) : 0;
+    double capacity = isHolder ? creditCapacity(CreditKind::Requests, share) : 0;
+    m_credit.reconfigure(share, capacity, now);
+}
+
+bool EndpointLimit::admits(TimePoint now) const
+{
+    bool passedOn = std::any_of(m_passedOn.begin(), m_passedOn.end(), [now](TimePoint end) { return now < end; });
+    return !m_latest.rate || passedOn || m_credit.available(now) >= 1;
+}
+
+bool EndpointLimit::tryAcquire(TimePoint now)
+{
+    m_unusedSince.reset();
+    std::erase_if(m_passedOn, [now](TimePoint end) { return now >= end; });
+    if (m_passedOn.empty())
+        return m_credit.tryTake(now);
+    m_passedOn.erase(m_passedOn.begin());
+    return true;
+}
+
+bool EndpointLimit::takeUnused(TimePoint now)
+{
+    if (!m_latest.rate || m_credit.available(now) < 1) {
+        m_unusedSince.reset();
+        return false;
+    }
+    if (!m_unusedSince)
+        m_unusedSince = now;
+    return now - *m_unusedSince >= unusedDelay && m_credit.tryTake(now);
+}
+
+void EndpointLimit::addPassedOn(TimePoint now)
+{
+    std::erase_if(m_passedOn, [now](TimePoint end) { return now >= end; });
+    if (m_latest.rate)
+        m_passedOn.push_back(now + passedOnLifetime);
+}
+
+bool LimitTurns::mustYield(Priority rank, TimePoint now) const
+{
+    bool forLessUrgent = m_taken % lessUrgentTurn == lessUrgentTurn - 1;
+    return std::any_of(m_refusedAt.begin(), m_refusedAt.end(), [&](const auto& each) {
+        bool comesFirst = forLessUrgent ? each.first > rank : each.first < rank;
+        return comesFirst && now - each.second < refusalMemory;
+    });
+}
+
 } // namespace wisteriayard
--- a/src/libwisteriayard/endpoint_pause.cpp
+++ b/src/libwisteriayard/endpoint_pause.cpp
@@ -9,10 +9,11 @@
     /// Limit for the pause that an answer asks for, so that an absurd value can't overflow the time point. An endpoint
     /// that is down for longer is removed from the endpoint list and added again later.
     constexpr Duration maxPause = std::chrono::hours(1);
-    /// Time between the retries of two refused callers, and the number of callers after which the delays start again
-    /// from the end of the pause: interactive requests can't wait for more than a second beyond it.
-    constexpr Duration retrySpacing = std::chrono::milliseconds(10);
-    constexpr int callersPerRound = 100;
+    /// Time between the retries of two callers that were refused during a pause.
+    constexpr Duration pauseRetrySpacing = std::chrono::milliseconds(10);
+    /// Time beyond the end of the pause after which the delays start again from it: interactive requests can't wait for
+    /// longer.
+    constexpr Duration maxSpread = std::chrono::seconds(1);
 
 } // namespace
 
@@ -31,9 +32,13 @@
         m_pauseEnd = pauseEnd;
         m_callers = 0;
     }
-    Duration offset = retrySpacing * (m_callers % callersPerRound);
-    ++m_callers;
-    return std::max(Duration(0), pauseEnd - now) + offset;
+    return std::max(Duration(0), pauseEnd - now) + nextOffset(pauseRetrySpacing);
+}
+
+Duration RetrySpread::nextOffset(Duration spacing)
+{
+    auto callersPerRound = std::max<Duration::rep>(1, maxSpread / std::max(spacing, Duration(1)));
+    return spacing * (m_callers++ % callersPerRound);
 }
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -90,6 +90,8 @@
         return "all_ejected";
     case PlacementRefusal::Paused:
         return "paused";
+    case PlacementRefusal::Limited:
+        return "limited";
     case PlacementRefusal::Overloaded:
         return "overloaded";
     }
@@ -186,11 +188,17 @@
     std::uint64_t key = lastSharedSegment(request);
     bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
     std::vector<std::pair<std::uint64_t, std::size_t>> weights;
+    std::vector<std::pair<std::uint64_t, std::size_t>> limitedWeights;
     for (const auto& [id, index] : m_index) {
         const State& state = m_states[index];
-        if (isInPool(state, isLong, poolSize) && isUsable(state, now))
-            weights.emplace_back(mixHash(key ^ state.hash), index);
+        if (!isInPool(state, isLong, poolSize) || !isUsable(state, now))
+            continue;
+        // Most requests with a segment can't go to a limited endpoint, so another one has to cache the segment.
+        auto& group = state.limit.rate() ? limitedWeights : weights;
+        group.emplace_back(mixHash(key ^ state.hash), index);
     }
+    if (weights.empty())
+        weights = std::move(limitedWeights);
     std::size_t count = std::min(preferredEndpointCount(key, now), weights.size());
     std::partial_sort(
         weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(count), weights.end(), std::greater<>());
@@ -211,22 +219,6 @@
     return uncached;
 }
 
-void EndpointPlacement::sumPeerLoads(TimePoint now)
-{
-    for (State& state : m_states)
-        state.peers = {};
-    std::erase_if(
-        m_peerLoads, [&](const auto& each) { return now - each.second.receivedAt > m_policy.peerLoadLifetime; });
-    for (const auto& [peer, report] : m_peerLoads) {
-        for (const auto& [id, use] : report.use) {
-            auto known = m_index.find(id);
-            if (known == m_index.end())
-                continue;
-            m_states[known->second].peers += use;
-        }
-    }
-}
-
 double EndpointPlacement::tokenTime(const State& state, TimePoint now) const
 {
     if (state.tokenTime == 0)
@@ -248,6 +240,7 @@
     const State& state = m_states[index];
     Candidate candidate;
     candidate.index = index;
+    candidate.limited = state.limit.rate().has_value();
     int running = state.own.running + state.peers.running;
     double distance = 0;
     if (state.info.region != m_region)
@@ -310,19 +303,28 @@
         < std::tie(best->cost, m_states[best->index].info.id);
 }
 
-Refused EndpointPlacement::refusal(const std::vector<EndpointId>& excluded, TimePoint now)
+Refused EndpointPlacement::refusal(const std::vector<EndpointId>& excluded, Priority rank, TimePoint now)
 {
     Refused refused;
     refused.retryAfter = firstEjection;
     std::optional<TimePoint> pauseEnd;
+    bool limited = false;
     for (const auto& [id, index] : m_index) {
         const State& state = m_states[index];
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
-        if (!state.pause.isActive(now))
-            refused.reason = PlacementRefusal::AllEjected;
-        else
+        if (state.pause.isActive(now))
             pauseEnd = std::min(pauseEnd.value_or(state.pause.end()), state.pause.end());
+        else if (state.limit.rate())
+            limited = true;
+        else
+            refused.reason = PlacementRefusal::AllEjected;
+    }
+    if (limited) {
+        m_limitTurns.refused(rank, now);
+        refused.reason = PlacementRefusal::Limited;
+        refused.retryAfter = limitedRetryAfter();
+        return refused;
     }
     if (refused.reason == PlacementRefusal::AllEjected || !pauseEnd)
         return refused;
@@ -341,6 +343,7 @@
         m_policy.maxObjectiveShare * microseconds(request.objective));
     std::optional<Candidate> best;
     std::optional<Candidate> spill;
+    bool unlimitedInTime = false;
     // When the other endpoints have left and only ejected ones remain, requests are sent to these.
     bool onlyEjected = std::none_of(
         m_index.begin(), m_index.end(), [&](const auto& each) { return isUsable(m_states[each.second], now); });
@@ -348,19 +351,21 @@
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
         bool usable = onlyEjected ? !m_states[index].pause.isActive(now) : isUsable(m_states[index], now);
-        if (!usable)
+        if (!usable || !m_states[index].limit.admits(now))
             continue;
         Candidate candidate = evaluate(index, request, preferred, poolSize, now);
         if (isBetter(candidate, best))
             best = candidate;
         bool inTime = !candidate.queued || candidate.firstEvent <= latest;
+        unlimitedInTime = unlimitedInTime || (inTime && !candidate.limited);
         if (inTime && candidate.recomputed <= m_policy.maxSpilledTokens.value() && isBetter(candidate, spill))
             spill = candidate;
     }
-    if (!best)
-        return refusal(excluded, now);
-    if (best->queued && best->firstEvent > latest && spill)
+    if (best && best->queued && best->firstEvent > latest && spill)
         best = spill;
+    bool yields = best && best->limited && !unlimitedInTime && m_limitTurns.mustYield(request.rank, now);
+    if (!best || yields)
+        return refusal(excluded, request.rank, now);
     if (best->queued && best->firstEvent > latest) {
         const State& busy = m_states[best->index];
         if (busy.info.memory.value() > 0)
@@ -390,6 +395,17 @@
     return placement;
 }
 
+const EndpointPlacement::State* EndpointPlacement::find(const EndpointId& id) const
+{
+    auto known = m_index.find(id);
+    return known == m_index.end() ? nullptr : &m_states[known->second];
+}
+
+EndpointPlacement::State* EndpointPlacement::find(const EndpointId& id)
+{
+    return const_cast<State*>(std::as_const(*this).find(id));
+}
+
 const EndpointPlacement::State* EndpointPlacement::find(const Placement& placement) const
 {
     if (placement.endpoint >= m_states.size())
@@ -403,11 +419,19 @@
     return const_cast<State*>(std::as_const(*this).find(placement));
 }
 
-void EndpointPlacement::started(const Placement& placement, const PlacementRequest& request, TimePoint now)
+void EndpointPlacement::notSent(Placement& placement, TimePoint now)
+{
+    State* state = find(placement);
+    if (state && std::exchange(placement.tookCredit, false))
+        state->limit.giveBack(now);
+}
+
+void EndpointPlacement::started(Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     State* state = find(placement);
     if (!state)
         return;
+    takeCredit(*state, placement, now);
     ++state->own.running;
     state->own.backlog.add(placement.rank, Tokens(placement.uncachedTokens));
     state->own.memoryTokens += placement.memoryTokens;
@@ -488,23 +512,14 @@
     return state && state->pause.extend(time, now);
 }
 
-bool EndpointPlacement::recordLimit(
-    const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now)
+bool EndpointPlacement::accepts(Placement& placement, TimePoint now)
 {
     State* state = find(placement);
-    return state && state->limit.recordResponse(rate, sentAt, now);
-}
-
-std::optional<RequestRate> EndpointPlacement::limit(const Placement& placement) const
-{
-    const State* state = find(placement);
-    return state ? state->limit.rate() : std::nullopt;
-}
-
-bool EndpointPlacement::accepts(const Placement& placement, TimePoint now)
-{
-    State* state = find(placement);
-    return state && !state->pause.isActive(now);
+    if (!state || state->pause.isActive(now))
+        return false;
+    if (state->limit.rate() && !placement.tookCredit)
+        takeCredit(*state, placement, now);
+    return !state->limit.rate() || placement.tookCredit;
 }
 
 HealthChange EndpointPlacement::ended(const Placement& placement, EndpointOutcome outcome, TimePoint now)
@@ -566,31 +581,4 @@
     return HealthChange::Restored;
 }
 
-std::map<EndpointId, EndpointUse> EndpointPlacement::ownUse() const
-{
-    std::map<EndpointId, EndpointUse> use;
-    for (const auto& [id, index] : m_index) {
-        if (m_states[index].own.running > 0)
-            use[id] = m_states[index].own;
-    }
-    return use;
-}
-
-void EndpointPlacement::updatePeerUse(
-    const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now)
-{
-    m_peerLoads[peer] = { use, now };
-}
-
-void EndpointPlacement::applyCacheHints(const std::map<EndpointId, std::vector<SegmentTag>>& hints, TimePoint now)
-{
-    for (const auto& [id, segments] : hints) {
-        auto known = m_index.find(id);
-        if (known == m_index.end())
-            continue;
-        for (SegmentTag segment : segments)
-            m_states[known->second].cachedSegments.recordPeerUse(segment, now);
-    }
-}
-
 } // namespace wisteriayard
--- /dev/null
+++ b/src/libwisteriayard/endpoint_placement_limits.cpp
@@ -0,0 +1,112 @@
+// EndpointPlacement: the rate limits that endpoints name for all entries together.
+#include "wisteriayard/endpoint_placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriayard {
+
+namespace {
+
+    /// Range of the time after which a caller that was refused for lack of credit returns, however low or high the
+    /// limits are.
+    constexpr Duration minLimitedRetryAfter = std::chrono::milliseconds(100);
+    constexpr Duration maxLimitedRetryAfter = std::chrono::seconds(5);
+
+} // namespace
+
+std::optional<RequestRate> EndpointPlacement::limit(const Placement& placement) const
+{
+    const State* state = find(placement);
+    return state ? state->limit.rate() : std::nullopt;
+}
+
+bool EndpointPlacement::recordLimit(
+    const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now)
+{
+    State* state = find(placement);
+    if (!state || !state->limit.recordResponse(rate, sentAt, now))
+        return false;
+    updateLimitShare(*state, now);
+    return true;
+}
+
+void EndpointPlacement::updateLimitShare(State& state, TimePoint now)
+{
+    state.limit.updateShare(state.info.id, state.info.region, m_limitEntries, now);
+}
+
+void EndpointPlacement::setLimitEntries(const LimitEntries& entries, TimePoint now)
+{
+    m_limitEntries = entries;
+    for (const auto& [id, index] : m_index)
+        updateLimitShare(m_states[index], now);
+}
+
+std::map<EndpointId, LimitObservation> EndpointPlacement::limitReports(TimePoint now) const
+{
+    std::map<EndpointId, LimitObservation> reports;
+    for (const auto& [id, index] : m_index) {
+        if (auto observation = m_states[index].limit.reportable(now))
+            reports[id] = *observation;
+    }
+    return reports;
+}
+
+bool EndpointPlacement::applyLimitReport(const EndpointId& id, const LimitObservation& observation, TimePoint now)
+{
+    State* state = find(id);
+    if (!state || !state->limit.recordPeerObservation(observation))
+        return false;
+    updateLimitShare(*state, now);
+    return true;
+}
+
+std::vector<EndpointId> EndpointPlacement::takeUnusedCredit(TimePoint now)
+{
+    std::vector<EndpointId> taken;
+    for (const auto& [id, index] : m_index) {
+        if (m_states[index].limit.takeUnused(now))
+            taken.push_back(id);
+    }
+    return taken;
+}
+
+void EndpointPlacement::addPassedOnCredit(const EndpointId& id, TimePoint now)
+{
+    if (State* state = find(id))
+        state->limit.addPassedOn(now);
+}
+
+std::optional<RequestRate> EndpointPlacement::limit(const EndpointId& id) const
+{
+    const State* state = find(id);
+    return state ? state->limit.rate() : std::nullopt;
+}
+
+RequestRate EndpointPlacement::limitShare(const EndpointId& id) const
+{
+    const State* state = find(id);
+    return state ? state->limit.share() : RequestRate(0);
+}
+
+void EndpointPlacement::takeCredit(State& state, Placement& placement, TimePoint now)
+{
+    placement.tookCredit = state.limit.rate() && state.limit.tryAcquire(now);
+    if (placement.tookCredit)
+        m_limitTurns.taken();
+}
+
+Duration EndpointPlacement::limitedRetryAfter()
+{
+    double rate = 0;
+    for (const auto& [id, index] : m_index)
+        rate += m_states[index].limit.rate().value_or(RequestRate(0)).value();
+    // Assumes that each other entry refuses as many callers as this one.
+    auto entries = static_cast<double>(std::max<std::size_t>(1, m_limitEntries.regions.size()));
+    double seconds = std::min(toSeconds(maxLimitedRetryAfter), entries / rate);
+    Duration spacing = scaled(std::chrono::seconds(1), seconds);
+    return std::max(minLimitedRetryAfter, spacing) + m_limitedRetrySpread.nextOffset(spacing);
+}
+
+} // namespace wisteriayard
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -134,6 +134,8 @@
         return "view_role_changed";
     case Event::ViewRead:
         return "view_read";
+    case Event::LimitEntriesChanged:
+        return "limit_entries_changed";
     }
     return "unknown";
 }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -79,6 +79,7 @@
     PrefillPoolResized = 706,
     ViewRoleChanged = 707,
     ViewRead = 708,
+    LimitEntriesChanged = 709,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
