Divide the retry budget also before the number of entries is known

Until an entry had read the registrations it counted itself as the only one and allowed itself the whole slack of the retry budget; after a start of all n entries the sum was n times the slack. The same happened after an outage of the store in which the registrations lapsed: the first entries that read the list again saw few others.

Now an entry that does not know the number has only the share of its own requests, and entries that miss in the list still count for two renewal intervals.

--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -54,11 +54,8 @@
 RetryBudget& GatewayState::retryBudget(const TargetId& target)
 {
     RetryBudget& budget = retryBudgets[target];
-    auto count = static_cast<double>(std::max<std::size_t>(1, liveEntries));
-    RetryPolicy policy;
-    policy.ratio = retryLimitShare * settings.retryRatio;
-    policy.minRetries = retryLimitShare * settings.retrySlack / count;
-    budget.setPolicy(policy);
+    RetryPolicy total { retryLimitShare * settings.retryRatio, retryLimitShare * settings.retrySlack };
+    budget.setPolicy(sharedRetryPolicy(total, liveEntries));
     return budget;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -37,8 +37,8 @@
     /// Time of the store's last confirmation of the configuration and of the list of endpoints.
     TimePoint configConfirmedAt {};
     TimePoint endpointsConfirmedAt {};
-    /// Number of live gateway processes, including this one.
-    std::size_t liveEntries = 1;
+    /// Number of live gateway processes, including this one; 0 before their registrations were read.
+    std::size_t liveEntries = 0;
     /// Time at which SIGTERM started the shutdown; absent before.
     std::optional<TimePoint> drainingSince;
     int activeRequests = 0;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -212,7 +212,7 @@
     m_peers[instance] = std::move(peer);
 }
 
-void PeerExchange::updateEntryCount() { m_state.liveEntries = m_peers.size() + 1; }
+void PeerExchange::updateEntryCount() { m_state.liveEntries = m_peers.size() + m_missingPeers.size() + 1; }
 
 bool PeerExchange::isRegistrationKnown(TimePoint now) const
 {
@@ -244,6 +244,8 @@
             entries.regions[instance] = peer.region;
     }
     for (const auto& [instance, peer] : m_missingPeers)
+    if (m_registrationsReadAt != TimePoint())
+        updateEntryCount();
         entries.regions[instance] = peer.region;
     if (entries == m_limitEntries)
         return;
--- a/src/include/wisteriayard/retry_budget.h
+++ b/src/include/wisteriayard/retry_budget.h
@@ -3,6 +3,7 @@
 #include "wisteriayard/units.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace wisteriayard {
@@ -15,6 +16,12 @@
     double minRetries = 3;
 };
 
+/// Policy of one of several entries that keep a limit on retries together.
+/// @param total limit on the retries of all entries together
+/// @param entries number of entries that share the limit, including this one; 0 as long as it is not known, for which
+/// only a share of this entry's own requests is allowed
+RetryPolicy sharedRetryPolicy(RetryPolicy total, std::size_t entries);
+
 /// Limits retries to a share of the requests of the last ten seconds.
 class RetryBudget {
 public:
--- a/src/libwisteriayard/retry_budget.cpp
+++ b/src/libwisteriayard/retry_budget.cpp
@@ -11,6 +11,12 @@
 
 } // namespace
 
+RetryPolicy sharedRetryPolicy(RetryPolicy total, std::size_t entries)
+{
+    double share = entries == 0 ? 0 : total.minRetries / static_cast<double>(entries);
+    return { total.ratio, share };
+}
+
 RetryBudget::Bucket& RetryBudget::bucketAt(TimePoint now)
 {
     std::int64_t second = secondOf(now);
