Use shares of rate limits at once after a quick restart

After a kill of all entries, limited endpoints got nothing for the 8 s in which a registered entry does not use its shares yet, although the others never ceased to count it: its earlier registration had not lapsed. An entry now looks for that registration before it registers, one read of the store at each start, and uses its shares as soon as it has read the list. Registrations that had lapsed or were removed still wait.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -80,13 +80,19 @@
 
 awaitable<void> PeerExchange::registerSelf()
 {
+    std::string key = registrationPrefix() + m_state.settings.instance.value();
+    bool isFirst = m_registeredSince == TimePoint();
+    if (isFirst) {
+        auto earlier = co_await m_store->read(key);
+        m_wasRegisteredAtStart = earlier.has_value();
+    }
     TimePoint start = bootTimeNow();
     auto lease = co_await m_store->grantLease(registrationTimeToLive);
     if (!lease)
         co_return;
     Transaction transaction;
     PutOperation put;
-    put.key = registrationPrefix() + m_state.settings.instance.value();
+    put.key = std::move(key);
     put.value = registration();
     put.lease = lease.value();
     transaction.onSuccess.emplace_back(std::move(put));
@@ -94,6 +100,7 @@
     if (!result || !result.value().succeeded)
         co_return;
     m_lease = lease.value();
+    m_wasRegisteredAtStart = m_wasRegisteredAtStart && isFirst;
     m_registeredSince = bootTimeNow();
     m_registrationConfirmedAt = start;
 }
@@ -216,8 +223,11 @@
 
 bool PeerExchange::isRegistrationKnown(TimePoint now) const
 {
-    bool wasRead = m_registrationsReadAt > m_registeredSince;
-    if (m_leaving || m_lease.value() == 0 || !wasRead || now - m_registeredSince < limitShareDelay)
+    // The registration of an earlier start of this entry was still there, so the others never ceased to count it.
+    bool isCounted = m_wasRegisteredAtStart || now - m_registeredSince >= limitShareDelay;
+    bool wasRead
+        = m_registrationsReadAt != TimePoint() && (m_wasRegisteredAtStart || m_registrationsReadAt > m_registeredSince);
+    if (m_leaving || m_lease.value() == 0 || !wasRead || !isCounted)
         return false;
     if (now - m_registrationConfirmedAt < registrationTimeToLive)
         return true;
@@ -234,6 +244,8 @@
 void PeerExchange::updateLimitEntries(TimePoint now)
 {
     std::erase_if(m_missingPeers, [now](const auto& each) { return now - each.second.since >= missingPeerGrace; });
+    if (m_registrationsReadAt != TimePoint())
+        updateEntryCount();
     LimitEntries entries;
     entries.self = m_state.settings.instance;
     entries.active = isRegistrationKnown(now);
@@ -244,8 +256,6 @@
             entries.regions[instance] = peer.region;
     }
     for (const auto& [instance, peer] : m_missingPeers)
-    if (m_registrationsReadAt != TimePoint())
-        updateEntryCount();
         entries.regions[instance] = peer.region;
     if (entries == m_limitEntries)
         return;
