Keep engines with a rate limit out of the pools for long and short prompts

A limited engine counted as a whole member of the pool for long prompts or of that for short ones. If the few engines for long prompts were limited, long prompts crowded at the others.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -245,7 +245,7 @@
         m_pool.updatePeer(peer, rates, entries, now);
     }
     /// Current number of engines that are reserved for long prompts.
-    std::size_t prefillEngines(TimePoint now) { return m_pool.size(m_index.size(), now); }
+    std::size_t prefillEngines(TimePoint now) { return m_pool.size(m_pooledEndpoints, now); }
     /// Load by requests of this entry; endpoints without any are omitted.
     std::map<EndpointId, EndpointUse> ownUse() const;
     /// Records the load that another entry reported.
@@ -269,8 +269,9 @@
 
         PlacementEndpoint info;
         std::uint64_t hash = 0;
-        /// Position in the order in which engines are assigned to long prompts.
-        std::size_t poolOrder = 0;
+        /// Position in the order in which engines are assigned to long prompts; absent for one that is used for all
+        /// prompts.
+        std::optional<std::size_t> poolOrder;
         std::uint64_t generation = 0;
         bool present = false;
         EndpointUse own;
@@ -320,6 +321,8 @@
     void sumPeerLoads(TimePoint now);
     bool isUsable(const State& state, TimePoint now) const;
     void updateLimitShare(State& state, TimePoint now);
+    /// Applies a changed limit to this entry's share and to the pools of engines.
+    void limitChanged(State& state, TimePoint now);
     void takeCredit(State& state, Placement& placement, TimePoint now);
     const State* find(const EndpointId& id) const;
     State* find(const EndpointId& id);
@@ -349,6 +352,8 @@
     LimitEntries m_limitEntries;
     LimitTurns m_limitTurns;
     PrefillPool m_pool;
+    /// Number of endpoints with a position in the pool's order.
+    std::size_t m_pooledEndpoints = 0;
     SegmentRates m_segmentRates;
     CacheHints m_cacheHints;
     /// Tokens to be computed for waiting requests of this entry, by their last shared segment. Shared tokens are not
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -139,10 +139,15 @@
 void EndpointPlacement::orderEndpoints()
 {
     // Ordered by hash within each zone, taking one endpoint of each zone in turn, so that any prefix of the order
-    // covers all zones.
+    // covers all zones. Endpoints with a rate limit do too little work to count as a part of either pool.
+    bool allLimited = std::all_of(m_index.begin(), m_index.end(),
+        [this](const auto& each) { return m_states[each.second].limit.rate().has_value(); });
     std::map<ZoneId, std::vector<std::size_t>> zones;
-    for (const auto& [id, index] : m_index)
-        zones[m_states[index].info.zone].push_back(index);
+    for (const auto& [id, index] : m_index) {
+        m_states[index].poolOrder.reset();
+        if (allLimited || !m_states[index].limit.rate())
+            zones[m_states[index].info.zone].push_back(index);
+    }
     std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, std::size_t>> order;
     for (auto& [zone, members] : zones) {
         std::sort(members.begin(), members.end(),
@@ -153,6 +158,7 @@
     std::sort(order.begin(), order.end());
     for (std::size_t i = 0; i < order.size(); ++i)
         m_states[order[i].second].poolOrder = i;
+    m_pooledEndpoints = order.size();
 }
 
 void EndpointPlacement::remove(const EndpointId& id)
@@ -291,7 +297,7 @@
 
 bool EndpointPlacement::isInPool(const State& state, bool isLong, std::size_t poolSize)
 {
-    return poolSize == 0 || (state.poolOrder < poolSize) == isLong;
+    return poolSize == 0 || !state.poolOrder || (*state.poolOrder < poolSize) == isLong;
 }
 
 bool EndpointPlacement::isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const
@@ -337,7 +343,7 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     sumPeerLoads(now);
-    std::size_t poolSize = m_pool.size(m_index.size(), now);
+    std::size_t poolSize = m_pool.size(m_pooledEndpoints, now);
     std::vector<std::size_t> preferred = preferredEndpoints(request, poolSize, now);
     double latest = std::min(m_policy.maxTimeLeftShare * microseconds(request.timeLeft),
         m_policy.maxObjectiveShare * microseconds(request.objective));
--- a/src/libwisteriayard/endpoint_placement_limits.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits.cpp
@@ -27,7 +27,7 @@
     State* state = find(placement);
     if (!state || !state->limit.recordResponse(rate, sentAt, now))
         return false;
-    updateLimitShare(*state, now);
+    limitChanged(*state, now);
     return true;
 }
 
@@ -36,6 +36,12 @@
     state.limit.updateShare(state.info.id, state.info.region, m_limitEntries, now);
 }
 
+void EndpointPlacement::limitChanged(State& state, TimePoint now)
+{
+    updateLimitShare(state, now);
+    orderEndpoints();
+}
+
 void EndpointPlacement::setLimitEntries(const LimitEntries& entries, TimePoint now)
 {
     m_limitEntries = entries;
@@ -58,7 +64,7 @@
     State* state = find(id);
     if (!state || !state->limit.recordPeerObservation(observation))
         return false;
-    updateLimitShare(*state, now);
+    limitChanged(*state, now);
     return true;
 }
 
