--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -267,6 +267,18 @@
     BOOST_TEST((std::get<PeerLimitCredit>(credit.value()).endpoint == limited));
 }
 
+// Guards against reports whose size grows by more than 10 bytes for each limited endpoint.
+BOOST_AUTO_TEST_CASE(limits_take_few_bytes)
+{
+    constexpr std::size_t limited = 50;
+    PeerLoads loads = sampleLoads(60);
+    std::size_t without = encodePeerMessage(loads).size();
+    for (std::size_t i = 0; i < limited; ++i)
+        loads.limits[endpointTag(EndpointId("i-" + std::to_string(i)))] = { RequestRate(2.2), milliseconds(2900) };
+    // Each of the three columns has a header of up to four bytes.
+    BOOST_TEST(encodePeerMessage(loads).size() <= without + limited * 10 + 3 * 4);
+}
+
 // Guards against loads of a region that exceed the receiver's buffer and are truncated.
 BOOST_AUTO_TEST_CASE(loads_of_a_large_fleet_fit_into_a_datagram)
 {
--- a/testsuite/endpoint_limits/run.py
+++ b/testsuite/endpoint_limits/run.py
@@ -66,7 +66,7 @@
 
 
 def arrivals(endpoint, since, until=float("inf")):
-    return sum(since <= at < until for at, _ in endpoint.rate_limit.arrivals)
+    return sum(since <= at < until for at, *_ in endpoint.rate_limit.arrivals)
 
 
 def steady(deployment, load):
@@ -133,7 +133,7 @@
     third.signal(signal.SIGSTOP)
     time.sleep(3)
     third.signal(signal.SIGCONT)
-    wait_until(lambda: not first.alive(), "the entry to stop")
+    wait_until(lambda entry=first: not entry.alive(), "the entry to stop")
     first.start()
     time.sleep(2)
     for gateway in (first, second):
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -86,6 +86,10 @@
     def alive(self):
         return self.process is not None and self.process.poll() is None
 
+    def entry(self):
+        """Names this start of the gateway to the endpoints."""
+        return f"{self.name}#{self.process.pid}"
+
     def signal(self, number):
         if self.alive():
             self.process.send_signal(number)
@@ -125,7 +129,7 @@
     def call_on(self, connection, path, method="POST", body=b"x", key=KEY, headers=None, timeout=5, request=None):
         request = request or uuid.uuid4().hex[:16]
         fields = {"Host": HOST, "Request-Id": request, "Deadline-Ms": str(int(timeout * 1000)),
-                  "X-Entry": f"{self.name}#{self.process.pid}", **(headers or {})}
+                  "X-Entry": self.entry(), **(headers or {})}
         if key:
             fields["Authorization"] = "Bearer " + key
         try:
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -214,7 +214,8 @@
 class RateLimit:
     """The rate limit that an endpoint names, and the requests that it gets.
 
-    `rate` is the value of the Server-Limit header in all responses, in requests per second; None omits the header.
+    `rate` is the value of the Server-Limit header in all responses, in requests per second; None omits the header. A
+    limit that is named again after None counts as a new one.
     """
 
     RULE_WINDOW_S = 4
@@ -227,11 +228,13 @@
         self.lock = threading.Lock()
         self.history = [(float("-inf"), None)]
         self.arrivals = []
-        self.told = {}
-        self.first_named = None
+        # Time of the first response with the limit in force, and of the first one to each entry.
+        self.first_named, self.told = None, {}
 
     def set(self, rate):
         with self.lock:
+            if self.rate is None:
+                self.first_named, self.told = None, {}
             self.history.append((time.monotonic(), rate))
 
     @property
@@ -239,8 +242,11 @@
         return self.history[-1][1]
 
     def arrived(self, entry):
+        """Records a request, and the time from which windows with it must keep the limit."""
         with self.lock:
-            self.arrivals.append((time.monotonic(), entry))
+            now = time.monotonic()
+            counts = self.told.get(entry, float("inf")) + self.TOLD_S <= now
+            self.arrivals.append((now, entry, self.first_named + self.NOTICE_S if counts else None))
 
     def headers(self, entry):
         """Headers of a response that is sent to an entry now."""
@@ -267,21 +273,18 @@
     def violations(self, excused=lambda entry, at: False):
         """Windows with more requests than the limit allows, from entries that knew it.
 
-        @param excused whether a request of an entry at a time does not count
+        `excused` tells whether a request of an entry at a time does not count.
         """
-        with self.lock:
-            arrivals, told = sorted(self.arrivals), dict(self.told)
-        if self.first_named is None:
-            return []
-        counted = [at for at, entry in arrivals
-                   if told.get(entry, float("inf")) + self.TOLD_S <= at and not excused(entry, at)]
+        counted = [(at, kept_from) for at, entry, kept_from in sorted(self.arrivals, key=lambda each: each[0])
+                   if kept_from is not None and not excused(entry, at)]
         found = []
-        for index, start in enumerate(counted):
-            if start < self.first_named + self.NOTICE_S or self.allowed(start) is None:
+        for index, (start, kept_from) in enumerate(counted):
+            allowed = self.allowed(start)
+            if start < kept_from or allowed is None:
                 continue
-            count = sum(at < start + self.RULE_WINDOW_S for at in counted[index:])
-            if count > self.allowed(start):
-                found.append(f"{count} requests in {self.RULE_WINDOW_S} s, allowed {self.allowed(start):.1f}")
+            count = sum(at < start + self.RULE_WINDOW_S for at, _ in counted[index:])
+            if count > allowed:
+                found.append(f"{count} requests in {self.RULE_WINDOW_S} s, allowed {allowed:.1f}")
         return found
 
 
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -2,7 +2,7 @@
 
 Injects overlapping faults: links to the store and to endpoints are delayed, reset, blocked in one direction or in both;
 gateways are terminated, paused, killed and restarted; the store refuses calls or loses responses; endpoints fail,
-interrupt streams, drain and return; the configuration changes. Afterwards the responses, executions and reports that
+interrupt streams, drain, name rate limits and return; the configuration changes. Afterwards the responses, executions and reports that
 callers, endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
 """
 
@@ -19,6 +19,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from platform_deployment import Deployment, wait_until  # noqa: E402
+from platform_standins import RateLimit  # noqa: E402
 
 REFUSALS = (408, 421, 429, 503)
 SETTLE_S = 6
@@ -67,10 +68,12 @@
         self.deployment, self.random = deployment, random.Random(seed)
         self.pending_repairs = []
         self.log = []
+        # Entries that were paused, and times of pauses and of faults of links: a burst of delayed requests may follow.
+        self.disturbances = []
 
     def step(self):
         fault = self.random.choice((self.link, self.link, self.kill, self.pause, self.term, self.store, self.endpoint,
-                                    self.leave, self.configure))
+                                    self.leave, self.limit, self.configure))
         end = fault()
         if end:
             self.pending_repairs.append((time.monotonic() + self.random.uniform(0.3, 3), end))
@@ -89,7 +92,22 @@
         link = self.random.choice(self.deployment.links)
         link.mode = self.random.choice(("delay", "reset", "silent", "one_way"))
         self.record("link", link.address, link.mode)
-        return lambda: setattr(link, "mode", "pass")
+        return self.disturb(None, lambda: setattr(link, "mode", "pass"))
+
+    def disturb(self, entry, end):
+        """Records a disturbance of an entry, or of all if it is None, from now until the returned function is called."""
+        disturbance = [entry, time.monotonic(), float("inf")]
+        self.disturbances.append(disturbance)
+
+        def end_disturbance():
+            end()
+            disturbance[2] = time.monotonic()
+        return end_disturbance
+
+    def excuses(self, entry, at):
+        """Whether a request of an entry may exceed a rate limit. A restarted entry counts as another one anyway."""
+        return any(name in (None, entry) and since <= at < until + RateLimit.NOTICE_S
+                   for name, since, until in self.disturbances)
 
     def gateway(self):
         return self.random.choice(self.deployment.gateways)
@@ -104,7 +122,7 @@
         gateway = self.gateway()
         self.record("pause", gateway.name)
         gateway.signal(signal.SIGSTOP)
-        return lambda: gateway.signal(signal.SIGCONT)
+        return self.disturb(gateway.entry(), lambda: gateway.signal(signal.SIGCONT))
 
     def term(self):
         gateway = self.gateway()
@@ -156,14 +174,21 @@
         self.record("leave", endpoint.name)
         return lambda: self.deployment.store.put(key, endpoint.entry(address))
 
+    def limit(self):
+        endpoint = self.random.choice(self.deployment.endpoints)
+        endpoint.rate_limit.set(self.random.choice((0.5, 2, 5.5)))
+        self.record("limit", endpoint.name, endpoint.rate_limit.rate)
+        return lambda: endpoint.rate_limit.set(None)
+
     def configure(self):
         self.record("configure", self.deployment.configure())
         return None
 
 
-def find_violations(deployment, answers):
+def find_violations(deployment, answers, faults):
     """Returns a description of each violated guarantee."""
-    violations = []
+    violations = [f"{endpoint.name}: {found}" for endpoint in deployment.endpoints
+                  for found in endpoint.rate_limit.violations(faults.excuses)]
     for kind, answer in answers:
         runs = deployment.runs(answer.request)
         if kind == "once" and runs > 1:
@@ -207,7 +232,7 @@
             time.sleep(2)
         finally:
             callers.stop()
-        violations = find_violations(deployment, callers.answers)
+        violations = find_violations(deployment, callers.answers, faults)
         late = callers.answers[served_from:]
         served = sum(answer.status == 200 for _, answer in late)
         if served < 0.9 * len(late):
