--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -217,27 +217,28 @@
     return reports;
 }
 
-void EndpointDirectory::applyLimitReports(
-    const InstanceId& peer, const std::map<EndpointTag, ReportedLimit>& reported, TimePoint now)
+std::vector<LimitChange> EndpointDirectory::applyLimitReports(
+    const std::map<EndpointTag, ReportedLimit>& reported, TimePoint now)
 {
+    std::vector<LimitChange> changes;
     for (const auto& [id, limit] : resolveTags(reported)) {
         EndpointPlacement& endpoints = placement(record(id)->target);
         std::optional<RequestRate> former = endpoints.limit(id);
-        if (!endpoints.applyLimitReport(id, { limit.rate, now - limit.age }, now))
-            continue;
-        logLimitChanged(
-            id, former, { { "peer", peer.value() }, { "age_ms", limit.age / std::chrono::milliseconds(1) } });
+        if (endpoints.applyLimitReport(id, { limit.rate, now - limit.age }, now))
+            changes.push_back({ id, former });
     }
+    return changes;
 }
 
-void EndpointDirectory::logLimitChanged(
-    const EndpointId& id, const std::optional<RequestRate>& former, nlohmann::json source)
+nlohmann::json EndpointDirectory::limitChangeFields(const LimitChange& change, nlohmann::json source)
 {
-    const EndpointPlacement& endpoints = placement(record(id)->target);
-    source.update({ { "endpoint", id.value() }, { "per_second", rateField(endpoints.limit(id)) },
-        { "former_per_second", rateField(former) }, { "share_per_second", endpoints.limitShare(id).value() },
-        { "entries", m_limitEntries.regions.size() } });
-    m_log->write(Event::EndpointLimitChanged, std::move(source));
+    const EndpointPlacement& endpoints = placement(record(change.endpoint)->target);
+    source.update(
+        { { "endpoint", change.endpoint.value() }, { "per_second", rateField(endpoints.limit(change.endpoint)) },
+            { "former_per_second", rateField(change.former) },
+            { "share_per_second", endpoints.limitShare(change.endpoint).value() },
+            { "entries", m_limitEntries.regions.size() } });
+    return source;
 }
 
 std::vector<EndpointTag> EndpointDirectory::takeUnusedCredit(TimePoint now)
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -16,6 +16,12 @@
 /// Value of a rate in a log line; null if there is none.
 nlohmann::json rateField(const std::optional<RequestRate>& rate);
 
+/// A change of the rate limit that an endpoint names.
+struct LimitChange {
+    EndpointId endpoint;
+    std::optional<RequestRate> former;
+};
+
 /// The endpoints that may receive requests, by service, as listed in the platform's store.
 class EndpointDirectory {
 public:
@@ -59,10 +65,14 @@
     /// @{
     void setLimitEntries(const LimitEntries& entries, TimePoint now);
     std::map<EndpointTag, ReportedLimit> limitReports(TimePoint now) const;
-    void applyLimitReports(const InstanceId& peer, const std::map<EndpointTag, ReportedLimit>& reported, TimePoint now);
+    /// @return the endpoints whose limit changed
+    std::vector<LimitChange> applyLimitReports(const std::map<EndpointTag, ReportedLimit>& reported, TimePoint now);
     /// Takes unused credit for one request to each limited endpoint, to pass it on to other entries.
     std::vector<EndpointTag> takeUnusedCredit(TimePoint now);
     void addPassedOnCredit(EndpointTag endpoint, TimePoint now);
+    /// Fields of a log line about a change.
+    /// @param source fields that name where the change was observed
+    nlohmann::json limitChangeFields(const LimitChange& change, nlohmann::json source);
     /// @}
     /// Logs the services whose number of engines reserved for long prompts changed since the last call.
     void logPrefillPools(TimePoint now);
@@ -76,10 +86,6 @@
     const EndpointRecord* record(const EndpointId& id) const;
     std::size_t size() const { return m_records.size(); }
 
-    /// Logs the change of an endpoint's rate limit.
-    /// @param source fields that name where the change was observed
-    void logLimitChanged(const EndpointId& id, const std::optional<RequestRate>& former, nlohmann::json source);
-
 private:
     void applyItem(const StoreItem& item, TimePoint now);
     void put(const EndpointRecord& record);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -524,7 +524,9 @@
     if (now >= m_ignoreViewsUntil) {
         for (const auto& [view, progress] : loads.viewProgress)
             m_views.applyProgress(view, progress, now);
-        m_state.directory.applyLimitReports(peer, loads.limits, now);
+        for (const LimitChange& change : m_state.directory.applyLimitReports(loads.limits, now))
+            m_state.logRequest(Event::EndpointLimitChanged,
+                m_state.directory.limitChangeFields(change, { { "peer", peer.value() } }), now);
     }
     if (isInSameRegion(sender))
         sender.loads = loads;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -232,7 +232,8 @@
     EndpointPlacement& endpoints = m_state.directory.placement(m_target);
     std::optional<RequestRate> former = endpoints.limit(placement);
     if (endpoints.recordLimit(placement, traits.rateLimit, m_sentAt, now))
-        m_state.directory.logLimitChanged(record.id, former, { { "request", m_traits.id.value() } });
+        m_state.logRequest(Event::EndpointLimitChanged,
+            m_state.directory.limitChangeFields({ record.id, former }, { { "request", m_traits.id.value() } }), now);
 }
 
 void RequestHandler::recordAvailability(
