Report only limited endpoints, and probe for limits that have ended

Found while reading the change: - Entries reported each endpoint that answered within 3 s, not only those with a limit: 10 bytes a row for the whole fleet. Only observations that name or end a limit are reported now. - An entry without a share that missed the reports of a withdrawn limit never sent to the endpoint again. After 30 s without any observation the entries now probe, one a second in the order of their weights. - Unused credit was taken also when no entry could get it, and the age of reports that observers pass on was counted from any datagram.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -265,9 +265,6 @@
 
 void PeerExchange::passOnCredit(TimePoint now)
 {
-    std::vector<EndpointTag> unused = m_state.directory.takeUnusedCredit(now);
-    if (unused.empty())
-        return;
     std::vector<const Peer*> receivers;
     for (const auto& [instance, peer] : m_peers) {
         if (isInSameRegion(peer) && isLive(peer, now) && !peer.loads.endpoints.empty())
@@ -275,7 +272,7 @@
     }
     if (receivers.empty())
         return;
-    for (EndpointTag endpoint : unused)
+    for (EndpointTag endpoint : m_state.directory.takeUnusedCredit(now))
         send(encodePeerMessage(PeerLimitCredit { endpoint }), *receivers[m_nextCreditReceiver++ % receivers.size()]);
 }
 
@@ -305,7 +302,7 @@
     PeerLoads sum = own;
     for (const auto& [instance, peer] : m_peers) {
         if (isInSameRegion(peer) && now - peer.lastContact < idleSendInterval)
-            sum.add(peer.loads, now - peer.lastContact);
+            sum.add(peer.loads, now - peer.loadsReceivedAt);
     }
     return sum;
 }
@@ -528,8 +525,10 @@
             m_state.logRequest(Event::EndpointLimitChanged,
                 m_state.directory.limitChangeFields(change, { { "peer", peer.value() } }), now);
     }
-    if (isInSameRegion(sender))
+    if (isInSameRegion(sender)) {
         sender.loads = loads;
+        sender.loadsReceivedAt = now;
+    }
     // Each observer of a region reports the sum of the whole region, so its report replaces those of the other
     // observers.
     InstanceId source = loads.entryCount > 1 ? InstanceId("region/" + sender.region.value()) : peer;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -70,6 +70,7 @@
         bool leaving = false;
         /// Its last report.
         PeerLoads loads;
+        TimePoint loadsReceivedAt {};
     };
     /// An entry that is no longer registered, and may be again soon.
     struct MissingPeer {
--- a/src/include/wisteriayard/endpoint_limit.h
+++ b/src/include/wisteriayard/endpoint_limit.h
@@ -46,7 +46,8 @@
     bool recordPeerObservation(const LimitObservation& observation);
     /// The limit in force, if any.
     std::optional<RequestRate> rate() const { return m_latest.rate; }
-    /// Latest response to this entry, if it is recent enough to be reported to other entries.
+    /// Latest response to this entry that named a limit or withdrew one, if it is recent enough to be reported to other
+    /// entries.
     std::optional<LimitObservation> reportable(TimePoint now) const;
 
     /// Determines this entry's share of the limit in force. A new share starts without credit.
@@ -66,11 +67,19 @@
     void addPassedOn(TimePoint now);
 
 private:
+    /// Whether the latest observation is so old that the limit may have ended unnoticed.
+    bool needsProbe(TimePoint now) const;
+
     LimitObservation m_latest;
     LimitObservation m_own;
     TokenBucket m_credit;
     /// Expiry times of credits passed on by other entries.
     std::vector<TimePoint> m_passedOn;
+    /// Time after the latest observation at which one request is sent as a probe, which differs between entries, and
+    /// time until the next probe.
+    Duration m_probeDelay {};
+    Duration m_probeInterval {};
+    std::optional<TimePoint> m_probedAt;
     /// Time since which the credit has been unused.
     std::optional<TimePoint> m_unusedSince;
 };
--- a/src/include/wisteriayard/token_bucket.h
+++ b/src/include/wisteriayard/token_bucket.h
@@ -43,7 +43,6 @@
         m_rate = perSecond;
         m_capacity = capacity;
     }
-    double capacity() const { return m_capacity; }
     double rate() const { return m_rate; }
 
 private:
--- a/src/libwisteriayard/endpoint_limit.cpp
+++ b/src/libwisteriayard/endpoint_limit.cpp
@@ -1,6 +1,7 @@
 #include "wisteriayard/endpoint_limit.h"
 
 #include "wisteriayard/limits.h"
+#include "wisteriayard/rendezvous.h"
 
 #include <algorithm>
 
@@ -12,6 +13,10 @@
     constexpr RequestRate minRate { 0.1 };
     /// Age up to which an observation is reported, so that it reaches entries that miss a few datagrams.
     constexpr Duration reportTime = std::chrono::seconds(3);
+    /// Time without observations after which one entry sends a probe, and time until the next one does. Entries that
+    /// hold no share would otherwise never notice the end of a limit that they missed in the reports.
+    constexpr Duration firstProbeDelay = std::chrono::seconds(30);
+    constexpr Duration probeSpacing = std::chrono::seconds(1);
     /// Time for which credit must be unused before it is passed on. Requests of this entry come first.
     constexpr Duration unusedDelay = std::chrono::milliseconds(300);
     /// Time within which passed-on credit must be used. The requests of an endpoint in any period can exceed its limit
@@ -29,8 +34,9 @@
     // The response to an earlier request may have been written before the endpoint named its limit.
     if (!rate && m_latest.rate && sentAt <= m_latest.at)
         return false;
-    m_own = { rate, now };
-    return recordPeerObservation(m_own);
+    if (rate || m_latest.rate)
+        m_own = { rate, now };
+    return recordPeerObservation({ rate, now });
 }
 
 bool EndpointLimit::recordPeerObservation(const LimitObservation& observation)
@@ -67,6 +73,11 @@
             candidates.push_back(instance);
     }
     RequestRate rate = std::max(*m_latest.rate, minRate);
+    std::uint64_t weight = rendezvousWeight(endpoint.value(), entries.self);
+    auto rank = std::count_if(entries.regions.begin(), entries.regions.end(),
+        [&](const auto& each) { return rendezvousWeight(endpoint.value(), each.first) > weight; });
+    m_probeDelay = firstProbeDelay + rank * probeSpacing;
+    m_probeInterval = firstProbeDelay + static_cast<Duration::rep>(entries.regions.size()) * probeSpacing;
     std::vector<InstanceId> holders = shareHolders(endpoint.value(), rate, candidates);
     bool isHolder = entries.active && std::find(holders.begin(), holders.end(), entries.self) != holders.end();
     double share = isHolder ? rate.value() / static_cast<double>(holders.size()) : 0;
@@ -74,20 +85,32 @@
     m_credit.reconfigure(share, capacity, now);
 }
 
+bool EndpointLimit::needsProbe(TimePoint now) const
+{
+    bool probedRecently = m_probedAt && now - *m_probedAt < m_probeInterval;
+    return m_latest.rate && now - m_latest.at >= m_probeDelay && !probedRecently;
+}
+
 bool EndpointLimit::admits(TimePoint now) const
 {
     bool passedOn = std::any_of(m_passedOn.begin(), m_passedOn.end(), [now](TimePoint end) { return now < end; });
-    return !m_latest.rate || passedOn || m_credit.available(now) >= 1;
+    return !m_latest.rate || passedOn || m_credit.available(now) >= 1 || needsProbe(now);
 }
 
 bool EndpointLimit::tryAcquire(TimePoint now)
 {
     m_unusedSince.reset();
     std::erase_if(m_passedOn, [now](TimePoint end) { return now >= end; });
-    if (m_passedOn.empty())
-        return m_credit.tryTake(now);
-    m_passedOn.erase(m_passedOn.begin());
-    return true;
+    if (!m_passedOn.empty()) {
+        m_passedOn.erase(m_passedOn.begin());
+        return true;
+    }
+    if (m_credit.tryTake(now))
+        return true;
+    bool probes = needsProbe(now);
+    if (probes)
+        m_probedAt = now;
+    return probes;
 }
 
 bool EndpointLimit::takeUnused(TimePoint now)
--- a/src/libwisteriayard/endpoint_limit_test.cpp
+++ b/src/libwisteriayard/endpoint_limit_test.cpp
@@ -215,6 +215,46 @@
     BOOST_TEST(!limit.reportable(at(seconds(6))).has_value());
 }
 
+// Guards against reports of all endpoints instead of the limited ones, and against a withdrawal that is not reported.
+BOOST_AUTO_TEST_CASE(only_limits_and_their_end_are_reported)
+{
+    EndpointLimit limit;
+    limit.recordResponse(std::nullopt, at(seconds(0)), at(seconds(1)));
+    BOOST_TEST(!limit.reportable(at(seconds(1))).has_value());
+    limit.recordResponse(RequestRate(2), at(seconds(1)), at(seconds(2)));
+    limit.recordResponse(std::nullopt, at(seconds(3)), at(seconds(4)));
+    BOOST_REQUIRE(limit.reportable(at(seconds(5))).has_value());
+    BOOST_TEST((limit.reportable(at(seconds(5)))->rate == std::nullopt));
+    limit.recordResponse(std::nullopt, at(seconds(6)), at(seconds(7)));
+    BOOST_TEST(!limit.reportable(at(seconds(8))).has_value());
+}
+
+// Pattern: a limit ends while some entries without a share miss the reports. Guards against entries that never send to
+// the endpoint again, and against probes of many entries at the same moment.
+BOOST_AUTO_TEST_CASE(entries_without_news_probe_one_after_the_other)
+{
+    constexpr int count = 300;
+    std::vector<EndpointLimit> limits;
+    for (int i = 0; i < count; ++i)
+        limits.push_back(makeLimit(1, makeEntries(i, count, false)));
+    std::vector<int> probes(count);
+    std::deque<TimePoint> recent;
+    std::size_t most = 0;
+    for (Duration time = seconds(1); time < seconds(340); time += milliseconds(100)) {
+        for (std::size_t i = 0; i < limits.size(); ++i) {
+            while (limits[i].admits(at(time)) && limits[i].tryAcquire(at(time))) {
+                recent.push_back(at(time));
+                ++probes[i];
+            }
+        }
+        while (!recent.empty() && at(time) - recent.front() >= seconds(4))
+            recent.pop_front();
+        most = std::max(most, recent.size());
+    }
+    BOOST_TEST(std::count(probes.begin(), probes.end(), 0) == 0);
+    BOOST_TEST(static_cast<double>(most) <= allowedInWindow(1));
+}
+
 // Guards against credit beyond the new share after a limit has fallen, and against credit that survives its end.
 BOOST_AUTO_TEST_CASE(credit_follows_the_limit)
 {
