End an attempt at an agent with its final reply

The call had not been run.

Cause: an attempt stayed in AgentLinks until the request had handled the agent's final reply. The load report that the agent sends after the reply no longer lists the attempt. If an entry reads both in one pass, failUnknownAttempts() adds AgentLost behind the reply, and the request takes it for the loss of its next attempt. An at-most-once call then ends with an unknown outcome, other requests count an attempt too many.

--- a/src/wisteriayardd/agent_links.cpp
+++ b/src/wisteriayardd/agent_links.cpp
@@ -123,16 +123,16 @@
         deliver(envelope.accepted());
         break;
     case wire::Envelope::kRejected:
-        deliver(envelope.rejected());
+        deliverLast(envelope.rejected());
         break;
     case wire::Envelope::kChunk:
         deliver(envelope.chunk());
         break;
     case wire::Envelope::kFinished:
-        deliver(envelope.finished());
+        deliverLast(envelope.finished());
         break;
     case wire::Envelope::kFailed:
-        deliver(envelope.failed());
+        deliverLast(envelope.failed());
         break;
     default:
         break; // messages that only agents handle
@@ -177,13 +177,21 @@
     }
 }
 
-template <typename Message> void AgentLinks::deliver(const Message& message)
+template <typename Message> bool AgentLinks::deliver(const Message& message)
 {
     auto it = m_attempts.find(message.request_id());
     // Drops replies to an earlier attempt and to a request that has ended.
     if (it == m_attempts.end() || it->second.number != message.attempt())
-        return;
+        return false;
     it->second.mailbox->push(message);
+    return true;
+}
+
+template <typename Message> void AgentLinks::deliverLast(const Message& message)
+{
+    // The load reports that follow don't list the attempt. They may be read before the request handles this reply.
+    if (deliver(message))
+        endAttempt(RequestId(message.request_id()), false);
 }
 
 void AgentLinks::failAttempts(const EndpointId& endpoint)
--- a/src/wisteriayardd/agent_links.h
+++ b/src/wisteriayardd/agent_links.h
@@ -28,7 +28,7 @@
     /// @return false if the agent can't be reached
     bool submit(const EndpointId& endpoint, const std::string& address, const wire::Submit& submit,
         std::shared_ptr<RequestMailbox> mailbox);
-    /// Ends an attempt and drops its later replies.
+    /// Ends an attempt and drops its later replies. Has no effect on an attempt that has ended.
     /// @param cancelAtAgent whether to send the agent a cancellation
     void endAttempt(const RequestId& request, bool cancelAtAgent);
     /// Keeps a connection to the endpoint's agent open and pings it periodically for its load.
@@ -63,7 +63,11 @@
     void ping(Link& link, TimePoint now);
     void received(const EndpointId& endpoint, const wire::Envelope& envelope);
     void receivedLoad(Link& link, const wire::Load& load);
-    template <typename Message> void deliver(const Message& message);
+    /// Delivers a reply to the running attempt.
+    /// @return false if the attempt has ended
+    template <typename Message> bool deliver(const Message& message);
+    /// Delivers a reply that ends the attempt.
+    template <typename Message> void deliverLast(const Message& message);
     /// Fails attempts that a load report does not list although they were sent before its ping.
     void failUnknownAttempts(const Link& link, const wire::Load& load);
     void failAttempts(const EndpointId& endpoint);
