Visit only the endpoints that have named a rate limit

What was seen: each entry looked every 100 ms at all endpoints for limits to report and for unused credit, although few or none name one.

Fix: EndpointPlacement keeps the endpoints that have named a limit. Decisions stay as they are; the tests of placements and limits pass.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
@@ -351,6 +352,8 @@
     RetrySpread m_limitedRetrySpread;
     LimitEntries m_limitEntries;
     LimitTurns m_limitTurns;
+    /// Endpoints that have named a rate limit.
+    std::set<std::size_t> m_limited;
     PrefillPool m_pool;
     /// Number of endpoints with a position in the pool's order.
     std::size_t m_pooledEndpoints = 0;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -167,6 +167,7 @@
     if (known == m_index.end())
         return;
     m_states[known->second] = State(m_policy.cacheLifetime);
+    m_limited.erase(known->second);
     m_index.erase(known);
     orderEndpoints();
 }
--- a/src/libwisteriayard/endpoint_placement_limits.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits.cpp
@@ -38,6 +38,7 @@
 
 void EndpointPlacement::limitChanged(State& state, TimePoint now)
 {
+    m_limited.insert(m_index.at(state.info.id));
     updateLimitShare(state, now);
     orderEndpoints();
 }
@@ -45,16 +46,16 @@
 void EndpointPlacement::setLimitEntries(const LimitEntries& entries, TimePoint now)
 {
     m_limitEntries = entries;
-    for (const auto& [id, index] : m_index)
+    for (std::size_t index : m_limited)
         updateLimitShare(m_states[index], now);
 }
 
 std::map<EndpointId, LimitObservation> EndpointPlacement::limitReports(TimePoint now) const
 {
     std::map<EndpointId, LimitObservation> reports;
-    for (const auto& [id, index] : m_index) {
+    for (std::size_t index : m_limited) {
         if (auto observation = m_states[index].limit.reportable(now))
-            reports[id] = *observation;
+            reports[m_states[index].info.id] = *observation;
     }
     return reports;
 }
@@ -71,9 +72,9 @@
 std::vector<EndpointId> EndpointPlacement::takeUnusedCredit(TimePoint now)
 {
     std::vector<EndpointId> taken;
-    for (const auto& [id, index] : m_index) {
+    for (std::size_t index : m_limited) {
         if (m_states[index].limit.takeUnused(now))
-            taken.push_back(id);
+            taken.push_back(m_states[index].info.id);
     }
     return taken;
 }
@@ -106,7 +107,7 @@
 Duration EndpointPlacement::limitedRetryAfter()
 {
     double rate = 0;
-    for (const auto& [id, index] : m_index)
+    for (std::size_t index : m_limited)
         rate += m_states[index].limit.rate().value_or(RequestRate(0)).value();
     // Assumes that each other entry refuses as many callers as this one.
     auto entries = static_cast<double>(std::max<std::size_t>(1, m_limitEntries.regions.size()));
