Drop credit that was passed on under a former rate limit

What could be seen: an endpoint that lowers its limit from 20 to 1 a second gets up to 20 requests more within a second, if its holders had just passed unused credit on.

Cause: passed-on credit counted in requests and outlived the limit that it was a share of.

Fix: each change of the limit ends it. credit_follows_the_limit has a row for it that failed before.

--- a/src/libwisteriayard/endpoint_limit.cpp
+++ b/src/libwisteriayard/endpoint_limit.cpp
@@ -44,6 +44,8 @@
     if (observation.at <= m_latest.at)
         return false;
     bool changed = observation.rate != m_latest.rate;
+    if (changed)
+        m_passedOn.clear(); // it was passed on under the former limit
     m_latest = observation;
     return changed;
 }
--- a/src/libwisteriayard/endpoint_limit_test.cpp
+++ b/src/libwisteriayard/endpoint_limit_test.cpp
@@ -267,8 +267,13 @@
     BOOST_TEST(!limit.admits(at(milliseconds(2900))));
     limit.giveBack(at(milliseconds(2900)));
     BOOST_TEST(limit.admits(at(milliseconds(2900))));
+    BOOST_TEST(limit.tryAcquire(at(seconds(3))));
     limit.addPassedOn(at(seconds(3)));
-    limit.recordResponse(std::nullopt, at(seconds(3)), at(seconds(4)));
+    limit.recordResponse(RequestRate(0.5), at(seconds(3)), at(milliseconds(3100)));
+    limit.updateShare(endpoint, region, entries, at(milliseconds(3100)));
+    BOOST_TEST(!limit.admits(at(milliseconds(3100))));
+    limit.addPassedOn(at(milliseconds(3100)));
+    limit.recordResponse(std::nullopt, at(milliseconds(3500)), at(seconds(4)));
     limit.updateShare(endpoint, region, entries, at(seconds(4)));
     BOOST_TEST(limit.admits(at(seconds(4))));
     limit.recordResponse(RequestRate(1), at(seconds(4)), at(seconds(5)));
