Remember the rate limit of an endpoint that is missing for a while

What could be seen: a limited endpoint whose registration lapses and returns gets far more requests than its limit, from entries that knew it.

Cause: an entry dropped the limit with the endpoint's state when it left the list. All entries read the list at the same time, so all of them took the returned endpoint for an idle one without a limit, until its first response.

Fix: EndpointPlacement keeps recent limits of removed endpoints, with their credit, and gives them back with the registration. A restarted endpoint that is no longer in need gets the holders' requests first; their responses end the limit for all.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -34,7 +34,7 @@
     }
     for (const EndpointId& id : missing) {
         if (m_membership.registrationRemoved(id, now))
-            remove(id, "not_listed");
+            remove(id, "not_listed", now);
     }
     m_loaded = true;
 }
@@ -51,7 +51,7 @@
     EndpointId id = idOf(item.key);
     if (item.value.empty()) {
         if (m_membership.registrationRemoved(id, now))
-            remove(id, "entry_removed");
+            remove(id, "entry_removed", now);
         return;
     }
     auto record = m_platform.decodeEndpoint(item.key, item.value);
@@ -66,10 +66,10 @@
         && (known->second.incarnation != record.value().incarnation || known->second.address != record.value().address
             || known->second.target != record.value().target);
     if (restarted)
-        remove(id, "restarted");
+        remove(id, "restarted", now);
     bool usable = m_membership.registrationListed(id, record.value().incarnation);
     if (!usable || record.value().state == EndpointState::Draining)
-        remove(id, "draining");
+        remove(id, "draining", now);
     else
         put(record.value());
 }
@@ -103,12 +103,12 @@
                 { "address", formatAddress(record.address) }, { "zone", record.zone.value() } });
 }
 
-void EndpointDirectory::remove(const EndpointId& id, std::string_view reason)
+void EndpointDirectory::remove(const EndpointId& id, std::string_view reason, TimePoint now)
 {
     auto known = m_records.find(id);
     if (known == m_records.end())
         return;
-    placement(known->second.target).remove(id);
+    placement(known->second.target).remove(id, now);
     m_records.erase(known);
     m_idsByTag.erase(endpointTag(id));
     m_onRemoved(id);
@@ -118,17 +118,17 @@
 void EndpointDirectory::removeLapsed(TimePoint now)
 {
     for (const EndpointId& id : m_membership.removeLapsed(now))
-        remove(id, "lapsed_in_outage");
+        remove(id, "lapsed_in_outage", now);
 }
 
-void EndpointDirectory::removeMisdirected(const EndpointId& id) { remove(id, "address_reused"); }
+void EndpointDirectory::removeMisdirected(const EndpointId& id, TimePoint now) { remove(id, "address_reused", now); }
 
 void EndpointDirectory::shutdownAnnounced(const EndpointId& id, Incarnation incarnation, TimePoint now)
 {
     m_membership.shutdownAnnounced(id, incarnation, now);
     const EndpointRecord* known = record(id);
     if (known && known->incarnation == incarnation)
-        remove(id, "said_to_leave");
+        remove(id, "said_to_leave", now);
 }
 
 void EndpointDirectory::configure(const RoutingConfig& config)
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -41,7 +41,7 @@
     std::optional<TimePoint> contactSince() const { return m_membership.contactSince(); }
     /// Removes an endpoint whose address was reused by another endpoint, until its record in the store changes or the
     /// complete list is read again.
-    void removeMisdirected(const EndpointId& id);
+    void removeMisdirected(const EndpointId& id, TimePoint now);
     /// Records that an endpoint announced its shutdown in a response. It receives no new requests, even if the list
     /// still contains it.
     /// @param incarnation incarnation that sent the response
@@ -89,7 +89,7 @@
 private:
     void applyItem(const StoreItem& item, TimePoint now);
     void put(const EndpointRecord& record);
-    void remove(const EndpointId& id, std::string_view reason);
+    void remove(const EndpointId& id, std::string_view reason, TimePoint now);
     EndpointId idOf(const std::string& key) const;
     /// Replaces endpoint tags by endpoint ids; unknown tags are omitted.
     template <typename Value> std::map<EndpointId, Value> resolveTags(const std::map<EndpointTag, Value>& byTag) const;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -190,7 +190,7 @@
     AttemptOutcome outcome = MayHaveExecuted { "the response has no seal" };
     bool success = isSuccess(exchange.head());
     if (traits.execution == ExecutionStatus::Misdirected)
-        m_state.directory.removeMisdirected(record.id);
+        m_state.directory.removeMisdirected(record.id, bootTimeNow());
     if (statedNotExecuted) {
         outcome
             = NotExecuted { traits.execution == ExecutionStatus::NotExecuted ? "endpoint_refused" : "address_reused",
--- a/src/include/wisteriayard/endpoint_limit.h
+++ b/src/include/wisteriayard/endpoint_limit.h
@@ -46,6 +46,8 @@
     bool recordPeerObservation(const LimitObservation& observation);
     /// The limit in force, if any.
     std::optional<RequestRate> rate() const { return m_latest.rate; }
+    /// Whether there is a limit and it was observed so recently that no entry has to probe for its end yet.
+    bool isRecent(TimePoint now) const;
     /// Latest response to this entry that named a limit or withdrew one, if it is recent enough to be reported to other
     /// entries.
     std::optional<LimitObservation> reportable(TimePoint now) const;
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -190,7 +190,8 @@
 
     /// Adds an endpoint or updates its properties. After a restart of an endpoint, call remove() first.
     void put(const PlacementEndpoint& endpoint);
-    void remove(const EndpointId& id);
+    /// Removes an endpoint. A rate limit that it has named recently applies again when the endpoint is back.
+    void remove(const EndpointId& id, TimePoint now);
     std::size_t size() const { return m_index.size(); }
     const PlacementEndpoint& endpoint(std::size_t index) const { return m_states[index].info; }
 
@@ -293,6 +294,11 @@
         /// Moving average of the time of a whole request, in microseconds.
         double requestTime = 0;
     };
+    /// Rate limit of an endpoint that was removed.
+    struct FormerLimit {
+        RegionId region;
+        EndpointLimit limit;
+    };
 
     struct Candidate {
         std::size_t index = 0;
@@ -321,7 +327,8 @@
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
     void sumPeerLoads(TimePoint now);
     bool isUsable(const State& state, TimePoint now) const;
-    void updateLimitShare(State& state, TimePoint now);
+    void keepLimit(const State& state, TimePoint now);
+    void restoreLimit(std::size_t index);
     /// Applies a changed limit to this entry's share and to the pools of engines.
     void limitChanged(State& state, TimePoint now);
     void takeCredit(State& state, Placement& placement, TimePoint now);
@@ -354,6 +361,8 @@
     LimitTurns m_limitTurns;
     /// Endpoints that have named a rate limit.
     std::set<std::size_t> m_limited;
+    /// Recent rate limits of endpoints that are missing in the list.
+    std::map<EndpointId, FormerLimit> m_formerLimits;
     PrefillPool m_pool;
     /// Number of endpoints with a position in the pool's order.
     std::size_t m_pooledEndpoints = 0;
--- a/src/libwisteriayard/endpoint_limit.cpp
+++ b/src/libwisteriayard/endpoint_limit.cpp
@@ -87,6 +87,8 @@
     m_credit.reconfigure(share, capacity, now);
 }
 
+bool EndpointLimit::isRecent(TimePoint now) const { return m_latest.rate && now - m_latest.at < firstProbeDelay; }
+
 bool EndpointLimit::needsProbe(TimePoint now) const
 {
     bool probedRecently = m_probedAt && now - *m_probedAt < m_probeInterval;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -133,6 +133,7 @@
     state.present = true;
     m_states[index] = std::move(state);
     m_index[endpoint.id] = index;
+    restoreLimit(index);
     orderEndpoints();
 }
 
@@ -161,11 +162,12 @@
     m_pooledEndpoints = order.size();
 }
 
-void EndpointPlacement::remove(const EndpointId& id)
+void EndpointPlacement::remove(const EndpointId& id, TimePoint now)
 {
     auto known = m_index.find(id);
     if (known == m_index.end())
         return;
+    keepLimit(m_states[known->second], now);
     m_states[known->second] = State(m_policy.cacheLifetime);
     m_limited.erase(known->second);
     m_index.erase(known);
--- a/src/libwisteriayard/endpoint_placement_limits.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits.cpp
@@ -31,23 +31,39 @@
     return true;
 }
 
-void EndpointPlacement::updateLimitShare(State& state, TimePoint now)
+void EndpointPlacement::keepLimit(const State& state, TimePoint now)
 {
-    state.limit.updateShare(state.info.id, state.info.region, m_limitEntries, now);
+    std::erase_if(m_formerLimits, [now](const auto& each) { return !each.second.limit.isRecent(now); });
+    if (state.limit.isRecent(now))
+        m_formerLimits[state.info.id] = { state.info.region, state.limit };
+}
+
+void EndpointPlacement::restoreLimit(std::size_t index)
+{
+    State& state = m_states[index];
+    auto former = m_formerLimits.extract(state.info.id);
+    if (former.empty())
+        return;
+    state.limit = std::move(former.mapped().limit);
+    m_limited.insert(index);
 }
 
 void EndpointPlacement::limitChanged(State& state, TimePoint now)
 {
     m_limited.insert(m_index.at(state.info.id));
-    updateLimitShare(state, now);
+    state.limit.updateShare(state.info.id, state.info.region, m_limitEntries, now);
     orderEndpoints();
 }
 
 void EndpointPlacement::setLimitEntries(const LimitEntries& entries, TimePoint now)
 {
     m_limitEntries = entries;
-    for (std::size_t index : m_limited)
-        updateLimitShare(m_states[index], now);
+    for (std::size_t index : m_limited) {
+        State& state = m_states[index];
+        state.limit.updateShare(state.info.id, state.info.region, entries, now);
+    }
+    for (auto& [id, former] : m_formerLimits)
+        former.limit.updateShare(id, former.region, entries, now);
 }
 
 std::map<EndpointId, LimitObservation> EndpointPlacement::limitReports(TimePoint now) const
--- a/src/libwisteriayard/endpoint_placement_limits_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits_test.cpp
@@ -200,6 +200,58 @@
     BOOST_TEST(sent[0] + sent[5] >= 100);
 }
 
+namespace {
+
+struct ReturnCase {
+    const char* name;
+    /// Time from the last response of the endpoint until its registration was removed, and until it was back.
+    Duration removedAfter;
+    Duration backAfter;
+    /// The entry that holds the limit's only share has left meanwhile.
+    bool displaced;
+    std::optional<RequestRate> limit;
+    /// Bounds of the requests that are sent in the 4 s after the return.
+    int least;
+    int most;
+};
+std::ostream& operator<<(std::ostream& out, const ReturnCase& each) { return out << each.name; }
+
+const ReturnCase returnCases[] = {
+    { "soon", seconds(1), seconds(3), false, RequestRate(1), 4, 5 },
+    { "soon, without a share now", seconds(1), seconds(3), true, RequestRate(1), 0, 0 },
+    { "after a long time", seconds(1), seconds(60), false, std::nullopt, 100, 200 },
+};
+
+} // namespace
+
+// Pattern: a limited endpoint disappears from the list, for example while it can't renew its registration, and returns.
+// Guards against entries that have forgotten its limit and send all requests to what seems to be an idle endpoint, and
+// against limits of removed endpoints that are kept forever.
+BOOST_DATA_TEST_CASE(limit_outlasts_a_missing_registration, data::make(returnCases), each)
+{
+    EndpointPlacement fleet = makeFleet(2);
+    PlacementEndpoint limited = fleet.endpoint(0);
+    limitAll(fleet, 1, 1);
+    fleet.remove(limited.id, at(seconds(1) + each.removedAfter));
+    BOOST_TEST(!fleet.limit(limited.id).has_value());
+    if (each.displaced) {
+        LimitEntries entries;
+        entries.self = InstanceId("entry-0");
+        entries.regions[entries.self] = RegionId("other");
+        entries.regions[InstanceId("entry-1")] = RegionId("r");
+        entries.active = true;
+        fleet.setLimitEntries(entries, at(seconds(1) + each.removedAfter));
+    }
+    Duration back = seconds(1) + each.backAfter;
+    // Removals of other endpoints end the memory of limits that are too old.
+    fleet.remove(endpointId(1), at(back));
+    fleet.put(limited);
+    BOOST_TEST((fleet.limit(limited.id) == each.limit));
+    int sent = countSent(fleet, {}, EndpointOutcome::Succeeded, back, back + seconds(4));
+    BOOST_TEST(sent >= each.least);
+    BOOST_TEST(sent <= each.most);
+}
+
 // Guards against a segment that is computed again for each request because its preferred endpoint has a limit.
 BOOST_AUTO_TEST_CASE(limited_endpoint_is_not_preferred)
 {
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -254,7 +254,7 @@
     EndpointPlacement fleet = makeFleet(1);
     PlacementRequest request = makeRequest(1, 0, 500);
     Placement placement = place(fleet, request, at(milliseconds(0)));
-    fleet.remove(engine(0).id);
+    fleet.remove(engine(0).id, at(milliseconds(4)));
     fleet.put(engine(1));
     fleet.ended(placement, EndpointOutcome::Failed, at(milliseconds(5)));
     BOOST_TEST(fleet.ownUse().empty());
@@ -394,7 +394,7 @@
         fleet.ended(placement, EndpointOutcome::Failed, at(milliseconds(i)));
     }
     BOOST_TEST(place(fleet, request, at(milliseconds(10))).endpoint != preferred);
-    fleet.remove(other);
+    fleet.remove(other, at(milliseconds(15)));
     BOOST_TEST(place(fleet, request, at(milliseconds(20))).endpoint == preferred);
 }
 
@@ -467,7 +467,7 @@
     fleet.pause(first, seconds(5), at(milliseconds(2)));
     BOOST_TEST(!fleet.accepts(second, at(milliseconds(3))));
     BOOST_TEST(std::holds_alternative<Refused>(fleet.choose(request, {}, at(milliseconds(4)))));
-    fleet.remove(EndpointId("e0"));
+    fleet.remove(EndpointId("e0"), at(milliseconds(4)));
     fleet.put(engine(0));
     BOOST_TEST(std::holds_alternative<Placement>(fleet.choose(request, {}, at(milliseconds(5)))));
 }
