Find the earlier registration of an entry with the first transaction

After an unanswered first attempt that the store had carried out, the read also took this entry's own registration for one of an earlier start, so the entry used its shares of rate limits 8 s before the others were sure to count it.

Fix: the first transaction requires that the key does not exist. It fails only after a quick restart, and a second one then replaces the registration. Only the first attempt can find an earlier registration.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -79,27 +79,30 @@
 
 awaitable<RegistrationState> PeerExchange::registerSelf()
 {
-    std::string key = registrationPrefix() + m_state.settings.instance.value();
-    bool isFirst = m_registeredSince == TimePoint();
-    if (isFirst) {
-        auto earlier = co_await m_store->read(key);
-        m_wasRegisteredAtStart = earlier.has_value();
-    }
+    bool isFirst = !std::exchange(m_registrationTried, true);
+    m_wasRegisteredAtStart = false;
     TimePoint start = bootTimeNow();
     auto lease = co_await m_store->grantLease(registrationTimeToLive);
     if (!lease)
         co_return RegistrationState::Unconfirmed;
-    Transaction transaction;
     PutOperation put;
-    put.key = std::move(key);
+    put.key = registrationPrefix() + m_state.settings.instance.value();
     put.value = registration();
     put.lease = lease.value();
-    transaction.onSuccess.emplace_back(std::move(put));
-    auto result = co_await m_store->transact(std::move(transaction));
+    Transaction transaction;
+    transaction.onSuccess.emplace_back(put);
+    if (isFirst)
+        transaction.compares.emplace_back(CompareModRevision { put.key, Revision(0) });
+    auto result = co_await m_store->transact(transaction);
+    bool wasRegistered = isFirst && result && !result.value().succeeded;
+    if (wasRegistered) {
+        transaction.compares.clear();
+        result = co_await m_store->transact(std::move(transaction));
+    }
     if (!result || !result.value().succeeded)
         co_return RegistrationState::Unconfirmed;
     m_lease = lease.value();
-    m_wasRegisteredAtStart = m_wasRegisteredAtStart && isFirst;
+    m_wasRegisteredAtStart = wasRegistered;
     m_registeredSince = bootTimeNow();
     m_registrationConfirmedAt = start;
     co_return RegistrationState::Confirmed;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -123,6 +123,8 @@
     /// Start of the current registration, and the last time at which it was certainly in force.
     TimePoint m_registeredSince {};
     TimePoint m_registrationConfirmedAt {};
+    /// A registration was attempted. Later attempts may find the registration that an unanswered one has made.
+    bool m_registrationTried = false;
     /// The registration of an earlier start of this entry had not lapsed when this one registered for the first time.
     bool m_wasRegisteredAtStart = false;
     /// Last time at which the registrations were read.
