Hold rate limits in the precision in which entries report them

Cause: a response gives the limit in double precision, a report of another entry in single precision. Each alternation counted as a change: the pools of engines were ordered again, the shares set again, and with the change before last the credit that had been passed on was dropped.

Fix: RequestRate has the precision of the reports. More bytes for each row of a report would do, too, but the bound of 10 bytes stays. A limit beyond that range is unreadable, as one beyond the range of double was. limit_arrives_as_it_was_named failed for five of six rates before.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -2,11 +2,14 @@
 
 #include "address.h"
 
+#include <cmath>
+
 namespace wisteriayard {
 
 nlohmann::json rateField(const std::optional<RequestRate>& rate)
 {
-    return rate ? nlohmann::json(rate->value()) : nlohmann::json();
+    constexpr double steps = 1000; // per request a second
+    return rate ? nlohmann::json(std::round(steps * rate->value()) / steps) : nlohmann::json();
 }
 
 EndpointDirectory::EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform,
@@ -236,7 +239,7 @@
     source.update(
         { { "endpoint", change.endpoint.value() }, { "per_second", rateField(endpoints.limit(change.endpoint)) },
             { "former_per_second", rateField(change.former) },
-            { "share_per_second", endpoints.limitShare(change.endpoint).value() },
+            { "share_per_second", rateField(endpoints.limitShare(change.endpoint)) },
             { "entries", m_limitEntries.regions.size() } });
     return source;
 }
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -267,6 +267,17 @@
     BOOST_TEST((std::get<PeerLimitCredit>(credit.value()).endpoint == limited));
 }
 
+// Guards against a limit that seems to change with each report, because reports carry it with less precision than
+// responses: each change ends credit that was passed on, and is logged.
+BOOST_DATA_TEST_CASE(limit_arrives_as_it_was_named, data::make({ 0.0, 0.1, 1.8, 2.2, 7.0 / 3, 12345.678 }), rate)
+{
+    PeerLoads loads;
+    EndpointTag limited = endpointTag(EndpointId("i-1"));
+    loads.limits[limited] = { RequestRate(rate), milliseconds(0) };
+    auto decoded = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(loads)).value());
+    BOOST_TEST((decoded.limits.at(limited).rate == loads.limits.at(limited).rate));
+}
+
 // Guards against reports whose size grows by more than 10 bytes for each limited endpoint.
 BOOST_AUTO_TEST_CASE(limits_take_few_bytes)
 {
--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -65,8 +65,8 @@
 
 std::vector<InstanceId> shareHolders(std::string_view key, RequestRate rate, const std::vector<InstanceId>& entries)
 {
-    auto most = static_cast<double>(entries.size());
-    auto count = static_cast<std::size_t>(std::clamp(std::floor(rate.value()), 1.0, std::max(1.0, most)));
+    auto most = std::max(1.0F, static_cast<float>(entries.size()));
+    auto count = static_cast<std::size_t>(std::clamp(std::floor(rate.value()), 1.0F, most));
     return rendezvousTop(key, entries, count);
 }
 
