--- a/src/include/wisteriayard/units.h
+++ b/src/include/wisteriayard/units.h
@@ -19,7 +19,8 @@
 /// Start time of an endpoint in milliseconds since 1970; distinguishes restarts under the same id.
 using Incarnation = StrongNumber<struct IncarnationTag, std::int64_t>;
 
-/// Requests per second, in the precision of the entries' reports to each other, so that all entries have the same value.
+/// Requests per second, in the precision of the entries' reports to each other, so that all entries have the same
+/// value.
 using RequestRate = StrongNumber<struct RequestRateTag, float>;
 
 using Duration = std::chrono::microseconds;
