Log and count how late and from where configurations arrive

Logs showed when a version was in force, but not since when the entry lacked it, nor what it had to read.

config_in_force names revision, source and an upper bound of the delay since the store's acceptance; view_changes_received names bytes and superseded items of late changes; watch_started names failed calls and their time. Metrics: config_delay_seconds, view_superseded_changes_total and config_rejections_total (a rejected document had a log line only).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,15 +164,15 @@
         StoreFollower::Handlers configHandlers()
         {
             StoreFollower::Handlers handlers;
-            handlers.snapshot = [this](const StoreRange& range, TimePoint now) {
+            handlers.snapshot = [this](const StoreRange& range, const ChangeOrigin& origin, TimePoint now) {
                 m_state.configConfirmedAt = now;
                 for (const StoreItem& item : range.items)
-                    applyConfig(item);
+                    applyConfig(item, origin);
             };
-            handlers.changes = [this](const WatchBatch& batch, TimePoint now) {
+            handlers.changes = [this](const WatchBatch& batch, const ChangeOrigin& origin, TimePoint now) {
                 m_state.configConfirmedAt = now;
                 for (const StoreItem& item : batch.items)
-                    applyConfig(item);
+                    applyConfig(item, origin);
             };
             connectToPeers(handlers, StoreView::Configuration);
             return handlers;
@@ -187,6 +187,9 @@
             handlers.readStarted = [this, view](ReadCause cause) {
                 m_state.metrics.viewRead(std::string(storeViewName(view)), std::string(readCauseName(cause)));
             };
+            handlers.supersededReceived = [this, view](std::size_t count) {
+                m_state.metrics.supersededChangesReceived(std::string(storeViewName(view)), count);
+            };
         }
 
         PeerExchange::Views peerViews()
@@ -207,15 +210,17 @@
 
         StoreFollower& follower(StoreView view) { return view == StoreView::Configuration ? m_config : m_endpoints; }
 
-        void applyConfig(const StoreItem& item)
+        void applyConfig(const StoreItem& item, const ChangeOrigin& origin)
         {
             if (item.key != m_platform.configKey() || item.value.empty())
                 return;
             auto config = m_platform.decodeConfig(item.value);
             if (config) {
-                m_state.configure(std::move(config.value()));
+                m_state.configure(std::move(config.value()),
+                    { item.modRevision, changeSourceName(origin.source), origin.unconfirmedFor });
                 return;
             }
+            m_state.metrics.configRejected();
             m_state.log->write(Event::ConfigRejected,
                 { { "key", item.key }, { "revision", item.modRevision.value() }, { "error", config.error().message } });
         }
@@ -223,11 +228,11 @@
         StoreFollower::Handlers endpointHandlers()
         {
             StoreFollower::Handlers handlers;
-            handlers.snapshot = [this](const StoreRange& range, TimePoint now) {
+            handlers.snapshot = [this](const StoreRange& range, const ChangeOrigin&, TimePoint now) {
                 m_state.endpointsConfirmedAt = now;
                 m_state.directory.replace(range, now);
             };
-            handlers.changes = [this](const WatchBatch& batch, TimePoint now) {
+            handlers.changes = [this](const WatchBatch& batch, const ChangeOrigin&, TimePoint now) {
                 m_state.endpointsConfirmedAt = now;
                 m_state.directory.apply(batch, now);
             };
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -13,6 +13,10 @@
     const prometheus::Histogram::BucketBoundaries latencySeconds { 0.02, 0.05, 0.1, 0.12, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8,
         1, 1.5, 2.5, 4, 6, 12 };
 
+    /// Configurations must be in force within 2.5 to 4 s.
+    const prometheus::Histogram::BucketBoundaries configDelaySeconds { 0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10,
+        20 };
+
     auto& counter(prometheus::Registry& registry, const char* name, const char* help)
     {
         return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
@@ -50,6 +54,12 @@
           "Datagrams of registered entries that could not be decoded"))
     , m_viewReads(counter(*m_registry, "wisteriayard_gateway_view_reads_total",
           "Calls to the store for copies of its parts, by view and cause"))
+    , m_supersededChanges(counter(*m_registry, "wisteriayard_gateway_view_superseded_changes_total",
+          "Changes received together with a later one of the same key, by view"))
+    , m_configDelay(histogram(*m_registry, "wisteriayard_gateway_config_delay_seconds",
+          "Upper bound of the time from the store's acceptance of a configuration until it was in force here"))
+    , m_configRejections(counter(*m_registry, "wisteriayard_gateway_config_rejections_total",
+          "Configurations in the store that could not be decoded"))
     , m_endpoints(gauge(*m_registry, "wisteriayard_gateway_endpoints", "Endpoints that may be given requests"))
     , m_configVersion(
           gauge(*m_registry, "wisteriayard_gateway_config_version", "Version of the configuration in force"))
@@ -109,6 +119,18 @@
     m_configVersion.Add({}).Set(static_cast<double>(version));
 }
 
+void GatewayMetrics::configApplied(Duration maxDelay)
+{
+    m_configDelay.Add({}, configDelaySeconds).Observe(toSeconds(maxDelay));
+}
+
+void GatewayMetrics::configRejected() { m_configRejections.Add({}).Increment(); }
+
+void GatewayMetrics::supersededChangesReceived(const std::string& view, std::size_t count)
+{
+    m_supersededChanges.Add({ { "view", view } }).Increment(static_cast<double>(count));
+}
+
 void GatewayMetrics::setActiveRequests(int count) { m_active.Add({}).Set(count); }
 
 void GatewayMetrics::setViewAge(const std::string& view, Duration age)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -35,11 +35,16 @@
     void peerDatagramRefused();
     void setEndpointCount(std::size_t count);
     void setConfigVersion(std::int64_t version);
+    /// @param maxDelay upper bound of the time since the store accepted the configuration
+    void configApplied(Duration maxDelay);
+    void configRejected();
     void setActiveRequests(int count);
     /// @param view `config` or `endpoints`
     void setViewAge(const std::string& view, Duration age);
     /// @param cause reason for reading the store: `watch`, `not_loaded`, `gap` or `stale`
     void viewRead(const std::string& view, const std::string& cause);
+    /// @param count changes that arrived together with a later one of the same key
+    void supersededChangesReceived(const std::string& view, std::size_t count);
     void setDroppedLogLines(double count);
 
     /// All metrics in the Prometheus text format.
@@ -57,6 +62,9 @@
     prometheus::Family<prometheus::Counter>& m_limitedRequests;
     prometheus::Family<prometheus::Counter>& m_peerDatagrams;
     prometheus::Family<prometheus::Counter>& m_viewReads;
+    prometheus::Family<prometheus::Counter>& m_supersededChanges;
+    prometheus::Family<prometheus::Histogram>& m_configDelay;
+    prometheus::Family<prometheus::Counter>& m_configRejections;
     prometheus::Family<prometheus::Gauge>& m_endpoints;
     prometheus::Family<prometheus::Gauge>& m_configVersion;
     prometheus::Family<prometheus::Gauge>& m_active;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -26,6 +26,9 @@
     metrics.peerDatagramRefused();
     metrics.setEndpointCount(1);
     metrics.setConfigVersion(1);
+    metrics.configApplied(Duration(1));
+    metrics.configRejected();
+    metrics.supersededChangesReceived("config", 1);
     metrics.setActiveRequests(1);
     metrics.setViewAge("config", Duration(1));
     metrics.viewRead("config", "gap");
@@ -59,6 +62,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 15u);
+    BOOST_TEST(code.size() == 18u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -31,7 +31,7 @@
 {
 }
 
-void GatewayState::configure(RoutingConfig config)
+void GatewayState::configure(RoutingConfig config, const ConfigOrigin& origin)
 {
     if (routes && config.version <= routes->config().version)
         return;
@@ -40,7 +40,11 @@
     auto next = std::make_shared<const RouteTable>(std::move(config));
     log->write(Event::ConfigInForce,
         { { "version", version.value() }, { "before", routes ? routes->config().version.value() : 0 },
-            { "routes", next->config().routes.size() }, { "keys", next->config().keys.size() } });
+            { "routes", next->config().routes.size() }, { "keys", next->config().keys.size() },
+            { "revision", origin.revision.value() }, { "source", origin.source },
+            { "max_delay_ms", origin.maxDelay ? nlohmann::json(origin.maxDelay->count() / 1000) : nlohmann::json() } });
+    if (origin.maxDelay)
+        metrics.configApplied(*origin.maxDelay);
     routes = std::move(next);
     metrics.setConfigVersion(version.value());
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -12,9 +12,20 @@
 #include "wisteriayard/retry_budget.h"
 
 #include <memory>
+#include <optional>
+#include <string_view>
 
 namespace wisteriayard {
 
+/// Where a configuration comes from, for logs and metrics.
+struct ConfigOrigin {
+    /// Revision of its write in the store.
+    Revision revision;
+    std::string_view source;
+    /// Upper bound of the time since the store accepted it; absent for the first one of this process.
+    std::optional<Duration> maxDelay;
+};
+
 /// State shared by all requests of a gateway process. Not thread-safe; used from the event loop's thread only.
 struct GatewayState {
     GatewayState(boost::asio::io_context& loop, GatewaySettings initial, const PlatformPort& port,
@@ -46,7 +57,7 @@
     std::size_t bufferedResponseBytes = 0;
 
     /// Applies a configuration unless its version is not newer than the current one.
-    void configure(RoutingConfig config);
+    void configure(RoutingConfig config, const ConfigOrigin& origin);
     /// Retry budget of a target, with its policy updated to the number of live processes.
     RetryBudget& retryBudget(const TargetId& target);
     /// Logs a request event unless the rate limit for such lines is exceeded.
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -22,9 +22,32 @@
     constexpr Duration regionWatchTimeout = std::chrono::milliseconds(1000);
     /// Interval of checks whether the store has to be read; short compared to RelayTimes.
     constexpr Duration checkInterval = std::chrono::milliseconds(50);
+    /// Changes of a copy that was not confirmed for longer are logged.
+    constexpr Duration lateChangeThreshold = std::chrono::seconds(2);
 
 } // namespace
 
+std::string_view changeSourceName(ChangeSource source)
+{
+    switch (source) {
+    case ChangeSource::Read:
+        return "read";
+    case ChangeSource::Watch:
+        return "watch";
+    case ChangeSource::Observer:
+        return "observer";
+    }
+    return "unknown";
+}
+
+std::size_t supersededItems(const WatchBatch& batch)
+{
+    std::set<std::string_view> keys;
+    for (const StoreItem& item : batch.items)
+        keys.insert(item.key);
+    return batch.items.size() - keys.size();
+}
+
 WatchBatch changesSince(const std::set<std::string>& keys, Revision from, const StoreRange& range)
 {
     WatchBatch batch { range.revision, {} };
@@ -90,6 +113,7 @@
     }
     recordContact();
     TimePoint now = bootTimeNow();
+    ChangeOrigin from = origin(ChangeSource::Read, now);
     m_view.loaded(range.value().revision, now);
     // The changes that the store no longer has are relayed, so that the other entries of the region need not read the
     // store again.
@@ -98,7 +122,7 @@
         m_handlers.relayChanges(*lostAt, changesSince(m_keys, *lostAt, range.value()));
     m_keys.clear();
     updateKeys(range.value().items);
-    m_handlers.snapshot(range.value(), now);
+    m_handlers.snapshot(range.value(), from, now);
 }
 
 boost::asio::awaitable<void> StoreFollower::watch()
@@ -147,9 +171,11 @@
     recordContact();
     Revision known = m_view.revision();
     dropKnownChanges(batch, known);
+    ChangeOrigin from = origin(ChangeSource::Watch, now);
+    reportChanges(batch, from);
     m_view.advanceFromStore(batch.revision, lastChange(batch), now);
     updateKeys(batch.items);
-    m_handlers.changes(batch, now);
+    m_handlers.changes(batch, from, now);
     if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
         m_handlers.relayChanges(known, batch);
 }
@@ -158,11 +184,13 @@
 {
     Revision known = m_view.revision();
     WatchBatch batch { changes.to, changes.items };
+    ChangeOrigin from = origin(ChangeSource::Observer, now);
     if (!m_view.advanceFromObserver(changes.from, changes.to, lastChange(batch), now))
         return;
     dropKnownChanges(batch, known);
+    reportChanges(batch, from);
     updateKeys(batch.items);
-    m_handlers.changes(batch, now);
+    m_handlers.changes(batch, from, now);
 }
 
 void StoreFollower::updateKeys(const std::vector<StoreItem>& items)
@@ -182,7 +210,32 @@
     if (m_view.confirmedAt() <= before)
         return;
     recordContact();
-    m_handlers.changes(WatchBatch { m_view.revision(), {} }, m_view.confirmedAt());
+    m_handlers.changes(WatchBatch { m_view.revision(), {} }, origin(ChangeSource::Observer, now), m_view.confirmedAt());
+}
+
+ChangeOrigin StoreFollower::origin(ChangeSource source, TimePoint now) const
+{
+    std::optional<Duration> unconfirmedFor;
+    if (m_view.confirmedAt() != TimePoint())
+        unconfirmedFor = now - m_view.confirmedAt();
+    return { source, unconfirmedFor };
+}
+
+void StoreFollower::reportChanges(const WatchBatch& batch, const ChangeOrigin& origin)
+{
+    std::size_t superseded = supersededItems(batch);
+    if (superseded > 0)
+        m_handlers.supersededReceived(superseded);
+    Duration unconfirmedFor = origin.unconfirmedFor.value_or(Duration(0));
+    if (batch.items.empty() || (superseded == 0 && unconfirmedFor < lateChangeThreshold))
+        return;
+    std::size_t bytes = 0;
+    for (const StoreItem& item : batch.items)
+        bytes += item.value.size();
+    m_log->write(Event::ViewChangesReceived,
+        { { "prefix", m_prefix }, { "source", changeSourceName(origin.source) }, { "items", batch.items.size() },
+            { "superseded", superseded }, { "bytes", bytes }, { "revision", batch.revision.value() },
+            { "unconfirmed_ms", unconfirmedFor.count() / 1000 } });
 }
 
 void StoreFollower::logRoleChange(ViewRole role)
@@ -207,9 +260,12 @@
 
 void StoreFollower::recordFailure(const Error& error)
 {
+    ++m_failedCalls;
     if (m_contactLost)
         return;
     m_contactLost = true;
+    m_contactLostAt = bootTimeNow();
+    m_failedCalls = 1;
     m_retryDelay = retryDelay;
     m_log->write(Event::WatchEnded, { { "prefix", m_prefix }, { "error", error.message } });
 }
@@ -219,7 +275,9 @@
     if (!m_contactLost)
         return;
     m_contactLost = false;
-    m_log->write(Event::WatchStarted, { { "prefix", m_prefix }, { "cause", "store_heard" } });
+    m_log->write(Event::WatchStarted,
+        { { "prefix", m_prefix }, { "cause", "store_heard" }, { "failed_calls", m_failedCalls },
+            { "lost_ms", (bootTimeNow() - m_contactLostAt).count() / 1000 } });
 }
 
 } // namespace wisteriayard
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -20,19 +20,43 @@
 /// @param from revision up to which the copy is complete
 WatchBatch changesSince(const std::set<std::string>& keys, Revision from, const StoreRange& range);
 
+/// How changes reached a copy.
+enum class ChangeSource {
+    /// A read of all keys.
+    Read,
+    /// A watch of the store.
+    Watch,
+    /// An observer relayed them.
+    Observer,
+};
+std::string_view changeSourceName(ChangeSource source);
+
+/// Origin of changes, for logs and metrics.
+struct ChangeOrigin {
+    ChangeSource source = ChangeSource::Read;
+    /// Upper bound of the time since the store accepted the changes: the copy was last known to be complete this long
+    /// ago. Absent for the first copy.
+    std::optional<Duration> unconfirmedFor;
+};
+
+/// Number of changes of a batch that a later change of the same key in it replaces.
+std::size_t supersededItems(const WatchBatch& batch);
+
 /// Keeps a copy of all keys with a prefix. After an initial read, an observer and an entry without contact to an
 /// observer follow the changes by a watch of the store; other entries apply the changes that observers relay.
 class StoreFollower {
 public:
     struct Handlers {
-        std::function<void(const StoreRange&, TimePoint now)> snapshot;
+        std::function<void(const StoreRange&, const ChangeOrigin&, TimePoint now)> snapshot;
         /// @param confirmedAt time at which the store confirmed the changes
-        std::function<void(const WatchBatch&, TimePoint confirmedAt)> changes;
+        std::function<void(const WatchBatch&, const ChangeOrigin&, TimePoint confirmedAt)> changes;
         std::function<ViewRole()> role;
         /// Relays the changes after a revision to other entries.
         std::function<void(Revision from, const WatchBatch&)> relayChanges;
         /// Called when the store is read, with the cause.
         std::function<void(ReadCause)> readStarted;
+        /// Called when changes arrive that later ones in the same batch replace, with their number.
+        std::function<void(std::size_t)> supersededReceived;
     };
 
     StoreFollower(boost::asio::io_context& io, std::unique_ptr<StoreClient> store, std::string prefix,
@@ -57,6 +81,9 @@
     /// Drops changes that the copy already contains: an older version of a key must not replace a newer one.
     static void dropKnownChanges(WatchBatch& batch, Revision known);
     static std::optional<Revision> lastChange(const WatchBatch& batch);
+    ChangeOrigin origin(ChangeSource source, TimePoint now) const;
+    /// Logs changes that reach the copy late or replace each other.
+    void reportChanges(const WatchBatch& batch, const ChangeOrigin& origin);
     void logRoleChange(ViewRole role);
     /// Passes the cause of a call to the store to the handler, and logs it if it has changed.
     void reportRead(ReadCause cause);
@@ -77,6 +104,9 @@
     std::optional<Revision> m_historyLostAfter;
     /// A call to the store failed, and there has been no contact since, neither directly nor through an observer.
     bool m_contactLost = false;
+    TimePoint m_contactLostAt {};
+    /// Calls that failed since then.
+    int m_failedCalls = 0;
     /// Delay after the last failed call.
     Duration m_retryDelay {};
     std::optional<ViewRole> m_role;
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -136,6 +136,8 @@
         return "view_read";
     case Event::LimitEntriesChanged:
         return "limit_entries_changed";
+    case Event::ViewChangesReceived:
+        return "view_changes_received";
     }
     return "unknown";
 }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -80,6 +80,7 @@
     ViewRoleChanged = 707,
     ViewRead = 708,
     LimitEntriesChanged = 709,
+    ViewChangesReceived = 710,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
