Catch up with overwritten values by their current state

Callers got answers by versions 4 to 16 s old, or 404 for routes that had been confirmed, from entries that the store had refused or that had lost datagrams.

Cause: an entry that missed versions read the history after its copy. A response holds up to four whole versions (273 kB each with 1,449 routes), an entry with 0.09 cores decodes one in 190 ms, and the operator confirms two more in the 2.7 s that a response takes: the entry stays behind. Each page also counted as a confirmation of the present, so followers of such an observer stayed on old copies.

Evidence: config_in_force of front-hakata-4, four versions a pass; view_changes_received with 2 to 4 items of 273 kB at the late entries only. Ruled out: observers that look alive (late entries had read the store).

Fix: the copy of the configuration (few large keys) reads the current state after a failed call, a gap, or a response with superseded items. A response that may have been cut does not confirm the copy. A gap ends once the copy has reached the changes that were announced, not with the next response. missed_versions_are_not_replayed failed before in all rows (3 and 40 values read instead of 1); part_of_the_history_confirms_nothing fails without the change in its row history (run with the condition disabled).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,9 +77,9 @@
             , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
             , m_peers(m_state, platform.makeStore(m_io.get_executor(), leaseCallTimeout))
             , m_config(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), platform.configPrefix(),
-                  configHandlers(), m_state.log)
+                  CatchUp::CurrentState, configHandlers(), m_state.log)
             , m_endpoints(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), platform.endpointPrefix(),
-                  endpointHandlers(), m_state.log)
+                  CatchUp::History, endpointHandlers(), m_state.log)
         {
         }
 
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <map>
+
 namespace wisteriayard {
 
 namespace {
@@ -48,6 +50,14 @@
     return batch.items.size() - keys.size();
 }
 
+void dropSupersededItems(WatchBatch& batch)
+{
+    std::map<std::string, Revision> newest;
+    for (const StoreItem& item : batch.items)
+        newest[item.key] = std::max(newest[item.key], item.modRevision);
+    std::erase_if(batch.items, [&newest](const StoreItem& item) { return item.modRevision < newest[item.key]; });
+}
+
 WatchBatch changesSince(const std::set<std::string>& keys, Revision from, const StoreRange& range)
 {
     WatchBatch batch { range.revision, {} };
@@ -63,20 +73,27 @@
 }
 
 StoreFollower::StoreFollower(boost::asio::io_context& io, std::unique_ptr<StoreClient> store, std::string prefix,
-    Handlers handlers, std::shared_ptr<EventLog> log)
+    CatchUp catchUp, Handlers handlers, std::shared_ptr<EventLog> log)
     : m_io(io)
     , m_store(std::move(store))
     , m_prefix(std::move(prefix))
+    , m_catchUp(catchUp)
     , m_handlers(std::move(handlers))
     , m_log(std::move(log))
 {
 }
 
-bool StoreFollower::needsWatch() const
+bool StoreFollower::needsStore() const
 {
     return m_handlers.role() != ViewRole::Follower || m_view.storeReadCause(bootTimeNow()) != ReadCause::None;
 }
 
+bool StoreFollower::needsCurrentState() const
+{
+    bool hasGap = m_view.storeReadCause(bootTimeNow()) == ReadCause::Gap;
+    return m_catchUp == CatchUp::CurrentState && (m_mayHaveMissedChanges || hasGap);
+}
+
 boost::asio::awaitable<void> StoreFollower::run()
 {
     boost::asio::steady_timer timer(m_io);
@@ -84,11 +101,13 @@
         logRoleChange(m_handlers.role());
         if (!m_view.isLoaded())
             co_await readAll();
-        else if (needsWatch())
+        else if (needsStore() && needsCurrentState())
+            co_await readCurrentState();
+        else if (needsStore())
             co_await watch();
         else
             m_readCause = ReadCause::None;
-        if (m_view.isLoaded() && !m_contactLost && needsWatch())
+        if (m_view.isLoaded() && !m_contactLost && needsStore())
             continue;
         timer.expires_after(m_contactLost ? nextRetryDelay() : checkInterval);
         co_await timer.async_wait(boost::asio::use_awaitable);
@@ -125,14 +144,37 @@
     m_handlers.snapshot(range.value(), from, now);
 }
 
+boost::asio::awaitable<void> StoreFollower::readCurrentState()
+{
+    reportRead(m_view.storeReadCause(bootTimeNow()));
+    TimePoint start = bootTimeNow();
+    auto range = co_await m_store->range(m_prefix, std::string());
+    if (!range) {
+        recordFailure(range.error());
+        co_return;
+    }
+    m_mayHaveMissedChanges = false;
+    // Observers may have relayed newer changes during the read.
+    if (range.value().revision >= m_view.revision())
+        applyBatch(changesSince(m_keys, m_view.revision(), range.value()), ChangeSource::Read, start);
+    else
+        recordContact();
+    if (!needsCurrentState())
+        co_return;
+    // The read has not closed the gap; it is not repeated at once.
+    boost::asio::steady_timer timer(m_io, retryDelay);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
 boost::asio::awaitable<void> StoreFollower::watch()
 {
     bool released = false;
     bool alone = m_handlers.role() == ViewRole::Alone;
-    auto handler = [this](const WatchBatch& batch) { applyBatch(batch, bootTimeNow()); };
+    auto handler = [this](const WatchBatch& batch) { applyBatch(batch, ChangeSource::Watch, bootTimeNow()); };
     auto keepWatching = [this, alone, &released] {
         // The timeout of the watch depends on the role, so a change of role ends the watch.
-        released = !needsWatch() || (m_handlers.role() == ViewRole::Alone) != alone;
+        bool roleChanged = (m_handlers.role() == ViewRole::Alone) != alone;
+        released = roleChanged || !needsStore() || needsCurrentState();
         logRoleChange(m_handlers.role());
         if (!released)
             reportRead(m_view.storeReadCause(bootTimeNow()));
@@ -166,16 +208,23 @@
     return last;
 }
 
-void StoreFollower::applyBatch(WatchBatch batch, TimePoint now)
+void StoreFollower::applyBatch(WatchBatch batch, ChangeSource source, TimePoint confirmedAt)
 {
     recordContact();
     Revision known = m_view.revision();
     dropKnownChanges(batch, known);
-    ChangeOrigin from = origin(ChangeSource::Watch, now);
+    ChangeOrigin from = origin(source, bootTimeNow());
     reportChanges(batch, from);
-    m_view.advanceFromStore(batch.revision, lastChange(batch), now);
+    if (m_catchUp == CatchUp::CurrentState) {
+        m_mayHaveMissedChanges = m_mayHaveMissedChanges || batch.mayBePartial || supersededItems(batch) > 0;
+        dropSupersededItems(batch);
+    }
+    // A part of the history says nothing about the present.
+    if (batch.mayBePartial || m_mayHaveMissedChanges)
+        confirmedAt = m_view.confirmedAt();
+    m_view.advanceFromStore(batch.revision, lastChange(batch), confirmedAt);
     updateKeys(batch.items);
-    m_handlers.changes(batch, from, now);
+    m_handlers.changes(batch, from, confirmedAt);
     if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
         m_handlers.relayChanges(known, batch);
 }
@@ -210,6 +259,7 @@
     if (m_view.confirmedAt() <= before)
         return;
     recordContact();
+    m_mayHaveMissedChanges = false;
     m_handlers.changes(WatchBatch { m_view.revision(), {} }, origin(ChangeSource::Observer, now), m_view.confirmedAt());
 }
 
@@ -261,6 +311,7 @@
 void StoreFollower::recordFailure(const Error& error)
 {
     ++m_failedCalls;
+    m_mayHaveMissedChanges = m_catchUp == CatchUp::CurrentState;
     if (m_contactLost)
         return;
     m_contactLost = true;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -39,9 +39,20 @@
     std::optional<Duration> unconfirmedFor;
 };
 
+/// How a copy makes up for changes that it may have missed.
+enum class CatchUp {
+    /// Reads the changes one after another: for many small keys, of which few have changed.
+    History,
+    /// Reads the present values: for few large keys, whose history consists of values that later ones replace.
+    CurrentState,
+};
+
 /// Number of changes of a batch that a later change of the same key in it replaces.
 std::size_t supersededItems(const WatchBatch& batch);
 
+/// Removes the changes of a batch that a later change of the same key in it replaces.
+void dropSupersededItems(WatchBatch& batch);
+
 /// Keeps a copy of all keys with a prefix. After an initial read, an observer and an entry without contact to an
 /// observer follow the changes by a watch of the store; other entries apply the changes that observers relay.
 class StoreFollower {
@@ -59,7 +70,7 @@
         std::function<void(std::size_t)> supersededReceived;
     };
 
-    StoreFollower(boost::asio::io_context& io, std::unique_ptr<StoreClient> store, std::string prefix,
+    StoreFollower(boost::asio::io_context& io, std::unique_ptr<StoreClient> store, std::string prefix, CatchUp catchUp,
         Handlers handlers, std::shared_ptr<EventLog> log);
 
     /// Reads and follows the store until the event loop ends.
@@ -74,9 +85,13 @@
 private:
     boost::asio::awaitable<void> readAll();
     boost::asio::awaitable<void> watch();
-    bool needsWatch() const;
+    /// Reads all keys and applies them as changes.
+    boost::asio::awaitable<void> readCurrentState();
+    bool needsStore() const;
+    /// Whether the history after the copy's revision may hold values that later ones replace.
+    bool needsCurrentState() const;
     Duration nextRetryDelay();
-    void applyBatch(WatchBatch batch, TimePoint now);
+    void applyBatch(WatchBatch batch, ChangeSource source, TimePoint confirmedAt);
     void updateKeys(const std::vector<StoreItem>& items);
     /// Drops changes that the copy already contains: an older version of a key must not replace a newer one.
     static void dropKnownChanges(WatchBatch& batch, Revision known);
@@ -95,6 +110,7 @@
     boost::asio::io_context& m_io;
     std::unique_ptr<StoreClient> m_store;
     std::string m_prefix;
+    CatchUp m_catchUp;
     Handlers m_handlers;
     std::shared_ptr<EventLog> m_log;
     RelayedView m_view;
@@ -107,6 +123,8 @@
     TimePoint m_contactLostAt {};
     /// Calls that failed since then.
     int m_failedCalls = 0;
+    /// A call failed or a response had only a part of the changes, so that several versions of a key may be missing.
+    bool m_mayHaveMissedChanges = false;
     /// Delay after the last failed call.
     Duration m_retryDelay {};
     std::optional<ViewRole> m_role;
--- a/src/gateway/store_follower_test.cpp
+++ b/src/gateway/store_follower_test.cpp
@@ -63,7 +63,8 @@
             if (version.modRevision > seen && batch.items.size() < versionsPerResponse)
                 batch.items.push_back(version);
         }
-        if (!batch.items.empty())
+        batch.mayBePartial = batch.items.size() == versionsPerResponse;
+        if (batch.mayBePartial)
             batch.revision = batch.items.back().modRevision;
         m_valuesRead += batch.items.size();
         return batch;
@@ -135,8 +136,8 @@
 /// An entry's copy of the overwritten key.
 class Entry {
 public:
-    explicit Entry(ViewRole role)
-        : m_follower(m_io, std::make_unique<OverwritingStoreClient>(m_io, store), "op/", handlers(role),
+    explicit Entry(ViewRole role, CatchUp catchUp = CatchUp::CurrentState)
+        : m_follower(m_io, std::make_unique<OverwritingStoreClient>(m_io, store), "op/", catchUp, handlers(role),
             EventLog::open(std::make_shared<spdlog::sinks::null_sink_mt>(), "entry"))
     {
         store.write();
@@ -145,6 +146,7 @@
         runUntilCurrent();
         (void)store.takeValuesRead();
         applied.clear();
+        confirmations.clear();
     }
 
     void runUntilCurrent()
@@ -171,6 +173,8 @@
     OverwritingStore store;
     /// Revisions of the versions that took effect.
     std::vector<std::int64_t> applied;
+    /// For each batch of changes, the time as of which the copy was then known to be complete.
+    std::vector<TimePoint> confirmations;
 
 private:
     StoreFollower::Handlers handlers(ViewRole role)
@@ -181,7 +185,10 @@
                 applied.push_back(item.modRevision.value());
         };
         handlers.snapshot = [apply](const StoreRange& range, const ChangeOrigin&, TimePoint) { apply(range.items); };
-        handlers.changes = [apply](const WatchBatch& batch, const ChangeOrigin&, TimePoint) { apply(batch.items); };
+        handlers.changes = [this, apply](const WatchBatch& batch, const ChangeOrigin&, TimePoint confirmedAt) {
+            apply(batch.items);
+            confirmations.push_back(confirmedAt);
+        };
         handlers.role = [role] { return role; };
         handlers.relayChanges = [](Revision, const WatchBatch&) {};
         handlers.readStarted = [](ReadCause) {};
@@ -255,3 +262,33 @@
         boost::test_tools::per_element());
     BOOST_TEST(entry.store.takeValuesRead() == 1u);
 }
+
+struct CatchUpCase {
+    const char* name;
+    CatchUp catchUp;
+};
+std::ostream& operator<<(std::ostream& out, const CatchUpCase& each) { return out << each.name; }
+
+const CatchUpCase catchUpCases[] = {
+    { "history", CatchUp::History },
+    { "current_state", CatchUp::CurrentState },
+};
+
+// Guards against an entry that reports its copy as current while it works through the history: its followers would stay
+// on old copies. Afterwards the copy must count as current again.
+BOOST_DATA_TEST_CASE(part_of_the_history_confirms_nothing, data::make(catchUpCases), each)
+{
+    Entry entry(ViewRole::Alone, each.catchUp);
+    entry.store.setDown(true);
+    entry.runUntilContactLost();
+    constexpr int missed = 10;
+    for (int i = 0; i < missed; ++i)
+        entry.store.write();
+    entry.store.setDown(false);
+    TimePoint restored = bootTimeNow();
+    entry.runUntilCurrent();
+    BOOST_REQUIRE(!entry.confirmations.empty());
+    BOOST_TEST((entry.confirmations.back() >= restored));
+    for (std::size_t i = 0; i + 1 < entry.confirmations.size(); ++i)
+        BOOST_TEST((entry.confirmations[i] < restored));
+}
--- a/src/include/wisteriayard/relayed_view.h
+++ b/src/include/wisteriayard/relayed_view.h
@@ -62,7 +62,8 @@
 
     /// The store returned all changes up to a revision.
     /// @param lastChange revision of the last of them; none if nothing changed
-    void advanceFromStore(Revision to, std::optional<Revision> lastChange, TimePoint now);
+    /// @param confirmedAt time as of which there were no further changes
+    void advanceFromStore(Revision to, std::optional<Revision> lastChange, TimePoint confirmedAt);
     /// An observer relayed the changes after `from` up to `to`.
     /// @param lastChange revision of the last of them; none if nothing changed
     /// @return whether the copy now includes them; false if it has no copy or changes before `from` are missing
@@ -80,13 +81,19 @@
     ViewProgress progress(TimePoint now) const;
 
 private:
-    void recordGap(TimePoint now);
-    void advance(Revision to, std::optional<Revision> lastChange, TimePoint now);
+    /// Records that there is a change that the copy lacks.
+    void recordGap(Revision change, TimePoint now);
+    void advance(Revision to, std::optional<Revision> lastChange, TimePoint confirmedAt);
+    /// Ends the gap if the copy has reached all changes that are known to exist.
+    void closeGap();
 
     RelayTimes m_times;
     std::optional<Revision> m_revision;
     Revision m_lastChange;
     TimePoint m_confirmedAt {};
+    /// Latest change that observers have announced.
+    Revision m_announcedChange;
+    /// Time since which the copy lacks announced changes.
     std::optional<TimePoint> m_gapSince;
 };
 
--- a/src/libstore/store_types.h
+++ b/src/libstore/store_types.h
@@ -92,6 +92,8 @@
     Revision revision;
     /// Changed items; an empty value marks a deleted key.
     std::vector<StoreItem> items;
+    /// The response may have reached its size limit, so that there may be further changes already.
+    bool mayBePartial = false;
 };
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/relayed_view.cpp
+++ b/src/libwisteriayard/relayed_view.cpp
@@ -27,36 +27,42 @@
     // Earlier changes are unknown, so copies of an older revision can't advance to this one without a gap.
     m_lastChange = revision;
     m_confirmedAt = now;
-    m_gapSince.reset();
+    closeGap();
 }
 
-void RelayedView::advance(Revision to, std::optional<Revision> lastChange, TimePoint now)
+void RelayedView::advance(Revision to, std::optional<Revision> lastChange, TimePoint confirmedAt)
 {
     m_revision = std::max(*m_revision, to);
     m_lastChange = std::max(m_lastChange, lastChange.value_or(m_lastChange));
-    m_confirmedAt = now;
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+    closeGap();
 }
 
-void RelayedView::advanceFromStore(Revision to, std::optional<Revision> lastChange, TimePoint now)
+void RelayedView::advanceFromStore(Revision to, std::optional<Revision> lastChange, TimePoint confirmedAt)
 {
-    if (!m_revision)
-        return;
-    advance(to, lastChange, now);
-    m_gapSince.reset();
+    if (m_revision)
+        advance(to, lastChange, confirmedAt);
 }
 
-void RelayedView::recordGap(TimePoint now)
+void RelayedView::recordGap(Revision change, TimePoint now)
 {
+    m_announcedChange = std::max(m_announcedChange, change);
     if (!m_gapSince)
         m_gapSince = now;
 }
 
+void RelayedView::closeGap()
+{
+    if (*m_revision >= m_announcedChange)
+        m_gapSince.reset();
+}
+
 bool RelayedView::advanceFromObserver(Revision from, Revision to, std::optional<Revision> lastChange, TimePoint now)
 {
     if (!m_revision)
         return false;
     if (from > *m_revision) {
-        recordGap(now);
+        recordGap(std::max(from, lastChange.value_or(from)), now);
         return false;
     }
     advance(to, lastChange, now);
@@ -68,12 +74,10 @@
     if (!m_revision)
         return;
     if (reported.lastChange > *m_revision) {
-        recordGap(now);
+        recordGap(reported.lastChange, now);
         return;
     }
-    m_revision = std::max(*m_revision, reported.revision);
-    m_confirmedAt = std::max(m_confirmedAt, now - reported.age);
-    m_gapSince.reset();
+    advance(reported.revision, std::nullopt, now - reported.age);
 }
 
 ReadCause RelayedView::storeReadCause(TimePoint now) const
