Limit the transfer of large store responses by progress

Entries of the region without the store got no configuration for up to 18 s although nothing cut them off.

Cause: ranges and watches had one timeout (1.5 or 1.7 s) for the whole response. When many entries read a large configuration over the regions' link or one of 10 Mbit/s, the response did not arrive in that time, was dropped and requested again, by then with one more version.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "address.h"
+#include "clock.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -155,18 +156,51 @@
 {
 }
 
+std::unique_ptr<HttpConnection> HttpClient::acquire()
+{
+    if (m_idle.empty())
+        return std::make_unique<HttpConnection>(m_executor, m_server, m_maxBody);
+    std::unique_ptr<HttpConnection> connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    return connection;
+}
+
+void HttpClient::release(std::unique_ptr<HttpConnection> connection)
+{
+    if (m_idle.size() < m_maxIdle)
+        m_idle.push_back(std::move(connection));
+}
+
 awaitable<Result<HttpResponse>> HttpClient::exchange(HttpRequest request, Duration timeout)
 {
-    std::unique_ptr<HttpConnection> connection;
-    if (m_idle.empty()) {
-        connection = std::make_unique<HttpConnection>(m_executor, m_server, m_maxBody);
-    } else {
-        connection = std::move(m_idle.back());
-        m_idle.pop_back();
-    }
+    std::unique_ptr<HttpConnection> connection = acquire();
     auto response = co_await connection->exchange(std::move(request), timeout);
-    if (response && m_idle.size() < m_maxIdle)
-        m_idle.push_back(std::move(connection));
+    if (response)
+        release(std::move(connection));
+    co_return response;
+}
+
+awaitable<Result<HttpResponse>> HttpClient::exchange(HttpRequest request, Duration timeout, TransferLimits limits)
+{
+    std::unique_ptr<HttpConnection> connection = acquire();
+    auto response = co_await connection->startExchange(std::move(request), timeout);
+    if (!response)
+        co_return response;
+    TimePoint end = bootTimeNow() + limits.total;
+    std::string& body = response.value().body();
+    while (true) {
+        auto part = co_await connection->readSome(std::min(limits.progress, end - bootTimeNow()));
+        if (!part)
+            co_return part.error();
+        if (part.value().empty())
+            break;
+        body += part.value();
+        if (body.size() > static_cast<std::size_t>(m_maxBody.value()))
+            co_return fail(Errc::Protocol, "the response body exceeds the size limit");
+        if (bootTimeNow() >= end)
+            co_return fail(Errc::Timeout, "the response body took too long to transfer");
+    }
+    release(std::move(connection));
     co_return response;
 }
 
--- a/src/libnet/http_client.h
+++ b/src/libnet/http_client.h
@@ -60,6 +60,14 @@
     std::unique_ptr<Parser> m_parser;
 };
 
+/// Limits on the transfer of a response body, whose size is not known in advance.
+struct TransferLimits {
+    /// Longest time without further bytes.
+    Duration progress {};
+    /// Longest time from the response header to the end of the body.
+    Duration total {};
+};
+
 /// HTTP client of one server with a pool of idle connections.
 class HttpClient {
 public:
@@ -72,8 +80,13 @@
     /// because the response to the failed request may still arrive on it.
     /// @return as for HttpConnection::exchange()
     boost::asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, Duration timeout);
+    /// The same for responses that may take long to transfer: the timeout ends with the response header.
+    boost::asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, Duration timeout, TransferLimits limits);
 
 private:
+    std::unique_ptr<HttpConnection> acquire();
+    void release(std::unique_ptr<HttpConnection> connection);
+
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::endpoint m_server;
     Bytes m_maxBody;
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -78,3 +78,62 @@
     io.run();
     BOOST_TEST(received == "part0part1part2part3part4");
 }
+
+namespace {
+
+struct TransferCase {
+    const char* name;
+    /// Number of parts of the body, one each 100 ms; negative for a body without an end.
+    int parts;
+    TransferLimits limits;
+    bool complete;
+};
+std::ostream& operator<<(std::ostream& out, const TransferCase& each) { return out << each.name; }
+
+constexpr Duration partInterval = std::chrono::milliseconds(100);
+constexpr Duration responseTimeout = std::chrono::seconds(1);
+constexpr Duration ample = std::chrono::seconds(60);
+
+const TransferCase transferCases[] = {
+    { "short", 1, { ample, ample }, true },
+    { "longer_than_the_timeout_for_its_begin", 15, { ample, ample }, true },
+    { "longer_than_the_limit", 15, { ample, std::chrono::milliseconds(300) }, false },
+    { "without_end", -1, { ample, std::chrono::milliseconds(300) }, false },
+    { "beyond_the_size_limit", 30, { ample, ample }, false },
+};
+
+} // namespace
+
+// Guards against a large response that a slow link can't carry within the call's timeout: it was dropped and requested
+// again, larger each time. Guards also against a transfer without an end.
+BOOST_DATA_TEST_CASE(large_response_may_outlast_the_timeout, boost::unit_test::data::make(transferCases), each)
+{
+    boost::asio::io_context io;
+    auto handler = [&](HttpRequest, HttpStreamWriter& writer) -> boost::asio::awaitable<HandlerResult> {
+        auto status = co_await writer.begin({}, "text/plain", ample);
+        boost::asio::steady_timer timer(io);
+        for (int i = 0; status && i != each.parts; ++i) {
+            timer.expires_after(partInterval);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            status = co_await writer.write("part", ample);
+        }
+        if (status)
+            status = co_await writer.end(ample);
+        co_return StreamedResponse { bool(status) };
+    };
+    auto server = std::make_shared<HttpServer>(io, HttpServerLimits {}, handler);
+    BOOST_REQUIRE(server->listen(parseAddress("127.0.0.1:0").value()));
+    constexpr Bytes maxBody { 100 };
+    HttpClient client(io.get_executor(), server->localAddress(), maxBody, 1);
+    std::optional<Result<HttpResponse>> response;
+    auto run = [&]() -> boost::asio::awaitable<void> {
+        response = co_await client.exchange(makeHttpRequest(http::verb::get, "/"), responseTimeout, each.limits);
+        io.stop();
+    };
+    boost::asio::co_spawn(io, run, boost::asio::detached);
+    io.run();
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->has_value() == each.complete);
+    if (each.complete)
+        BOOST_TEST(response->value().body().size() == 4u * static_cast<std::size_t>(each.parts));
+}
