Relay large values as differences to their former values

Each entry read the whole configuration from the store for each change, since it does not fit into a datagram: 363 kB times 15 entries over the regions' link for a change of some bytes. Entries that the store refused got no configuration at all, although their peers had it.

Observers relay the difference to the former value (some hundred bytes); a receiver puts the new value together if it has that value, and checks it. It reads the store otherwise. Values are kept for the copy of the configuration only, with the one before, since two observers may group versions differently. An observer relays before it decodes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -182,8 +182,9 @@
         void connectToPeers(StoreFollower::Handlers& handlers, StoreView view)
         {
             handlers.role = [this] { return m_peers.role(); };
-            handlers.relayChanges
-                = [this, view](Revision from, const WatchBatch& batch) { m_peers.relayChanges(view, from, batch); };
+            handlers.relayChanges = [this, view](Revision from, const WatchBatch& batch, const StoreValues& former) {
+                m_peers.relayChanges(view, from, batch, former);
+            };
             handlers.readStarted = [this, view](ReadCause cause) {
                 m_state.metrics.viewRead(std::string(storeViewName(view)), std::string(readCauseName(cause)));
             };
@@ -202,8 +203,9 @@
             views.applyProgress = [this](StoreView view, const ViewProgress& reported, TimePoint now) {
                 follower(view).applyProgress(reported, now);
             };
-            views.applyChanges = [this](const ViewChanges& changes, TimePoint now) {
-                follower(changes.view).applyRelayedChanges(changes, now);
+            views.applyChange = [this](const RelayedChange& change, TimePoint now) {
+                auto apply = [this, now](const auto& each) { follower(each.view).applyRelayed(each, now); };
+                std::visit(apply, change);
             };
             return views;
         }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -383,10 +383,10 @@
     }
 }
 
-void PeerExchange::relayChanges(StoreView view, Revision from, const WatchBatch& batch)
+void PeerExchange::relayChanges(StoreView view, Revision from, const WatchBatch& batch, const StoreValues& formerValues)
 {
-    for (const ViewChanges& changes : splitChanges(view, from, batch)) {
-        std::string text = encodePeerMessage(changes);
+    for (const RelayedChange& change : splitChanges(view, from, batch, formerValues)) {
+        std::string text = std::visit([](const auto& each) { return encodePeerMessage(each); }, change);
         for (const auto& [instance, peer] : m_peers) {
             if (isInSameRegion(peer))
                 send(text, peer);
@@ -465,7 +465,8 @@
 
     void operator()(const PeerLoads& loads) const { exchange.applyLoads(instance, loads, now); }
     void operator()(const PeerUsageToWrite& usage) const { exchange.writePeerUsage(usage, peer); }
-    void operator()(const ViewChanges& changes) const { exchange.applyChanges(changes, now); }
+    void operator()(const ViewChanges& changes) const { exchange.applyChange(changes, now); }
+    void operator()(const ViewDelta& delta) const { exchange.applyChange(delta, now); }
     void operator()(const PeerUsageWritten& written) const
     {
         if (exchange.m_state.usage)
@@ -512,11 +513,11 @@
     m_state.usage->queueForeignRecord(message.window, message.entry, message.record, std::move(confirm));
 }
 
-void PeerExchange::applyChanges(const ViewChanges& changes, TimePoint now)
+void PeerExchange::applyChange(const RelayedChange& change, TimePoint now)
 {
     detectPause(now);
     if (now >= m_ignoreViewsUntil)
-        m_views.applyChanges(changes, now);
+        m_views.applyChange(change, now);
 }
 
 void PeerExchange::applyLoads(const InstanceId& peer, const PeerLoads& loads, TimePoint now)
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -21,7 +21,7 @@
     struct Views {
         std::function<std::map<StoreView, ViewProgress>(TimePoint now)> progress;
         std::function<void(StoreView, const ViewProgress&, TimePoint now)> applyProgress;
-        std::function<void(const ViewChanges&, TimePoint now)> applyChanges;
+        std::function<void(const RelayedChange&, TimePoint now)> applyChange;
     };
 
     PeerExchange(GatewayState& state, std::unique_ptr<StoreClient> store);
@@ -54,7 +54,8 @@
     /// This entry's role in following the store, as of the last round of sending.
     ViewRole role() const { return m_role; }
     /// Relays changes of the store to the entries of this region.
-    void relayChanges(StoreView view, Revision from, const WatchBatch& batch);
+    /// @param formerValues values of keys before the changes
+    void relayChanges(StoreView view, Revision from, const WatchBatch& batch, const StoreValues& formerValues);
     /// Announces this entry's shutdown to the other entries.
     void announceShutdown();
     static std::string registrationPrefix() { return "member/"; }
@@ -99,7 +100,7 @@
     struct MessageHandler;
     void receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender, TimePoint now);
     void writePeerUsage(const PeerUsageToWrite& message, const Peer& from);
-    void applyChanges(const ViewChanges& changes, TimePoint now);
+    void applyChange(const RelayedChange& change, TimePoint now);
     void applyLoads(const InstanceId& peer, const PeerLoads& loads, TimePoint now);
     /// Report without loads: only time, contact with the store, and whether this entry is leaving.
     PeerLoads livenessReport(TimePoint now) const;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -35,6 +35,17 @@
 
     bool isRate(float value) { return std::isfinite(value) && value >= 0; }
 
+    struct DeltaPartEncoder {
+        peer::DeltaPart& encoded;
+
+        void operator()(const CopiedBytes& copy) const
+        {
+            encoded.set_offset(static_cast<std::uint32_t>(copy.offset));
+            encoded.set_size(static_cast<std::uint32_t>(copy.size));
+        }
+        void operator()(const InsertedBytes& insertion) const { encoded.set_inserted(insertion.bytes); }
+    };
+
     /// Visitor that writes a message into a datagram.
     struct Encoder {
         peer::Datagram& datagram;
@@ -137,6 +148,20 @@
                 encoded.set_revision(item.modRevision.value());
             }
         }
+
+        void operator()(const ViewDelta& change) const
+        {
+            peer::ViewDelta& message = *datagram.mutable_delta();
+            message.set_view(static_cast<std::uint32_t>(change.view));
+            message.set_from(change.from.value());
+            message.set_to(change.to.value());
+            message.set_key(change.key);
+            message.set_revision(change.revision.value());
+            message.set_base(change.base.value());
+            message.set_checksum(change.delta.checksum);
+            for (const DeltaPart& part : change.delta.parts)
+                std::visit(DeltaPartEncoder { *message.add_parts() }, part);
+        }
     };
 
     Result<std::map<EndpointTag, ReportedLimit>> decodeLimits(const peer::Loads& message)
@@ -228,6 +253,27 @@
         return PeerMessage(std::move(closed));
     }
 
+    Result<PeerMessage> decodeDelta(const peer::ViewDelta& message)
+    {
+        ViewDelta delta;
+        BOOST_OUTCOME_TRY(delta.view, decodeView(message.view()));
+        if (message.from() < 0 || message.revision() <= message.from() || message.to() < message.revision())
+            return fail(Errc::Protocol, "peer datagram: change outside of the revision range");
+        delta.from = Revision(message.from());
+        delta.to = Revision(message.to());
+        delta.key = message.key();
+        delta.revision = Revision(message.revision());
+        delta.base = Revision(message.base());
+        delta.delta.checksum = message.checksum();
+        for (const peer::DeltaPart& part : message.parts()) {
+            if (part.inserted().empty())
+                delta.delta.parts.emplace_back(CopiedBytes { part.offset(), part.size() });
+            else
+                delta.delta.parts.emplace_back(InsertedBytes { part.inserted() });
+        }
+        return PeerMessage(std::move(delta));
+    }
+
     Result<PeerMessage> decodeChanges(const peer::ViewChanges& message)
     {
         ViewChanges changes;
@@ -269,33 +315,120 @@
 
 std::string_view storeViewName(StoreView view) { return view == StoreView::Configuration ? "config" : "endpoints"; }
 
-std::vector<ViewChanges> splitChanges(StoreView view, Revision from, const WatchBatch& batch)
+namespace {
+
+    /// Collects the messages for a batch of changes, in the order of their revisions.
+    class ChangeSplitter {
+    public:
+        ChangeSplitter(StoreView view, Revision from)
+            : m_view(view)
+            , m_open { view, from, from, {} }
+        {
+        }
+
+        void add(StoreItem item)
+        {
+            std::size_t itemSize = item.key.size() + item.value.size();
+            // Changes of one revision stay in one message, because a copy is complete up to whole revisions only.
+            bool sameRevision = item.modRevision == m_open.to;
+            if (m_size + itemSize > maxItemBytes && !sameRevision)
+                close();
+            m_size += itemSize;
+            m_open.to = item.modRevision;
+            m_open.items.push_back(std::move(item));
+        }
+        /// Adds a change that is relayed as a difference.
+        void add(ViewDelta delta)
+        {
+            close();
+            delta.from = m_open.from;
+            delta.to = delta.revision;
+            skipTo(delta.revision);
+            m_messages.emplace_back(std::move(delta));
+        }
+        /// Omits a change and all changes before it.
+        void omit(const StoreItem& item)
+        {
+            m_messages.clear();
+            skipTo(item.modRevision);
+        }
+        /// @param to revision up to which the changes are complete
+        std::vector<RelayedChange> finish(Revision to)
+        {
+            m_open.to = std::max(m_open.to, to);
+            auto* last = m_messages.empty() ? nullptr : std::get_if<ViewDelta>(&m_messages.back());
+            if (last && m_open.items.empty())
+                last->to = m_open.to;
+            else
+                m_messages.emplace_back(std::move(m_open));
+            return std::move(m_messages);
+        }
+
+    private:
+        void close()
+        {
+            if (m_open.items.empty())
+                return;
+            Revision to = m_open.to;
+            m_messages.emplace_back(std::move(m_open));
+            skipTo(to);
+        }
+        void skipTo(Revision revision)
+        {
+            m_open = { m_view, revision, revision, {} };
+            m_size = 0;
+        }
+
+        StoreView m_view;
+        ViewChanges m_open;
+        std::size_t m_size = 0;
+        std::vector<RelayedChange> m_messages;
+    };
+
+    /// @return the difference to the former value; none if that is not known or the difference is too large
+    std::optional<ViewDelta> relayableDelta(StoreView view, const StoreItem& item, const StoreValues& formerValues)
+    {
+        auto former = formerValues.find(item.key);
+        if (former == formerValues.end())
+            return std::nullopt;
+        ViewDelta delta;
+        delta.view = view;
+        delta.key = item.key;
+        delta.revision = item.modRevision;
+        delta.base = former->second.modRevision;
+        delta.delta = makeValueDelta(former->second.value, item.value);
+        if (delta.delta.encodedSize() > maxItemBytes)
+            return std::nullopt;
+        return delta;
+    }
+
+} // namespace
+
+std::vector<RelayedChange> splitChanges(
+    StoreView view, Revision from, const WatchBatch& batch, const StoreValues& formerValues)
 {
     std::vector<StoreItem> items = batch.items;
     std::stable_sort(items.begin(), items.end(),
         [](const StoreItem& a, const StoreItem& b) { return a.modRevision < b.modRevision; });
-    std::vector<ViewChanges> messages { { view, from, from, {} } };
-    std::size_t size = 0;
-    for (std::size_t i = 0; i < items.size(); ++i) {
-        StoreItem& item = items[i];
-        std::size_t itemSize = item.key.size() + item.value.size();
-        if (itemSize > maxItemBytes) {
-            messages = { { view, item.modRevision, item.modRevision, {} } };
-            size = 0;
+    std::map<Revision, std::size_t> itemsOfRevision;
+    for (const StoreItem& item : items)
+        ++itemsOfRevision[item.modRevision];
+    ChangeSplitter splitter(view, from);
+    for (StoreItem& item : items) {
+        if (item.key.size() + item.value.size() <= maxItemBytes) {
+            splitter.add(std::move(item));
             continue;
         }
-        // Changes of one revision stay in one message, because a copy is complete up to whole revisions only.
-        bool sameRevision = item.modRevision == messages.back().to;
-        if (size + itemSize > maxItemBytes && !sameRevision) {
-            messages.push_back({ view, messages.back().to, messages.back().to, {} });
-            size = 0;
-        }
-        size += itemSize;
-        messages.back().to = item.modRevision;
-        messages.back().items.push_back(std::move(item));
+        // A difference is a message of its own, so it can't be relayed with other changes of its revision.
+        std::optional<ViewDelta> delta;
+        if (itemsOfRevision[item.modRevision] == 1)
+            delta = relayableDelta(view, item, formerValues);
+        if (delta)
+            splitter.add(std::move(*delta));
+        else
+            splitter.omit(item);
     }
-    messages.back().to = std::max(messages.back().to, batch.revision);
-    return messages;
+    return splitter.finish(batch.revision);
 }
 
 EndpointTag endpointTag(const EndpointId& id)
@@ -332,6 +465,8 @@
         return decodeClosed(decoded.closed());
     case peer::Datagram::kCredit:
         return PeerMessage(PeerLimitCredit { EndpointTag(decoded.credit().endpoint()) });
+    case peer::Datagram::kDelta:
+        return decodeDelta(decoded.delta());
     case peer::Datagram::CONTENT_NOT_SET:
         break;
     }
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -5,6 +5,7 @@
 #include "wisteriayard/error.h"
 #include "wisteriayard/relayed_view.h"
 #include "wisteriayard/usage.h"
+#include "wisteriayard/value_delta.h"
 
 #include <cstdint>
 #include <map>
@@ -96,12 +97,30 @@
     std::vector<StoreItem> items;
 };
 
-/// Splits changes into messages that each fit into a datagram. An item that is too large is omitted together with all
-/// items before it; the receivers detect the gap and read the store.
-std::vector<ViewChanges> splitChanges(StoreView view, Revision from, const WatchBatch& batch);
+/// The only change of a part of the store after `from` up to `to`, of a value that is too large for a datagram.
+struct ViewDelta {
+    StoreView view = StoreView::Configuration;
+    Revision from;
+    Revision to;
+    std::string key;
+    /// Revision of the change.
+    Revision revision;
+    /// Revision of the former value of the key, from which the difference was made.
+    Revision base;
+    ValueDelta delta;
+};
+
+using RelayedChange = std::variant<ViewChanges, ViewDelta>;
+
+/// Splits changes into messages that each fit into a datagram. An item that is too large is relayed as the difference
+/// to its former value. If that is too large as well, the item is omitted together with all items before it; the
+/// receivers detect the gap and read the store.
+/// @param formerValues values of keys before the changes
+std::vector<RelayedChange> splitChanges(
+    StoreView view, Revision from, const WatchBatch& batch, const StoreValues& formerValues);
 
-using PeerMessage
-    = std::variant<PeerLoads, PeerUsageToWrite, ViewChanges, PeerUsageWritten, PeerWindowClosed, PeerLimitCredit>;
+using PeerMessage = std::variant<PeerLoads, PeerUsageToWrite, ViewChanges, PeerUsageWritten, PeerWindowClosed,
+    PeerLimitCredit, ViewDelta>;
 
 std::string encodePeerMessage(const PeerMessage& message);
 /// @return Protocol if the datagram is truncated, has another version, unknown content or values out of range
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -50,6 +50,10 @@
 /// Loads with a progress report whose last change is after its revision.
 const std::string impossibleProgress("\x0a\x08\x5a\x06\x08\x01\x10\x09\x18\x08", 10);
 
+/// A difference with revision 5 in changes from 5 on, and one with revision 9 in changes up to 8.
+const std::string deltaBeforeItsChanges("\x3a\x08\x08\x01\x10\x05\x18\x08\x28\x05", 10);
+const std::string deltaAfterItsChanges("\x3a\x08\x08\x01\x10\x05\x18\x08\x28\x09", 10);
+
 /// Loads with a limit without an endpoint, and with one of NaN.
 const std::string limitWithoutEndpoint("\x0a\x07\x8a\x01\x04\x00\x00\x80\x3f", 9);
 const std::string limitNotFinite(
@@ -58,10 +62,10 @@
 /// Loads with a cache hint without an endpoint: one row in field 15.
 const std::string hintWithoutEndpoint("\x0a\x06\x7a\x04\x01\x02\x03\x04", 8);
 
-const std::string badDatagrams[]
-    = { limitWithoutEndpoint, limitNotFinite, hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView,
-          impossibleProgress, backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text",
-          std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
+const std::string badDatagrams[] = { deltaBeforeItsChanges, deltaAfterItsChanges, limitWithoutEndpoint, limitNotFinite,
+    hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView, impossibleProgress, backlogWithoutRow,
+    backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text", std::string("\x0a\xff", 2), unevenColumns,
+    negativeContact, rateNotFinite, invalidRecord };
 
 /// Version field with the current version, appended to a datagram.
 const std::string versionField("\x78\x02", 2);
@@ -130,9 +134,9 @@
 {
     WatchBatch batch { Revision(20),
         { { "servers/a", "text", Revision(12), {} }, { "servers/b", "", Revision(15), {} } } };
-    auto messages = splitChanges(StoreView::Endpoints, Revision(10), batch);
+    auto messages = splitChanges(StoreView::Endpoints, Revision(10), batch, {});
     BOOST_REQUIRE(messages.size() == 1u);
-    auto decoded = decodePeerMessage(encodePeerMessage(messages[0]));
+    auto decoded = decodePeerMessage(encodePeerMessage(std::get<ViewChanges>(messages[0])));
     BOOST_REQUIRE(decoded.has_value());
     const auto& changes = std::get<ViewChanges>(decoded.value());
     BOOST_TEST((changes.view == StoreView::Endpoints));
@@ -179,15 +183,69 @@
         batch.items.push_back(
             { "servers/" + std::to_string(revision), std::string(size, 'x'), Revision(revision), {} });
     }
-    auto messages = splitChanges(StoreView::Endpoints, Revision(10), batch);
+    auto messages = splitChanges(StoreView::Endpoints, Revision(10), batch, {});
     BOOST_REQUIRE(messages.size() == each.itemsPerMessage.size());
     Revision reached(each.from);
     for (std::size_t i = 0; i < messages.size(); ++i) {
-        BOOST_TEST(messages[i].items.size() == each.itemsPerMessage[i]);
-        BOOST_TEST(messages[i].from.value() == reached.value());
-        BOOST_TEST(encodePeerMessage(messages[i]).size() <= 16u * 1024);
-        reached = messages[i].to;
+        const auto& changes = std::get<ViewChanges>(messages[i]);
+        BOOST_TEST(changes.items.size() == each.itemsPerMessage[i]);
+        BOOST_TEST(changes.from.value() == reached.value());
+        BOOST_TEST(encodePeerMessage(changes).size() <= 16u * 1024);
+        reached = changes.to;
+    }
+    BOOST_TEST(reached.value() == 50);
+}
+
+struct LargeValueCase {
+    const char* name;
+    /// Items at revisions 11, 12 and so on: their keys and whether their values are large.
+    std::vector<std::pair<const char*, bool>> items;
+    /// Expected messages: `d` for a difference, else the number of items.
+    std::string messages;
+};
+std::ostream& operator<<(std::ostream& out, const LargeValueCase& each) { return out << each.name; }
+
+const LargeValueCase largeValueCases[] = {
+    { "alone", { { "op/config", true } }, "d" },
+    { "between_others", { { "a", false }, { "op/config", true }, { "b", false }, { "c", false } }, "1d2" },
+    { "two_of_them", { { "op/config", true }, { "op/other", true } }, "dd" },
+    { "unknown_former_value", { { "a", false }, { "op/new", true }, { "b", false } }, "1" },
+};
+
+// Guards against a change of a large value that is not relayed, so that each entry reads the value from the store, and
+// against differences that reach the receiver altered or in another order.
+BOOST_DATA_TEST_CASE(large_values_are_relayed_as_differences, data::make(largeValueCases), each)
+{
+    std::string former;
+    for (int i = 0; i < 20000; ++i)
+        former += std::to_string(i) + ',';
+    StoreValues formerValues { { "op/config", { "op/config", former, Revision(5), {} } },
+        { "op/other", { "op/other", former, Revision(7), {} } } };
+    WatchBatch batch { Revision(50), {} };
+    for (const auto& [key, isLarge] : each.items) {
+        Revision revision(static_cast<std::int64_t>(11 + batch.items.size()));
+        batch.items.push_back({ key, isLarge ? former + key : "small", revision, {} });
+    }
+    std::string messages;
+    Revision reached(10);
+    for (const RelayedChange& change : splitChanges(StoreView::Configuration, Revision(10), batch, formerValues)) {
+        std::string text = std::visit([](const auto& message) { return encodePeerMessage(message); }, change);
+        BOOST_TEST(text.size() <= 16u * 1024);
+        PeerMessage decoded = decodePeerMessage(text).value();
+        if (auto* changes = std::get_if<ViewChanges>(&decoded)) {
+            messages += std::to_string(changes->items.size());
+            reached = changes->to;
+            continue;
+        }
+        messages += 'd';
+        const auto& delta = std::get<ViewDelta>(decoded);
+        BOOST_TEST(delta.from.value() == reached.value());
+        BOOST_TEST(delta.base.value() == formerValues.at(delta.key).modRevision.value());
+        auto value = applyValueDelta(former, delta.delta, 1024 * 1024);
+        BOOST_TEST((value.has_value() && value.value() == former + delta.key));
+        reached = delta.to;
     }
+    BOOST_TEST(messages == each.messages);
     BOOST_TEST(reached.value() == 50);
 }
 
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -24,6 +24,8 @@
     constexpr Duration regionWatchTimeout = std::chrono::milliseconds(1000);
     /// Interval of checks whether the store has to be read; short compared to RelayTimes.
     constexpr Duration checkInterval = std::chrono::milliseconds(50);
+    /// Largest value that is put together from a difference; the store holds values up to 1 MB.
+    constexpr std::size_t maxValueBytes = 1024 * 1024;
     /// Changes of a copy that was not confirmed for longer are logged.
     constexpr Duration lateChangeThreshold = std::chrono::seconds(2);
 
@@ -138,8 +140,10 @@
     // store again.
     auto lostAt = std::exchange(m_historyLostAfter, std::nullopt);
     if (lostAt && m_handlers.role() == ViewRole::Observer)
-        m_handlers.relayChanges(*lostAt, changesSince(m_keys, *lostAt, range.value()));
+        m_handlers.relayChanges(*lostAt, changesSince(m_keys, *lostAt, range.value()), m_values);
     m_keys.clear();
+    m_values.clear();
+    m_formerValues.clear();
     updateKeys(range.value().items);
     m_handlers.snapshot(range.value(), from, now);
 }
@@ -223,13 +227,42 @@
     if (batch.mayBePartial || m_mayHaveMissedChanges)
         confirmedAt = m_view.confirmedAt();
     m_view.advanceFromStore(batch.revision, lastChange(batch), confirmedAt);
+    if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
+        m_handlers.relayChanges(known, batch, m_values);
     updateKeys(batch.items);
     m_handlers.changes(batch, from, confirmedAt);
-    if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
-        m_handlers.relayChanges(known, batch);
 }
 
-void StoreFollower::applyRelayedChanges(const ViewChanges& changes, TimePoint now)
+std::optional<std::string> StoreFollower::resolve(const ViewDelta& delta) const
+{
+    for (const StoreValues* values : { &m_values, &m_formerValues }) {
+        auto former = values->find(delta.key);
+        if (former == values->end() || former->second.modRevision != delta.base)
+            continue;
+        auto value = applyValueDelta(former->second.value, delta.delta, maxValueBytes);
+        if (value)
+            return std::move(value.value());
+        m_log->write(Event::ViewDeltaRejected,
+            { { "key", delta.key }, { "revision", delta.revision.value() }, { "error", value.error().message } });
+    }
+    return std::nullopt;
+}
+
+void StoreFollower::applyRelayed(const ViewDelta& delta, TimePoint now)
+{
+    ViewChanges changes { delta.view, delta.from, delta.to, {} };
+    if (delta.revision > m_view.revision()) {
+        auto value = resolve(delta);
+        if (!value) {
+            m_view.announce(delta.revision, now);
+            return;
+        }
+        changes.items.push_back({ delta.key, std::move(*value), delta.revision, Revision() });
+    }
+    applyRelayed(changes, now);
+}
+
+void StoreFollower::applyRelayed(const ViewChanges& changes, TimePoint now)
 {
     Revision known = m_view.revision();
     WatchBatch batch { changes.to, changes.items };
@@ -249,7 +282,21 @@
             m_keys.erase(item.key);
         else
             m_keys.insert(item.key);
+        if (m_catchUp == CatchUp::CurrentState)
+            updateValues(item);
+    }
+}
+
+void StoreFollower::updateValues(const StoreItem& item)
+{
+    if (item.value.empty()) {
+        m_values.erase(item.key);
+        m_formerValues.erase(item.key);
+        return;
     }
+    auto [known, inserted] = m_values.try_emplace(item.key, item);
+    if (!inserted)
+        m_formerValues[item.key] = std::exchange(known->second, item);
 }
 
 void StoreFollower::applyProgress(const ViewProgress& reported, TimePoint now)
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -63,7 +63,8 @@
         std::function<void(const WatchBatch&, const ChangeOrigin&, TimePoint confirmedAt)> changes;
         std::function<ViewRole()> role;
         /// Relays the changes after a revision to other entries.
-        std::function<void(Revision from, const WatchBatch&)> relayChanges;
+        /// @param formerValues values before the changes, if they are kept
+        std::function<void(Revision from, const WatchBatch&, const StoreValues& formerValues)> relayChanges;
         /// Called when the store is read, with the cause.
         std::function<void(ReadCause)> readStarted;
         /// Called when changes arrive that later ones in the same batch replace, with their number.
@@ -76,8 +77,11 @@
     /// Reads and follows the store until the event loop ends.
     boost::asio::awaitable<void> run();
 
-    /// Applies changes that an observer relayed.
-    void applyRelayedChanges(const ViewChanges& changes, TimePoint now);
+    /// @name Apply changes that an observer relayed
+    /// @{
+    void applyRelayed(const ViewChanges& changes, TimePoint now);
+    void applyRelayed(const ViewDelta& delta, TimePoint now);
+    /// @}
     /// Applies an observer's progress report.
     void applyProgress(const ViewProgress& reported, TimePoint now);
     ViewProgress progress(TimePoint now) const { return m_view.progress(now); }
@@ -93,6 +97,9 @@
     Duration nextRetryDelay();
     void applyBatch(WatchBatch batch, ChangeSource source, TimePoint confirmedAt);
     void updateKeys(const std::vector<StoreItem>& items);
+    void updateValues(const StoreItem& item);
+    /// @return the value that a difference makes; none if its former value is not known
+    std::optional<std::string> resolve(const ViewDelta& delta) const;
     /// Drops changes that the copy already contains: an older version of a key must not replace a newer one.
     static void dropKnownChanges(WatchBatch& batch, Revision known);
     static std::optional<Revision> lastChange(const WatchBatch& batch);
@@ -116,6 +123,10 @@
     RelayedView m_view;
     /// Keys of the copy.
     std::set<std::string> m_keys;
+    /// Values of the copy and those before them, to which relayed differences refer: two observers may group changes
+    /// differently. Empty with CatchUp::History.
+    StoreValues m_values;
+    StoreValues m_formerValues;
     /// Revision of the copy when the store no longer had the history after it.
     std::optional<Revision> m_historyLostAfter;
     /// A call to the store failed, and there has been no contact since, neither directly nor through an observer.
--- a/src/gateway/store_follower_test.cpp
+++ b/src/gateway/store_follower_test.cpp
@@ -39,17 +39,23 @@
 
 using boost::asio::awaitable;
 
-/// A store with one key that is overwritten. Like the platform's store, a watch returns each version of the key, a few
-/// in one response.
+/// A store with one large key that is overwritten. Like the platform's store, a watch returns each version of the key,
+/// a few in one response.
 class OverwritingStore {
 public:
     static constexpr std::size_t versionsPerResponse = 4;
 
+    OverwritingStore()
+    {
+        for (int i = 0; i < 20000; ++i)
+            m_filler += std::to_string(i) + ',';
+        write();
+    }
     void write()
     {
         ++m_revision;
-        m_versions.push_back(
-            { "op/config", "version " + std::to_string(m_revision), Revision(m_revision), firstRevision });
+        std::string value = "version " + std::to_string(m_revision) + m_filler;
+        m_versions.push_back({ "op/config", std::move(value), Revision(m_revision), firstRevision });
     }
     StoreRange current()
     {
@@ -71,6 +77,7 @@
     }
 
     Revision revision() const { return Revision(m_revision); }
+    const std::string& value() const { return m_versions.back().value; }
     /// Number of values in all responses since the last call.
     std::size_t takeValuesRead() { return std::exchange(m_valuesRead, 0); }
     bool isDown() const { return m_down; }
@@ -80,6 +87,7 @@
     static constexpr Revision firstRevision { 10 };
 
     std::int64_t m_revision = firstRevision.value();
+    std::string m_filler;
     std::vector<StoreItem> m_versions;
     std::size_t m_valuesRead = 0;
     bool m_down = false;
@@ -136,11 +144,11 @@
 /// An entry's copy of the overwritten key.
 class Entry {
 public:
-    explicit Entry(ViewRole role, CatchUp catchUp = CatchUp::CurrentState)
-        : m_follower(m_io, std::make_unique<OverwritingStoreClient>(m_io, store), "op/", catchUp, handlers(role),
-            EventLog::open(std::make_shared<spdlog::sinks::null_sink_mt>(), "entry"))
+    explicit Entry(OverwritingStore& store, ViewRole role, CatchUp catchUp = CatchUp::CurrentState)
+        : m_store(store)
+        , m_follower(m_io, std::make_unique<OverwritingStoreClient>(m_io, store), "op/", catchUp, handlers(role),
+              EventLog::open(std::make_shared<spdlog::sinks::null_sink_mt>(), "entry"))
     {
-        store.write();
         boost::asio::co_spawn(
             m_io, [this] { return m_follower.run(); }, boost::asio::detached);
         runUntilCurrent();
@@ -151,55 +159,70 @@
 
     void runUntilCurrent()
     {
-        while (m_follower.progress(bootTimeNow()).revision < store.revision())
+        while (m_follower.progress(bootTimeNow()).revision < m_store.revision())
             m_io.run_one();
     }
-    /// Runs until the copy has noticed that it lost contact with the store.
-    void runUntilContactLost()
+    void runFor(Duration time)
     {
-        boost::asio::steady_timer timer(m_io, std::chrono::milliseconds(100));
+        boost::asio::steady_timer timer(m_io, time);
         bool isOver = false;
         timer.async_wait([&isOver](const boost::system::error_code&) { isOver = true; });
         while (!isOver)
             m_io.run_one();
     }
-    /// An observer relays the change to the newest version, but not those before it.
-    void receiveLastChange()
+    /// Receives a change as a datagram.
+    void receive(const RelayedChange& change)
     {
-        Revision before(store.revision().value() - 1);
-        m_follower.applyRelayedChanges({ StoreView::Configuration, before, store.revision(), {} }, bootTimeNow());
+        auto apply = [this](const auto& each) {
+            auto decoded = decodePeerMessage(encodePeerMessage(each)).value();
+            m_follower.applyRelayed(std::get<std::decay_t<decltype(each)>>(decoded), bootTimeNow());
+        };
+        std::visit(apply, change);
     }
 
-    OverwritingStore store;
     /// Revisions of the versions that took effect.
     std::vector<std::int64_t> applied;
+    /// Value in force.
+    std::string value;
     /// For each batch of changes, the time as of which the copy was then known to be complete.
     std::vector<TimePoint> confirmations;
+    /// Changes relayed to other entries.
+    std::vector<RelayedChange> relayed;
 
 private:
+    void apply(const std::vector<StoreItem>& items)
+    {
+        for (const StoreItem& item : items) {
+            applied.push_back(item.modRevision.value());
+            value = item.value;
+        }
+    }
     StoreFollower::Handlers handlers(ViewRole role)
     {
         StoreFollower::Handlers handlers;
-        auto apply = [this](const std::vector<StoreItem>& items) {
-            for (const StoreItem& item : items)
-                applied.push_back(item.modRevision.value());
-        };
-        handlers.snapshot = [apply](const StoreRange& range, const ChangeOrigin&, TimePoint) { apply(range.items); };
-        handlers.changes = [this, apply](const WatchBatch& batch, const ChangeOrigin&, TimePoint confirmedAt) {
+        handlers.snapshot = [this](const StoreRange& range, const ChangeOrigin&, TimePoint) { apply(range.items); };
+        handlers.changes = [this](const WatchBatch& batch, const ChangeOrigin&, TimePoint confirmedAt) {
             apply(batch.items);
             confirmations.push_back(confirmedAt);
         };
         handlers.role = [role] { return role; };
-        handlers.relayChanges = [](Revision, const WatchBatch&) {};
+        handlers.relayChanges = [this](Revision from, const WatchBatch& batch, const StoreValues& former) {
+            for (RelayedChange& change : splitChanges(StoreView::Configuration, from, batch, former))
+                relayed.push_back(std::move(change));
+        };
         handlers.readStarted = [](ReadCause) {};
         handlers.supersededReceived = [](std::size_t) {};
         return handlers;
     }
 
+    OverwritingStore& m_store;
     boost::asio::io_context m_io;
     StoreFollower m_follower;
 };
 
+/// Within this time a copy notices that the store refuses its calls.
+constexpr Duration timeToLoseContact = std::chrono::milliseconds(100);
+
 enum class Miss {
     /// The store refused this entry while the versions were written.
     StoreRefused,
@@ -247,20 +270,23 @@
 // the more it missed, so an entry that was cut off stays behind for as long as changes go on.
 BOOST_DATA_TEST_CASE(missed_versions_are_not_replayed, data::make(missedCases), each)
 {
-    Entry entry(each.role);
+    OverwritingStore store;
+    Entry entry(store, each.role);
     bool refused = each.miss == Miss::StoreRefused;
-    entry.store.setDown(refused);
+    store.setDown(refused);
     if (refused)
-        entry.runUntilContactLost();
+        entry.runFor(timeToLoseContact);
     for (int i = 0; i < each.versions; ++i)
-        entry.store.write();
-    entry.store.setDown(false);
+        store.write();
+    store.setDown(false);
+    Revision beforeLast(store.revision().value() - 1);
     if (!refused)
-        entry.receiveLastChange();
+        entry.receive(ViewChanges { StoreView::Configuration, beforeLast, store.revision(), {} });
     entry.runUntilCurrent();
-    BOOST_TEST(entry.applied == std::vector<std::int64_t> { entry.store.revision().value() },
-        boost::test_tools::per_element());
-    BOOST_TEST(entry.store.takeValuesRead() == 1u);
+    BOOST_TEST(
+        entry.applied == std::vector<std::int64_t> { store.revision().value() }, boost::test_tools::per_element());
+    BOOST_TEST((entry.value == store.value()));
+    BOOST_TEST(store.takeValuesRead() == 1u);
 }
 
 struct CatchUpCase {
@@ -278,13 +304,14 @@
 // on old copies. Afterwards the copy must count as current again.
 BOOST_DATA_TEST_CASE(part_of_the_history_confirms_nothing, data::make(catchUpCases), each)
 {
-    Entry entry(ViewRole::Alone, each.catchUp);
-    entry.store.setDown(true);
-    entry.runUntilContactLost();
+    OverwritingStore store;
+    Entry entry(store, ViewRole::Alone, each.catchUp);
+    store.setDown(true);
+    entry.runFor(timeToLoseContact);
     constexpr int missed = 10;
     for (int i = 0; i < missed; ++i)
-        entry.store.write();
-    entry.store.setDown(false);
+        store.write();
+    store.setDown(false);
     TimePoint restored = bootTimeNow();
     entry.runUntilCurrent();
     BOOST_REQUIRE(!entry.confirmations.empty());
@@ -292,3 +319,49 @@
     for (std::size_t i = 0; i + 1 < entry.confirmations.size(); ++i)
         BOOST_TEST((entry.confirmations[i] < restored));
 }
+
+struct RelayCase {
+    const char* name;
+    /// Indices of relayed changes that reach the follower, in order: observer a relays each of three versions (0 to 2),
+    /// observer b only the last (3).
+    std::vector<std::size_t> received;
+    std::size_t valuesRead;
+};
+std::ostream& operator<<(std::ostream& out, const RelayCase& each) { return out << each.name; }
+
+const RelayCase relayCases[] = {
+    { "one_observer", { 0, 1, 2 }, 0 },
+    { "each_twice", { 0, 0, 1, 1, 2, 2 }, 0 },
+    { "observer_that_groups_versions_first", { 3, 0, 1, 2 }, 0 },
+    { "observer_that_groups_versions_in_between", { 0, 3, 1, 2 }, 0 },
+    { "first_lost", { 1, 2 }, 1 },
+    { "last_out_of_order", { 0, 2, 1 }, 1 },
+};
+
+// Guards against followers that read a large value from the store for each change of a few bytes: over a narrow link
+// between regions that takes seconds with many entries. A difference that can't be applied must not alter the copy.
+BOOST_DATA_TEST_CASE(differences_keep_followers_current, data::make(relayCases), each)
+{
+    OverwritingStore store;
+    Entry a(store, ViewRole::Observer);
+    Entry b(store, ViewRole::Observer);
+    Entry follower(store, ViewRole::Follower);
+    constexpr int versions = 3;
+    for (int i = 0; i < versions; ++i) {
+        store.write();
+        a.runUntilCurrent();
+    }
+    // Observer b was refused meanwhile and reads the present value only.
+    b.receive(ViewChanges { StoreView::Configuration, store.revision(), store.revision(), {} });
+    b.runUntilCurrent();
+    std::vector<RelayedChange> relayed = a.relayed;
+    relayed.insert(relayed.end(), b.relayed.begin(), b.relayed.end());
+    BOOST_REQUIRE(relayed.size() == versions + 1u);
+    (void)store.takeValuesRead();
+    for (std::size_t index : each.received)
+        follower.receive(relayed[index]);
+    follower.runUntilCurrent();
+    BOOST_TEST((follower.value == store.value()));
+    BOOST_TEST(store.takeValuesRead() == each.valuesRead);
+    BOOST_TEST(std::is_sorted(follower.applied.begin(), follower.applied.end()));
+}
--- a/src/include/wisteriayard/relayed_view.h
+++ b/src/include/wisteriayard/relayed_view.h
@@ -68,6 +68,8 @@
     /// @param lastChange revision of the last of them; none if nothing changed
     /// @return whether the copy now includes them; false if it has no copy or changes before `from` are missing
     bool advanceFromObserver(Revision from, Revision to, std::optional<Revision> lastChange, TimePoint now);
+    /// An observer announced a change that can't be applied to the copy.
+    void announce(Revision change, TimePoint now);
     /// Applies an observer's progress report.
     void applyProgress(const ViewProgress& reported, TimePoint now);
 
@@ -81,8 +83,6 @@
     ViewProgress progress(TimePoint now) const;
 
 private:
-    /// Records that there is a change that the copy lacks.
-    void recordGap(Revision change, TimePoint now);
     void advance(Revision to, std::optional<Revision> lastChange, TimePoint confirmedAt);
     /// Ends the gap if the copy has reached all changes that are known to exist.
     void closeGap();
--- a/src/libstore/store_types.h
+++ b/src/libstore/store_types.h
@@ -2,6 +2,7 @@
 
 #include "wisteriayard/units.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -19,6 +20,9 @@
     Revision createRevision;
 };
 
+/// Items by key.
+using StoreValues = std::map<std::string, StoreItem>;
+
 /// Consistency of a read.
 enum class ReadConsistency {
     /// The current state, including all writes completed before the read.
--- a/src/libwisteriayard/hash.cpp
+++ b/src/libwisteriayard/hash.cpp
@@ -7,6 +7,13 @@
 
 namespace wisteriayard {
 
+std::uint64_t fnv1a(std::string_view text, std::uint64_t value)
+{
+    for (unsigned char c : text)
+        value = (value ^ c) * 1099511628211ULL;
+    return value;
+}
+
 std::string toHex(std::string_view bytes)
 {
     constexpr char digits[] = "0123456789abcdef";
--- a/src/libwisteriayard/relayed_view.cpp
+++ b/src/libwisteriayard/relayed_view.cpp
@@ -44,8 +44,10 @@
         advance(to, lastChange, confirmedAt);
 }
 
-void RelayedView::recordGap(Revision change, TimePoint now)
+void RelayedView::announce(Revision change, TimePoint now)
 {
+    if (!m_revision || change <= *m_revision)
+        return;
     m_announcedChange = std::max(m_announcedChange, change);
     if (!m_gapSince)
         m_gapSince = now;
@@ -62,7 +64,7 @@
     if (!m_revision)
         return false;
     if (from > *m_revision) {
-        recordGap(std::max(from, lastChange.value_or(from)), now);
+        announce(std::max(from, lastChange.value_or(from)), now);
         return false;
     }
     advance(to, lastChange, now);
@@ -74,7 +76,7 @@
     if (!m_revision)
         return;
     if (reported.lastChange > *m_revision) {
-        recordGap(reported.lastChange, now);
+        announce(reported.lastChange, now);
         return;
     }
     advance(reported.revision, std::nullopt, now - reported.age);
--- a/src/libwisteriayard/rendezvous.cpp
+++ b/src/libwisteriayard/rendezvous.cpp
@@ -1,21 +1,12 @@
 #include "wisteriayard/rendezvous.h"
 
+#include "wisteriayard/hash.h"
+
 #include <algorithm>
 #include <tuple>
 
 namespace wisteriayard {
 
-namespace {
-
-    std::uint64_t fnv1a(std::string_view text, std::uint64_t value)
-    {
-        for (unsigned char c : text)
-            value = (value ^ c) * 1099511628211ULL;
-        return value;
-    }
-
-} // namespace
-
 std::uint64_t mixHash(std::uint64_t value)
 {
     value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -25,7 +16,7 @@
 
 std::uint64_t rendezvousWeight(std::string_view key, const InstanceId& instance)
 {
-    std::uint64_t value = fnv1a(key, 14695981039346656037ULL);
+    std::uint64_t value = fnv1a(key);
     value = fnv1a(std::string_view("\0", 1), value);
     // With FNV alone, similar names would have similar high bits.
     return mixHash(fnv1a(instance.value(), value));
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -81,6 +81,7 @@
     ViewRead = 708,
     LimitEntriesChanged = 709,
     ViewChangesReceived = 710,
+    ViewDeltaRejected = 711,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
