Do not relay changes that a later page of a range adds

The item now comes with the next watch. changed_between_two_pages failed before (revision 31 relayed as part of the changes up to 30).

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -66,7 +66,8 @@
     std::set<std::string> removed = keys;
     for (const StoreItem& item : range.items) {
         removed.erase(item.key);
-        if (item.modRevision > from)
+        // Later pages may have newer changes, but not all of them; the next watch returns them.
+        if (item.modRevision > from && item.modRevision <= range.revision)
             batch.items.push_back(item);
     }
     for (const std::string& key : removed)
--- a/src/gateway/store_follower_test.cpp
+++ b/src/gateway/store_follower_test.cpp
@@ -35,6 +35,7 @@
     { "added", { "a" }, { { "a", 3 }, { "c", 25 } }, { "c" } },
     { "removed", { "a", "b" }, { { "a", 3 } }, { "-b" } },
     { "replaced", { "a", "b" }, { { "c", 12 } }, { "-a", "-b", "c" } },
+    { "changed_between_two_pages", { "a", "b" }, { { "a", 3 }, { "b", 31 } }, {} },
 };
 
 using boost::asio::awaitable;
