End watches of entries without observers sooner

Callers got answers by a version that a later one had replaced more than 2.5 s before.

Cause: a watch that hangs since a short silence of the store ended after 3.7 s, then came the retry and the read; changes must be in force 2.5 s after their acknowledgement, from 3 s after the disturbance on.

A watch may now hang for 2.3 s.

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -17,8 +17,10 @@
     /// Maximum delay of a follower, which doubles its delay after each failure. During an outage of the store the
     /// observers keep retrying and report its end.
     constexpr Duration maxRetryDelay = std::chrono::seconds(2);
-    /// Timeout of a watch without a response from the store, for an entry that no other entry relies on.
-    constexpr Duration aloneWatchTimeout = std::chrono::seconds(3);
+    /// Timeout of a watch without a response from the store, for an entry that no other entry relies on. A watch that
+    /// hangs since a disturbance of the store must end, and be followed by a read, within the 2.5 to 3 s that the first
+    /// sites allow.
+    constexpr Duration aloneWatchTimeout = std::chrono::milliseconds(1600);
     /// The same for an observer, whose followers rely on the responses, and for an entry that waits until observers are
     /// available again.
     constexpr Duration regionWatchTimeout = std::chrono::milliseconds(1000);
--- a/src/gateway/store_follower_test.cpp
+++ b/src/gateway/store_follower_test.cpp
@@ -81,6 +81,9 @@
     const std::string& value() const { return m_versions.back().value; }
     /// Number of values in all responses since the last call.
     std::size_t takeValuesRead() { return std::exchange(m_valuesRead, 0); }
+    /// Timeout of the last watch.
+    Duration watchTimeout() const { return m_watchTimeout; }
+    void setWatchTimeout(Duration timeout) { m_watchTimeout = timeout; }
     bool isDown() const { return m_down; }
     void setDown(bool down) { m_down = down; }
 
@@ -91,6 +94,7 @@
     std::string m_filler;
     std::vector<StoreItem> m_versions;
     std::size_t m_valuesRead = 0;
+    Duration m_watchTimeout {};
     bool m_down = false;
 };
 
@@ -113,6 +117,7 @@
         std::function<void(const WatchBatch&)> handler, std::function<bool()> keepWatching) override
     {
         boost::asio::steady_timer timer(m_io);
+        m_store.setWatchTimeout(idleTimeout);
         Revision seen(start.value() - 1);
         TimePoint respondBy = bootTimeNow() + idleTimeout;
         while (keepWatching()) {
@@ -366,3 +371,24 @@
     BOOST_TEST(store.takeValuesRead() == each.valuesRead);
     BOOST_TEST(std::is_sorted(follower.applied.begin(), follower.applied.end()));
 }
+
+struct WatchCase {
+    const char* name;
+    ViewRole role;
+};
+std::ostream& operator<<(std::ostream& out, const WatchCase& each) { return out << each.name; }
+
+const WatchCase watchCases[] = { { "alone", ViewRole::Alone }, { "observer", ViewRole::Observer } };
+
+// Guards against a watch that hangs since a short disturbance of the store for longer than the 3 s after which changes
+// must be in force again: its timeout, the adapter's margin of 0.7 s and the retry after 0.25 s must fit into that
+// time.
+BOOST_DATA_TEST_CASE(hung_watch_ends_in_time, data::make(watchCases), each)
+{
+    OverwritingStore store;
+    Entry entry(store, each.role);
+    entry.runFor(timeToLoseContact);
+    constexpr Duration allowed = std::chrono::milliseconds(3000 - 700 - 250);
+    BOOST_TEST((store.watchTimeout() > Duration(0)));
+    BOOST_TEST((store.watchTimeout() < allowed));
+}
