--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -44,6 +44,8 @@
           "Time from the whole request to the head of the answer, by route"))
     , m_refusals(counter(*m_registry, "wisteriayard_gateway_refusals_total", "Requests refused, by reason"))
     , m_attempts(counter(*m_registry, "wisteriayard_gateway_attempts_total", "Attempts at endpoints, by outcome"))
+    , m_brokenAttempts(counter(*m_registry, "wisteriayard_gateway_broken_attempts_total",
+          "Attempts without a complete answer, by whether it had begun"))
     , m_retries(counter(*m_registry, "wisteriayard_gateway_retries_total",
           "Attempts after the first, by whether the budget allowed them"))
     , m_pauses(counter(*m_registry, "wisteriayard_gateway_endpoint_pauses_total",
@@ -93,6 +95,11 @@
     m_attempts.Add({ { "outcome", outcome } }).Increment();
 }
 
+void GatewayMetrics::attemptBroken(bool begun)
+{
+    m_brokenAttempts.Add({ { "begun", begun ? "yes" : "no" } }).Increment();
+}
+
 void GatewayMetrics::retryRequested(bool allowed)
 {
     m_retries.Add({ { "allowed", allowed ? "yes" : "no" } }).Increment();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -28,6 +28,8 @@
     void firstEventReceived(const std::string& route, Duration time);
     void requestRefused(PlacementRefusal reason);
     void attemptEnded(const std::string& outcome);
+    /// @param begun whether the endpoint had begun to answer
+    void attemptBroken(bool begun);
     void retryRequested(bool allowed);
     void endpointPaused();
     /// @param further whether the request had been sent to an endpoint before
@@ -57,6 +59,7 @@
     prometheus::Family<prometheus::Histogram>& m_firstEvent;
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_brokenAttempts;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_pauses;
     prometheus::Family<prometheus::Counter>& m_limitedRequests;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -20,6 +20,7 @@
     metrics.firstEventReceived("r", Duration(1));
     metrics.requestRefused(PlacementRefusal::Overloaded);
     metrics.attemptEnded("delivered");
+    metrics.attemptBroken(false);
     metrics.retryRequested(true);
     metrics.endpointPaused();
     metrics.limitedRequestSent(false);
@@ -62,6 +63,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 18u);
+    BOOST_TEST(code.size() == 19u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -102,7 +102,7 @@
         m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
     if (change == HealthChange::Restored)
         m_state.log->write(Event::EndpointTakenBack, { { "endpoint", id.value() } });
-    logAttempt(outcome, id, now);
+    logAttempt(outcome, id, placement.firstEventSeen, now);
     co_return outcome;
 }
 
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -48,6 +48,17 @@
         std::string operator()(const TimedOut&) const { return "timed_out"; }
     };
 
+    /// Maximum number of prompt segments in a log line.
+    constexpr std::size_t maxLoggedSegments = 8;
+
+    nlohmann::json segmentsField(const std::vector<SegmentTag>& segments)
+    {
+        nlohmann::json field = nlohmann::json::array();
+        for (std::size_t i = 0; i < std::min(segments.size(), maxLoggedSegments); ++i)
+            field.push_back(static_cast<std::uint32_t>(segments[i]));
+        return field;
+    }
+
     /// Name of an outcome without its reason, as a metric label.
     std::string outcomeMetricLabel(const AttemptOutcome& outcome)
     {
@@ -75,6 +86,7 @@
     if (!traits)
         return LocalResponse { 400, "bad_request", traits.error().message, std::nullopt };
     m_traits = std::move(traits.value());
+    m_sharedSegments = sharedSegments(m_traits.prompt);
     m_deadline = m_request.arrivedAt + m_traits.timeLeft.value_or(defaultTimeLeft);
     if (!m_routes)
         return LocalResponse { 503, "no_configuration", "the configuration is not known yet", defaultRetryAfter };
@@ -323,13 +335,16 @@
         now);
 }
 
-void RequestHandler::logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, TimePoint now)
+void RequestHandler::logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, bool begun, TimePoint now)
 {
     if (std::holds_alternative<Delivered>(outcome))
         return;
+    if (std::holds_alternative<MayHaveExecuted>(outcome))
+        m_state.metrics.attemptBroken(begun);
     m_state.logRequest(Event::AttemptFailed,
         { { "request", m_traits.id.value() }, { "endpoint", endpoint.value() }, { "reason", outcomeName(outcome) },
-            { "may_have_run", m_mayHaveExecuted }, { "last_event", m_lastEvent.value_or(0) } },
+            { "may_have_run", m_mayHaveExecuted }, { "last_event", m_lastEvent.value_or(0) }, { "begun", begun },
+            { "segments", begun ? nlohmann::json() : segmentsField(m_sharedSegments) } },
         now);
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -112,13 +112,15 @@
     PlacementRequest placementRequest(TimePoint now) const;
     ForwardingHeaders forwardingHeaders(const EndpointRecord& record, TimePoint now) const;
     void logAdmitted(const Placement& placement, const EndpointId& endpoint, TimePoint now);
-    void logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, TimePoint now);
+    /// @param begun whether the endpoint had begun to answer in this attempt
+    void logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, bool begun, TimePoint now);
     void logEnd(Event event, const std::string& outcome, const std::string& detail);
 
     GatewayState& m_state;
     boost::asio::ip::tcp::socket& m_caller;
     CallerRequest m_request;
     RequestTraits m_traits;
+    std::vector<SegmentTag> m_sharedSegments;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
     TargetId m_target;
