--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -306,9 +306,43 @@
         # with this Retry-After value, without executing them.
         self.announces_shutdown, self.retry_after = False, None
         self.rate_limit = RateLimit()
+        # Ids of prompt segments under which the endpoint crashes when it begins to answer, and the arrivals of requests
+        # with one of them. `crashes` has the times at which it crashed.
+        self.crashing_segments, self.crashing_arrivals, self.crashes = set(), [], []
+        self.connections, self.crash_lock = [], threading.Lock()
+        self.restarted = lambda endpoint: None
         self.random = random.Random(name)
         super().__init__(EndpointHandler)
 
+    def get_request(self):
+        connection, address = super().get_request()
+        self.connections = [each for each in self.connections if each.fileno() >= 0] + [connection]
+        return connection, address
+
+    def crash(self, down_s=0.7):
+        """Ends all connections and refuses new ones for a while. Then calls `restarted`."""
+        with self.crash_lock:
+            if self.crashes and time.monotonic() - self.crashes[-1] < down_s:
+                return
+            self.crashes.append(time.monotonic())
+        threading.Thread(target=self._restart, args=(down_s,), daemon=True).start()
+
+    def _restart(self, down_s):
+        self.shutdown()
+        self.server_close()
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # already closed
+        time.sleep(down_s)
+        self.started_ms += 1
+        self.socket = socket.socket(self.address_family, self.socket_type)
+        self.server_bind()
+        self.server_activate()
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+        self.restarted(self)
+
     def entry(self, address=None, state="ready"):
         return json.dumps({"service": self.service, "address": address or self.address, "zone": self.zone,
                            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "sequence": 1,
@@ -337,7 +371,14 @@
         endpoint.tenants[request] = headers.get("Tenant")
         if endpoint.endless:
             return self.send_endless(endpoint, request)
+        segments = {part.split(":")[0] for part in headers.get("Prompt-Prefix", "").split(",")}
+        crashing = bool(segments & endpoint.crashing_segments)
+        if crashing:
+            endpoint.crashing_arrivals.append((time.monotonic(), request))
         time.sleep(endpoint.delay_s)
+        if crashing:
+            self.close_connection = True
+            return endpoint.crash()
         if endpoint.random.random() < endpoint.fail:
             return self.answer(500, {"error": "own"}, self.response_headers(request))
         if endpoint.events:
