--- /dev/null
+++ b/src/gateway/crash_guard.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "event_log.h"
+#include "gateway_metrics.h"
+#include "platform_port.h"
+#include "wisteriayard/segment_quarantine.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace wisteriayard {
+
+/// Keeps requests away from engines if their shared prompt segments crash engines. Not thread-safe; used from the event
+/// loop's thread only.
+class CrashGuard {
+public:
+    CrashGuard(boost::asio::io_context& io, std::shared_ptr<EventLog> log, GatewayMetrics& metrics);
+
+    /// Sets the order in which entries may send a request with a quarantined segment on trial.
+    void setTrialTurn(SegmentQuarantine::TrialTurn turn) { m_trialTurn = std::move(turn); }
+    /// @param onChange called when a segment is put in quarantine or released
+    void setChangeHandler(std::function<void(const QuarantineChange&)> onChange) { m_onChange = std::move(onChange); }
+
+    /// @return time until a request with these segments can be tried again; none if it may be sent now
+    std::optional<Duration> refusal(const std::vector<SegmentTag>& segments, TimePoint now);
+    bool mayRetry(const std::vector<SegmentTag>& segments) const { return m_quarantine.mayRetry(segments); }
+    void answerBegan(const std::vector<SegmentTag>& segments, TimePoint now);
+    /// Finds out whether an endpoint crashed whose connection broke before it began to answer, and records it.
+    /// @param at time at which the connection broke
+    boost::asio::awaitable<void> connectionBroke(
+        EndpointRecord endpoint, std::vector<SegmentTag> segments, TimePoint at);
+
+    /// @name Exchange with other entries and the store
+    /// @{
+    QuarantineReport report(TimePoint now) const { return m_quarantine.report(now); }
+    void applyReport(const QuarantineReport& report, TimePoint now);
+    void restore(SegmentTag segment, TimePoint now);
+    /// @}
+
+    /// Registers an attempt that waits for the beginning of its answer, until destruction.
+    class WaitingAttempt {
+    public:
+        /// @param abort called if one of the segments is put in quarantine meanwhile
+        WaitingAttempt(CrashGuard& guard, const std::vector<SegmentTag>& segments, std::function<void()> abort);
+        WaitingAttempt(const WaitingAttempt&) = delete;
+        WaitingAttempt& operator=(const WaitingAttempt&) = delete;
+        ~WaitingAttempt();
+
+    private:
+        friend class CrashGuard;
+        CrashGuard& m_guard;
+        const std::vector<SegmentTag>& m_segments;
+        std::function<void()> m_abort;
+        std::list<WaitingAttempt*>::iterator m_position;
+    };
+
+private:
+    /// Result of a connection attempt to an endpoint.
+    struct Probe {
+        TimePoint startedAt {};
+        /// Absent while the attempt is in progress.
+        std::optional<bool> refused;
+    };
+
+    /// Whether an endpoint accepts no connections. Attempts at the same time share one connection.
+    boost::asio::awaitable<bool> refusesConnections(EndpointRecord endpoint);
+    void publishChanges(std::string_view source);
+
+    boost::asio::io_context& m_io;
+    std::shared_ptr<EventLog> m_log;
+    GatewayMetrics& m_metrics;
+    SegmentQuarantine m_quarantine;
+    SegmentQuarantine::TrialTurn m_trialTurn = [](SegmentTag) { return 0; };
+    std::function<void(const QuarantineChange&)> m_onChange = [](const QuarantineChange&) {};
+    std::map<EndpointId, std::shared_ptr<Probe>> m_probes;
+    std::list<WaitingAttempt*> m_waiting;
+};
+
+} // namespace wisteriayard
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway_state.h"
 #include "http_server.h"
 #include "peer_exchange.h"
+#include "quarantine_store.h"
 #include "store_follower.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -80,6 +81,7 @@
                   CatchUp::CurrentState, configHandlers(), m_state.log)
             , m_endpoints(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), platform.endpointPrefix(),
                   CatchUp::History, endpointHandlers(), m_state.log)
+            , m_quarantine(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), m_state.crashGuard, m_state.log)
         {
         }
 
@@ -95,11 +97,17 @@
             }
             BOOST_OUTCOME_TRY(m_peers.open());
             m_peers.setViews(peerViews());
+            m_state.crashGuard.setTrialTurn([this](SegmentTag segment) { return m_peers.trialTurn(segment); });
+            m_state.crashGuard.setChangeHandler([this](const QuarantineChange& change) {
+                if (m_peers.trialTurn(change.segment) == 0)
+                    m_quarantine.changed(change);
+            });
             if (m_state.settings.reportsUsage)
                 startUsage();
             spawn([this] { return m_state.watchdog.run([this](Duration gap) { handleProcessPause(gap); }); });
             spawn([this] { return m_config.run(); });
             spawn([this] { return m_endpoints.run(); });
+            spawn([this] { return m_quarantine.run(); });
             spawn([this] { return m_peers.followRegistrations(); });
             spawn([this] { return m_peers.keepRegistered(); });
             spawn([this] { return m_peers.sendLoads(); });
@@ -457,6 +465,7 @@
         PeerExchange m_peers;
         StoreFollower m_config;
         StoreFollower m_endpoints;
+        QuarantineStore m_quarantine;
         std::list<std::weak_ptr<CallerSession>> m_sessions;
         std::string m_settingsError;
     };
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -50,6 +50,12 @@
           "Attempts after the first, by whether the budget allowed them"))
     , m_pauses(counter(*m_registry, "wisteriayard_gateway_endpoint_pauses_total",
           "Answers after which an endpoint gets no requests for the time that it named"))
+    , m_crashes(counter(*m_registry, "wisteriayard_gateway_waiting_attempts_crashed_total",
+          "Attempts whose endpoint crashed before it began to answer"))
+    , m_quarantineRefusals(counter(*m_registry, "wisteriayard_gateway_quarantine_refusals_total",
+          "Requests refused because engines crash under one of their prompt segments"))
+    , m_quarantinedSegments(gauge(
+          *m_registry, "wisteriayard_gateway_quarantined_segments", "Prompt segments that are not sent to engines"))
     , m_limitedRequests(counter(*m_registry, "wisteriayard_gateway_limited_requests_total",
           "Requests sent to endpoints that name a rate limit, by attempt"))
     , m_peerDatagrams(counter(*m_registry, "wisteriayard_gateway_peer_datagrams_refused_total",
@@ -107,6 +113,15 @@
 
 void GatewayMetrics::endpointPaused() { m_pauses.Add({}).Increment(); }
 
+void GatewayMetrics::endpointCrashed() { m_crashes.Add({}).Increment(); }
+
+void GatewayMetrics::quarantineRefused() { m_quarantineRefusals.Add({}).Increment(); }
+
+void GatewayMetrics::setQuarantinedSegments(std::size_t count)
+{
+    m_quarantinedSegments.Add({}).Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::limitedRequestSent(bool further)
 {
     m_limitedRequests.Add({ { "attempt", further ? "further" : "first" } }).Increment();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -32,6 +32,10 @@
     void attemptBroken(bool begun);
     void retryRequested(bool allowed);
     void endpointPaused();
+    /// An endpoint crashed before it began to answer a request.
+    void endpointCrashed();
+    void quarantineRefused();
+    void setQuarantinedSegments(std::size_t count);
     /// @param further whether the request had been sent to an endpoint before
     void limitedRequestSent(bool further);
     void peerDatagramRefused();
@@ -62,6 +66,9 @@
     prometheus::Family<prometheus::Counter>& m_brokenAttempts;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_pauses;
+    prometheus::Family<prometheus::Counter>& m_crashes;
+    prometheus::Family<prometheus::Counter>& m_quarantineRefusals;
+    prometheus::Family<prometheus::Gauge>& m_quarantinedSegments;
     prometheus::Family<prometheus::Counter>& m_limitedRequests;
     prometheus::Family<prometheus::Counter>& m_peerDatagrams;
     prometheus::Family<prometheus::Counter>& m_viewReads;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -23,6 +23,9 @@
     metrics.attemptBroken(false);
     metrics.retryRequested(true);
     metrics.endpointPaused();
+    metrics.endpointCrashed();
+    metrics.quarantineRefused();
+    metrics.setQuarantinedSegments(1);
     metrics.limitedRequestSent(false);
     metrics.peerDatagramRefused();
     metrics.setEndpointCount(1);
@@ -63,6 +66,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 19u);
+    BOOST_TEST(code.size() == 22u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -27,6 +27,7 @@
     , watchdog(loop)
     , pool(loop)
     , directory(settings, platform, log, [this](const EndpointId& id) { pool.drop(id); })
+    , crashGuard(loop, log, metrics)
     , requestLogBudget(requestLogLinesPerSecond, requestLogLinesBurst)
 {
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_guard.h"
 #include "endpoint_directory.h"
 #include "endpoint_pool.h"
 #include "event_log.h"
@@ -39,6 +40,7 @@
     EndpointPool pool;
     EndpointDirectory directory;
     GatewayMetrics metrics;
+    CrashGuard crashGuard;
     /// Null before the first configuration.
     std::shared_ptr<const RouteTable> routes;
     std::shared_ptr<UsageReporter> usage;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -202,6 +202,15 @@
     return std::find(candidates.begin(), candidates.end(), m_state.settings.instance) != candidates.end();
 }
 
+std::size_t PeerExchange::trialTurn(SegmentTag segment) const
+{
+    TimePoint now = bootTimeNow();
+    std::string key = "trial/" + std::to_string(static_cast<std::uint32_t>(segment));
+    std::uint64_t own = rendezvousWeight(key, m_state.settings.instance);
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(),
+        [&](const auto& each) { return isLive(each.second, now) && rendezvousWeight(key, each.first) > own; }));
+}
+
 void PeerExchange::updateRole(TimePoint now)
 {
     std::vector<InstanceId> live;
@@ -306,6 +315,7 @@
     for (auto& [id, hints] : m_state.directory.nextCacheHints())
         loads.cacheHints[endpointTag(id)] = std::move(hints);
     loads.limits = m_state.directory.limitReports(now);
+    loads.quarantine = m_state.crashGuard.report(now);
     return loads;
 }
 
@@ -537,6 +547,7 @@
         for (const LimitChange& change : m_state.directory.applyLimitReports(loads.limits, now))
             m_state.logRequest(Event::EndpointLimitChanged,
                 m_state.directory.limitChangeFields(change, { { "peer", peer.value() } }), now);
+        m_state.crashGuard.applyReport(loads.quarantine, now);
     }
     if (isInSameRegion(sender)) {
         sender.loads = loads;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -88,10 +88,29 @@
                 message.add_limit_rates(limit.rate ? static_cast<float>(limit.rate->value()) : noRateLimit);
                 message.add_limit_ages_ms(clampToUint32(limit.age / std::chrono::milliseconds(1)));
             }
+            addQuarantine(message, loads.quarantine);
             message.set_leaving(loads.leaving);
             message.set_entries(loads.entryCount);
         }
 
+        static void addQuarantine(peer::Loads& message, const QuarantineReport& report)
+        {
+            constexpr auto millisecond = std::chrono::milliseconds(1);
+            for (const CrashObservation& each : report.crashes) {
+                message.add_crash_segments(static_cast<std::uint32_t>(each.segment));
+                message.add_crash_tags(static_cast<std::uint32_t>(each.crash));
+                message.add_crash_ages_ms(clampToUint32(each.age / millisecond));
+            }
+            for (const BeginObservation& each : report.begins) {
+                message.add_begun_segments(static_cast<std::uint32_t>(each.segment));
+                message.add_begun_ages_ms(clampToUint32(each.age / millisecond));
+            }
+            for (const QuarantinedSegment& each : report.quarantined) {
+                message.add_quarantined_segments(static_cast<std::uint32_t>(each.segment));
+                message.add_quarantined_ages_ms(clampToUint32(each.age / millisecond));
+            }
+        }
+
         /// Adds the backlog of the last row of the endpoint table.
         static void addBacklog(peer::Loads& message, const PrefillBacklog& backlog)
         {
@@ -164,6 +183,27 @@
         }
     };
 
+    Result<QuarantineReport> decodeQuarantine(const peer::Loads& message)
+    {
+        int crashes = message.crash_segments_size();
+        int begins = message.begun_segments_size();
+        int quarantined = message.quarantined_segments_size();
+        if (message.crash_tags_size() != crashes || message.crash_ages_ms_size() != crashes
+            || message.begun_ages_ms_size() != begins || message.quarantined_ages_ms_size() != quarantined)
+            return fail(Errc::Protocol, "peer datagram: columns of crash observations have different lengths");
+        QuarantineReport report;
+        for (int i = 0; i < crashes; ++i)
+            report.crashes.push_back({ SegmentTag(message.crash_segments(i)), CrashTag(message.crash_tags(i)),
+                std::chrono::milliseconds(message.crash_ages_ms(i)) });
+        for (int i = 0; i < begins; ++i)
+            report.begins.push_back(
+                { SegmentTag(message.begun_segments(i)), std::chrono::milliseconds(message.begun_ages_ms(i)) });
+        for (int i = 0; i < quarantined; ++i)
+            report.quarantined.push_back({ SegmentTag(message.quarantined_segments(i)),
+                std::chrono::milliseconds(message.quarantined_ages_ms(i)) });
+        return report;
+    }
+
     Result<std::map<EndpointTag, ReportedLimit>> decodeLimits(const peer::Loads& message)
     {
         int rows = message.limit_endpoints_size();
@@ -229,6 +269,7 @@
                 std::chrono::milliseconds(reported.age_ms()) };
         }
         BOOST_OUTCOME_TRY(loads.limits, decodeLimits(message));
+        BOOST_OUTCOME_TRY(loads.quarantine, decodeQuarantine(message));
         loads.leaving = message.leaving();
         loads.entryCount = std::max<std::uint32_t>(1, message.entries());
         return PeerMessage(std::move(loads));
@@ -304,6 +345,7 @@
         if (!inserted && aged.age < known->second.age)
             known->second = aged;
     }
+    quarantine.add(other.quarantine, age);
     for (const auto& [tag, use] : other.endpoints)
         endpoints[tag] += use;
     for (const auto& [endpoint, hints] : other.cacheHints)
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -4,6 +4,7 @@
 #include "wisteriayard/endpoint_placement.h"
 #include "wisteriayard/error.h"
 #include "wisteriayard/relayed_view.h"
+#include "wisteriayard/segment_quarantine.h"
 #include "wisteriayard/usage.h"
 #include "wisteriayard/value_delta.h"
 
@@ -49,6 +50,8 @@
     std::map<EndpointTag, std::vector<SegmentTag>> cacheHints;
     /// Recent responses of endpoints that name a rate limit or have withdrawn it.
     std::map<EndpointTag, ReportedLimit> limits;
+    /// Observations about prompt segments that may crash engines.
+    QuarantineReport quarantine;
     /// Progress of the sender's copies of the store; empty if it is not an observer.
     std::map<StoreView, ViewProgress> viewProgress;
     /// The sender is shutting down and will soon stop sending.
@@ -56,7 +59,7 @@
     /// Number of entries of the sender's region, including the sender, whose endpoint load and work are summed up.
     std::uint32_t entryCount = 1;
 
-    /// Adds the endpoint load, cache hints, work, rate limits and entry count of another report.
+    /// Adds the endpoint load, cache hints, work, rate limits, crash observations and entry count of another report.
     /// @param age time since the other report was received
     void add(const PeerLoads& other, Duration age);
 };
--- /dev/null
+++ b/src/gateway/quarantine_store.cpp
@@ -0,0 +1,121 @@
+#include "quarantine_store.h"
+
+#include "clock.h"
+#include "store_json.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <charconv>
+
+namespace wisteriayard {
+
+using boost::asio::awaitable;
+using boost::asio::use_awaitable;
+
+namespace {
+
+    const std::string prefix = "quarantine/";
+    /// The longest lease that the platform's store grants. Entries that are running keep the segment longer.
+    constexpr Duration timeToLive = std::chrono::minutes(10);
+    constexpr Duration writeInterval = std::chrono::milliseconds(200);
+    constexpr Duration retryDelay = std::chrono::seconds(1);
+    /// Limit on queued changes; a change beyond it is only known to running entries.
+    constexpr std::size_t maxPending = 64;
+
+    std::string keyOf(SegmentTag segment) { return prefix + std::to_string(static_cast<std::uint32_t>(segment)); }
+
+    std::optional<SegmentTag> segmentOf(const std::string& key)
+    {
+        std::uint32_t value = 0;
+        const char* end = key.data() + key.size();
+        auto parsed = std::from_chars(key.data() + std::min(prefix.size(), key.size()), end, value);
+        if (parsed.ec != std::errc() || parsed.ptr != end)
+            return std::nullopt;
+        return SegmentTag(value);
+    }
+
+} // namespace
+
+QuarantineStore::QuarantineStore(
+    boost::asio::io_context& io, std::unique_ptr<StoreClient> store, CrashGuard& guard, std::shared_ptr<EventLog> log)
+    : m_io(io)
+    , m_store(std::move(store))
+    , m_guard(guard)
+    , m_log(std::move(log))
+{
+}
+
+void QuarantineStore::changed(const QuarantineChange& change)
+{
+    if (m_pending.size() < maxPending || m_pending.count(change.segment) > 0)
+        m_pending[change.segment] = change.quarantined;
+}
+
+awaitable<void> QuarantineStore::run()
+{
+    boost::asio::steady_timer timer(m_io);
+    while (true) {
+        bool loaded = co_await load();
+        if (loaded)
+            break;
+        timer.expires_after(retryDelay);
+        co_await timer.async_wait(use_awaitable);
+    }
+    while (true) {
+        timer.expires_after(m_failing ? retryDelay : writeInterval);
+        co_await timer.async_wait(use_awaitable);
+        if (m_pending.empty())
+            continue;
+        auto [segment, quarantined] = *m_pending.begin();
+        bool written = co_await write(segment, quarantined);
+        // The state may have changed during the call.
+        if (written && m_pending.at(segment) == quarantined)
+            m_pending.erase(segment);
+    }
+}
+
+awaitable<bool> QuarantineStore::load()
+{
+    auto range = co_await m_store->range(prefix, prefixEnd(prefix), ReadConsistency::Linearizable);
+    if (!range) {
+        logFailure(range.error());
+        co_return false;
+    }
+    m_failing = false;
+    for (const StoreItem& item : range.value().items) {
+        if (auto segment = segmentOf(item.key))
+            m_guard.restore(*segment, bootTimeNow());
+    }
+    co_return true;
+}
+
+awaitable<bool> QuarantineStore::write(SegmentTag segment, bool quarantined)
+{
+    Transaction transaction;
+    if (quarantined) {
+        auto lease = co_await m_store->grantLease(timeToLive);
+        if (!lease) {
+            logFailure(lease.error());
+            co_return false;
+        }
+        transaction.onSuccess.emplace_back(PutOperation { keyOf(segment), "1", lease.value() });
+    } else {
+        transaction.onSuccess.emplace_back(DeleteOperation { keyOf(segment) });
+    }
+    auto result = co_await m_store->transact(std::move(transaction));
+    if (!result) {
+        logFailure(result.error());
+        co_return false;
+    }
+    m_failing = false;
+    co_return true;
+}
+
+void QuarantineStore::logFailure(const Error& error)
+{
+    if (!std::exchange(m_failing, true))
+        m_log->write(Event::QuarantineStoreFailed, { { "error", error.message } });
+}
+
+} // namespace wisteriayard
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -92,6 +92,9 @@
     else if (connection && !interruption())
         outcome = co_await exchangeWithEndpoint(connection, record, placement);
     now = bootTimeNow();
+    auto* broken = std::get_if<MayHaveExecuted>(&outcome);
+    bool mayHaveCrashed = broken && broken->connectionLost && !placement.firstEventSeen && !m_quarantined
+        && !interruption() && !m_sharedSegments.empty();
     if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
         outcome = *interrupted;
     m_endpoint.reset();
@@ -103,6 +106,8 @@
     if (change == HealthChange::Restored)
         m_state.log->write(Event::EndpointTakenBack, { { "endpoint", id.value() } });
     logAttempt(outcome, id, placement.firstEventSeen, now);
+    if (mayHaveCrashed)
+        co_await m_state.crashGuard.connectionBroke(record, m_sharedSegments, now);
     co_return outcome;
 }
 
@@ -112,7 +117,7 @@
         return EndpointOutcome::Succeeded;
     if (auto* notExecuted = std::get_if<NotExecuted>(&outcome))
         return notExecuted->reason == "connect_failed" ? EndpointOutcome::Failed : EndpointOutcome::Neutral;
-    if (std::holds_alternative<CallerDisconnected>(outcome))
+    if (std::holds_alternative<CallerDisconnected>(outcome) || m_quarantined)
         return EndpointOutcome::Neutral;
     return EndpointOutcome::Failed;
 }
@@ -163,6 +168,9 @@
     m_sentAt = bootTimeNow();
     if (m_state.directory.placement(m_target).limit(placement))
         m_state.metrics.limitedRequestSent(m_requestsSent > 1);
+    std::optional<CrashGuard::WaitingAttempt> waiting;
+    if (!m_sharedSegments.empty() && !m_headSent)
+        waiting.emplace(m_state.crashGuard, m_sharedSegments, [this] { abortIfWaiting(); });
     exchange.send(endpointRequestHead(m_request.head, m_state.platform.codec(), headers, bodySize), m_request.body);
     ResponseTraits traits;
     Status read = co_await readMatchingHead(exchange, record, placement, traits);
@@ -173,11 +181,11 @@
         // Without a response, usage is recorded only if execution has probably started. A stream counts as started with
         // its first event: not if it was interrupted before, nor if it was still queued at an endpoint that crashed,
         // but it does if only the response was lost.
-        bool mayHaveStarted
-            = m_route->kind != RequestKind::Stream || (!interruption() && placement.hasProbablyBegun(bootTimeNow()));
+        bool mayHaveStarted = m_route->kind != RequestKind::Stream
+            || (!interruption() && !m_quarantined && placement.hasProbablyBegun(bootTimeNow()));
         if (mayHaveStarted)
             recordUsage();
-        co_return MayHaveExecuted { read.error().message };
+        co_return MayHaveExecuted { read.error().message, read.error().code == Errc::Unavailable };
     }
     connection->idleLimit = traits.idleTimeout.value_or(defaultIdleLimit);
     bool statedNotExecuted
@@ -293,6 +301,7 @@
         if (!buffered.add(part.value().size()))
             co_return MayHaveExecuted { "the response exceeds the buffer limit" };
     }
+    m_state.crashGuard.answerBegan(m_sharedSegments, bootTimeNow());
     if (!success)
         co_return EndpointFailure { exchange.head(), std::move(body) };
     bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
@@ -326,6 +335,8 @@
     if (placement.firstEventSeen)
         m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
     m_lastEventAt = now;
+    if (!placement.firstEventSeen)
+        m_state.crashGuard.answerBegan(m_sharedSegments, now);
     if (!m_headSent) {
         m_firstEventDelay = now - m_request.arrivedAt;
         m_state.metrics.firstEventReceived(m_route->name, m_firstEventDelay);
@@ -349,7 +360,7 @@
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
-            co_return MayHaveExecuted { part.error().message };
+            co_return MayHaveExecuted { part.error().message, part.error().code == Errc::Unavailable };
         if (part.value().empty())
             break;
         events.feed(part.value());
@@ -360,7 +371,7 @@
             co_return MayHaveExecuted { "the stream has an unterminated event beyond the size limit" };
     }
     if (!events.pendingBytes().empty() || !m_headSent)
-        co_return MayHaveExecuted { "the stream ended in the middle of an event or without any" };
+        co_return MayHaveExecuted { "the stream ended in the middle of an event or without any", true };
     if (m_request.acceptsChunked) {
         bool written = co_await write(std::string(lastChunk));
         if (!written)
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -152,6 +152,10 @@
     while (true) {
         TimePoint now = bootTimeNow();
         m_state.directory.removeLapsed(now);
+        if (!m_headSent) {
+            if (auto wait = m_state.crashGuard.refusal(m_sharedSegments, now))
+                co_return co_await refuseQuarantined(*wait);
+        }
         auto& placement = m_state.directory.placement(m_target);
         auto decision = placement.choose(placementRequest(now), m_triedEndpoints, now);
         if (auto* refused = std::get_if<Refused>(&decision)) {
@@ -199,6 +203,10 @@
     } else {
         if (!m_route->isRetryable() || m_possibleExecutions >= m_route->maxAttempts)
             return false;
+        // Another engine may crash as well. A stream that has begun did not cause the crash.
+        bool mayHaveCrashed = m_quarantined || !m_state.crashGuard.mayRetry(m_sharedSegments);
+        if (!m_headSent && std::holds_alternative<MayHaveExecuted>(outcome) && mayHaveCrashed)
+            return false;
     }
     bool allowed = m_state.retryBudget(m_target).tryAcquireRetry(now);
     m_state.metrics.retryRequested(allowed);
@@ -238,6 +246,19 @@
     co_return co_await respond(std::move(response));
 }
 
+awaitable<bool> RequestHandler::refuseQuarantined(Duration wait)
+{
+    if (m_mayHaveExecuted)
+        co_return co_await respondToFailure(std::nullopt, nullptr);
+    logEnd(Event::RequestRefused, "refused", "prompt_quarantined, retry after " + millisecondsText(wait) + " ms");
+    LocalResponse response { 503, "prompt_quarantined", "engines crash under a part of this prompt", wait };
+    // Callers with less time left don't return: until then no engine takes the request.
+    std::string text = localResponseText(
+        response, m_state.platform.codec(), m_traits.id, m_request.keepAlive && !m_state.drainingSince);
+    bool written = co_await write(std::move(text));
+    co_return written&& m_request.keepAlive && !m_state.drainingSince;
+}
+
 awaitable<bool> RequestHandler::respondToTimeout()
 {
     logEnd(Event::RequestFailed, "timed_out", {});
@@ -311,6 +332,14 @@
     m_endpoint->socket.close(ignored);
 }
 
+void RequestHandler::abortIfWaiting()
+{
+    if (m_headSent)
+        return;
+    m_quarantined = true;
+    closeEndpoint();
+}
+
 std::optional<AttemptOutcome> RequestHandler::interruption() const
 {
     if (m_callerDisconnected)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -40,6 +40,8 @@
 /// The endpoint may have executed the request, and there is no usable response.
 struct MayHaveExecuted {
     std::string reason;
+    /// The endpoint closed the connection, so it may have crashed.
+    bool connectionLost = false;
 };
 /// The endpoint executed the request and responded with an error.
 struct EndpointFailure {
@@ -92,6 +94,9 @@
     boost::asio::awaitable<Status> forwardEvents(EndpointExchange& exchange, EventStream& events, Placement& placement);
 
     boost::asio::awaitable<bool> respond(LocalResponse response);
+    /// Refuses a request whose prompt has a segment in quarantine.
+    /// @param wait time until such a request can be tried again
+    boost::asio::awaitable<bool> refuseQuarantined(Duration wait);
     boost::asio::awaitable<bool> write(std::string text);
     /// @param retryAfter when an endpoint will probably have capacity; used if the request was not executed
     boost::asio::awaitable<bool> respondToFailure(const std::optional<EndpointFailure>& failure,
@@ -102,6 +107,8 @@
     void stopDisconnectWatch();
     void onExpired();
     void closeEndpoint();
+    /// Ends the attempt, because a segment of the prompt was put in quarantine, unless the answer has begun.
+    void abortIfWaiting();
     /// Outcome of an interrupted attempt, if the caller disconnected or the deadline passed.
     std::optional<AttemptOutcome> interruption() const;
     bool mayRetry(const AttemptOutcome& outcome, TimePoint now);
@@ -135,6 +142,8 @@
     std::shared_ptr<bool> m_watchActive;
     bool m_callerDisconnected = false;
     bool m_timedOut = false;
+    /// The attempt was ended because a segment of the prompt was put in quarantine.
+    bool m_quarantined = false;
     /// An endpoint may have executed the request.
     bool m_mayHaveExecuted = false;
     bool m_usageRecorded = false;
--- /dev/null
+++ b/src/include/wisteriayard/segment_quarantine.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "wisteriayard/cached_segments.h"
+#include "wisteriayard/units.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriayard {
+
+/// Short hash of one incarnation of an endpoint that crashed.
+enum class CrashTag : std::uint32_t {};
+
+/// An endpoint crashed before it began to answer a request with this segment.
+struct CrashObservation {
+    SegmentTag segment {};
+    CrashTag crash {};
+    /// Time since the crash.
+    Duration age {};
+};
+
+/// An endpoint began to answer a request with this segment.
+struct BeginObservation {
+    SegmentTag segment {};
+    /// Time since the first event of the answer.
+    Duration age {};
+};
+
+/// A segment that is in quarantine.
+struct QuarantinedSegment {
+    SegmentTag segment {};
+    /// Time since the last crash or trial.
+    Duration age {};
+};
+
+/// What an entry knows of segments that may crash engines, for other entries.
+struct QuarantineReport {
+    std::vector<CrashObservation> crashes;
+    std::vector<BeginObservation> begins;
+    std::vector<QuarantinedSegment> quarantined;
+
+    /// Adds the observations of another report; of several for a segment, the newest answer and quarantine are kept.
+    /// @param age time since the other report was received
+    void add(const QuarantineReport& other, Duration age);
+    bool empty() const { return crashes.empty() && begins.empty() && quarantined.empty(); }
+};
+
+/// A change that is to be logged.
+struct QuarantineChange {
+    SegmentTag segment {};
+    /// Whether the segment is now in quarantine or was released.
+    bool quarantined = false;
+    /// Number of crashes that count against the segment.
+    std::size_t crashes = 0;
+};
+
+struct QuarantineTimes {
+    /// Crashes closer together count as one: the failure of many endpoints at the same moment has another cause.
+    Duration separation = std::chrono::milliseconds(300);
+    /// Lifetime of observations.
+    Duration memory = std::chrono::seconds(60);
+    /// Time for which an own observation is reported to other entries; several rounds of reports in a large fleet.
+    Duration reporting = std::chrono::seconds(4);
+    /// Time after which one request with a quarantined segment may be sent, to find out whether it still crashes
+    /// engines. Doubles with each further crash.
+    Duration firstTrial = std::chrono::seconds(20);
+    Duration longestTrialInterval = std::chrono::minutes(10);
+    /// Entries take turns in sending the request, until one of them has a request with the segment.
+    Duration trialTurn = std::chrono::seconds(4);
+};
+
+/// Decides which shared prompt segments are not sent to engines because engines crash when they begin to answer
+/// requests with them.
+///
+/// A segment is in quarantine after a number of separate crashes, seen by any entries, at which a request with it
+/// waited for its first event, unless an engine has begun to answer a request with it since. Segments that are also
+/// part of sound requests are cleared by these. One request at a time may be sent on trial, ever more rarely; if its
+/// answer begins, the quarantine ends.
+class SegmentQuarantine {
+public:
+    /// Crashes after which a segment is in quarantine.
+    static constexpr std::size_t crashesToQuarantine = 3;
+    /// Crashes since the last answer after which a request with the segment is not sent to another engine.
+    static constexpr std::size_t crashesToRetry = 2;
+    /// Limits on the number of segments with observations, and of segments whose last answer is remembered.
+    static constexpr std::size_t maxSuspects = 512;
+    static constexpr std::size_t maxRemembered = 8192;
+    /// Limit on the observations of each kind in a report.
+    static constexpr std::size_t maxReported = 64;
+
+    explicit SegmentQuarantine(QuarantineTimes times = {})
+        : m_times(times)
+    {
+    }
+
+    /// Records that an endpoint began to answer a request with these segments.
+    void answerBegan(const std::vector<SegmentTag>& segments, TimePoint now);
+    /// Records that an endpoint crashed before it began to answer a request with these segments.
+    void endpointCrashed(CrashTag crash, const std::vector<SegmentTag>& segments, TimePoint at, TimePoint now);
+    /// Puts a segment in quarantine that was found earlier, by an entry that is gone.
+    void restore(SegmentTag segment, TimePoint now);
+
+    /// Position of this entry in the order in which entries may send a request with a segment on trial.
+    using TrialTurn = std::function<std::size_t(SegmentTag)>;
+    /// Whether a request with these segments must not be sent. A request that may be sent on trial counts as sent.
+    /// @return time until the segments can be tried again; none if the request may be sent
+    std::optional<Duration> refusal(const std::vector<SegmentTag>& segments, const TrialTurn& turn, TimePoint now);
+    /// Whether a request with these segments may be sent to another engine after a crash.
+    bool mayRetry(const std::vector<SegmentTag>& segments) const;
+    bool isQuarantined(SegmentTag segment) const;
+    std::size_t quarantinedCount() const { return m_quarantinedCount; }
+    /// Number of segments with observations and of remembered answers.
+    std::size_t size() const { return m_suspects.size() + m_lastBegin.size(); }
+
+    /// @name Exchange with other entries
+    /// @{
+    QuarantineReport report(TimePoint now) const;
+    void applyReport(const QuarantineReport& report, TimePoint now);
+    /// @}
+    /// Changes since the last call.
+    std::vector<QuarantineChange> takeChanges();
+
+private:
+    struct Crash {
+        CrashTag tag {};
+        TimePoint at {};
+        /// Observed by this entry, which reports it to others.
+        bool own = false;
+    };
+    struct Suspect {
+        /// In the order of time.
+        std::vector<Crash> crashes;
+        std::optional<TimePoint> quarantinedSince;
+        Duration trialInterval {};
+        TimePoint lastTrial {};
+        TimePoint nextTrial {};
+        /// Other entries suspect the segment although an answer to it has begun; they are told until then.
+        TimePoint reportBeginUntil {};
+    };
+
+    std::size_t separateCrashes(const Suspect& suspect) const;
+    Suspect& suspect(SegmentTag segment, TimePoint now);
+    void addCrash(SegmentTag segment, const Crash& crash, TimePoint now);
+    void quarantine(SegmentTag segment, Suspect& suspect, TimePoint since);
+    /// Time of the last crash or trial with a segment.
+    static TimePoint lastEvidence(const Suspect& suspect);
+    /// Ends the suspicion of a segment by an answer that began.
+    void clear(SegmentTag segment, TimePoint begunAt, TimePoint now);
+    /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
+    Duration timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const;
+    void startTrial(Suspect& suspect, TimePoint now);
+    TimePoint lastBegin(SegmentTag segment) const;
+    void removeOld(TimePoint now);
+
+    QuarantineTimes m_times;
+    std::unordered_map<SegmentTag, Suspect> m_suspects;
+    std::unordered_map<SegmentTag, TimePoint> m_lastBegin;
+    std::size_t m_quarantinedCount = 0;
+    std::vector<QuarantineChange> m_changes;
+};
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/libwisteriayard/segment_quarantine.cpp
@@ -0,0 +1,262 @@
+#include "wisteriayard/segment_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriayard {
+
+namespace {
+
+    /// Crashes kept for a segment; more than are needed for any decision.
+    constexpr std::size_t maxCrashes = 16;
+
+    /// Adds an observation of a segment, or replaces an older one of the same segment.
+    template <typename Observation> void keepNewest(std::vector<Observation>& kept, const Observation& observation)
+    {
+        auto known = std::find_if(kept.begin(), kept.end(),
+            [&observation](const Observation& each) { return each.segment == observation.segment; });
+        if (known != kept.end())
+            known->age = std::min(known->age, observation.age);
+        else if (kept.size() < SegmentQuarantine::maxReported)
+            kept.push_back(observation);
+    }
+
+} // namespace
+
+void QuarantineReport::add(const QuarantineReport& other, Duration age)
+{
+    for (const CrashObservation& each : other.crashes) {
+        if (crashes.size() < SegmentQuarantine::maxReported)
+            crashes.push_back({ each.segment, each.crash, each.age + age });
+    }
+    for (const BeginObservation& each : other.begins)
+        keepNewest(begins, { each.segment, each.age + age });
+    for (const QuarantinedSegment& each : other.quarantined)
+        keepNewest(quarantined, { each.segment, each.age + age });
+}
+
+TimePoint SegmentQuarantine::lastBegin(SegmentTag segment) const
+{
+    auto known = m_lastBegin.find(segment);
+    return known == m_lastBegin.end() ? TimePoint() : known->second;
+}
+
+void SegmentQuarantine::removeOld(TimePoint now)
+{
+    if (m_lastBegin.size() >= maxRemembered)
+        std::erase_if(m_lastBegin, [&](const auto& each) { return now - each.second >= m_times.memory; });
+    // Above the limit all are forgotten: it takes thousands of segments within the lifetime of observations.
+    if (m_lastBegin.size() >= maxRemembered)
+        m_lastBegin.clear();
+    auto isOld = [&](const auto& each) {
+        const Suspect& suspect = each.second;
+        return !suspect.quarantinedSince && now >= suspect.reportBeginUntil
+            && (suspect.crashes.empty() || now - suspect.crashes.back().at >= m_times.memory);
+    };
+    if (m_suspects.size() >= maxSuspects)
+        std::erase_if(m_suspects, isOld);
+    if (m_suspects.size() >= maxSuspects)
+        std::erase_if(m_suspects, [](const auto& each) { return !each.second.quarantinedSince; });
+    if (m_suspects.size() >= maxSuspects) {
+        m_suspects.clear();
+        m_quarantinedCount = 0;
+    }
+}
+
+SegmentQuarantine::Suspect& SegmentQuarantine::suspect(SegmentTag segment, TimePoint now)
+{
+    if (m_suspects.count(segment) == 0)
+        removeOld(now);
+    return m_suspects[segment];
+}
+
+std::size_t SegmentQuarantine::separateCrashes(const Suspect& suspect) const
+{
+    std::size_t count = 0;
+    std::optional<TimePoint> last;
+    for (const Crash& crash : suspect.crashes) {
+        if (last && crash.at - *last < m_times.separation)
+            continue;
+        last = crash.at;
+        ++count;
+    }
+    return count;
+}
+
+void SegmentQuarantine::quarantine(SegmentTag segment, Suspect& suspect, TimePoint since)
+{
+    suspect.quarantinedSince = since;
+    suspect.trialInterval = m_times.firstTrial;
+    suspect.nextTrial = since + suspect.trialInterval;
+    ++m_quarantinedCount;
+    m_changes.push_back({ segment, true, suspect.crashes.size() });
+}
+
+void SegmentQuarantine::addCrash(SegmentTag segment, const Crash& crash, TimePoint now)
+{
+    if (lastBegin(segment) >= crash.at) {
+        // The answer that began later clears the segment for the entry that reports the crash, too.
+        if (!crash.own)
+            suspect(segment, now).reportBeginUntil = now + m_times.reporting;
+        return;
+    }
+    Suspect& suspect = this->suspect(segment, now);
+    std::erase_if(suspect.crashes, [&](const Crash& each) { return now - each.at >= m_times.memory; });
+    auto known = std::find_if(
+        suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash& each) { return each.tag == crash.tag; });
+    if (known != suspect.crashes.end()) {
+        known->own = known->own || crash.own;
+        return;
+    }
+    if (suspect.crashes.size() >= maxCrashes)
+        suspect.crashes.erase(suspect.crashes.begin());
+    auto later = [](TimePoint at, const Crash& each) { return at < each.at; };
+    suspect.crashes.insert(std::upper_bound(suspect.crashes.begin(), suspect.crashes.end(), crash.at, later), crash);
+    if (!suspect.quarantinedSince) {
+        if (separateCrashes(suspect) >= crashesToQuarantine)
+            quarantine(segment, suspect, crash.at);
+        return;
+    }
+    // Requests sent before the quarantine may still crash engines; only a trial makes the next one later.
+    if (crash.at - *suspect.quarantinedSince >= m_times.firstTrial)
+        suspect.trialInterval = std::min(2 * suspect.trialInterval, m_times.longestTrialInterval);
+    suspect.nextTrial = std::max(suspect.nextTrial, crash.at + suspect.trialInterval);
+}
+
+void SegmentQuarantine::endpointCrashed(
+    CrashTag crash, const std::vector<SegmentTag>& segments, TimePoint at, TimePoint now)
+{
+    for (SegmentTag segment : segments)
+        addCrash(segment, { crash, at, true }, now);
+}
+
+void SegmentQuarantine::clear(SegmentTag segment, TimePoint begunAt, TimePoint now)
+{
+    auto known = m_suspects.find(segment);
+    if (known == m_suspects.end())
+        return;
+    Suspect& suspect = known->second;
+    std::erase_if(suspect.crashes, [begunAt](const Crash& crash) { return crash.at <= begunAt; });
+    suspect.reportBeginUntil = now + m_times.reporting;
+    if (!suspect.quarantinedSince || begunAt <= *suspect.quarantinedSince)
+        return;
+    suspect.quarantinedSince.reset();
+    --m_quarantinedCount;
+    m_changes.push_back({ segment, false, suspect.crashes.size() });
+}
+
+void SegmentQuarantine::answerBegan(const std::vector<SegmentTag>& segments, TimePoint now)
+{
+    for (SegmentTag segment : segments) {
+        if (m_lastBegin.count(segment) == 0)
+            removeOld(now);
+        m_lastBegin[segment] = now;
+        clear(segment, now, now);
+    }
+}
+
+void SegmentQuarantine::restore(SegmentTag segment, TimePoint now)
+{
+    Suspect& suspect = this->suspect(segment, now);
+    if (!suspect.quarantinedSince && lastBegin(segment) == TimePoint())
+        quarantine(segment, suspect, now);
+}
+
+Duration SegmentQuarantine::timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const
+{
+    return suspect.nextTrial + static_cast<Duration::rep>(turn) * m_times.trialTurn - now;
+}
+
+std::optional<Duration> SegmentQuarantine::refusal(
+    const std::vector<SegmentTag>& segments, const TrialTurn& turn, TimePoint now)
+{
+    if (m_quarantinedCount == 0)
+        return std::nullopt;
+    std::vector<Suspect*> quarantined;
+    std::optional<Duration> longest;
+    for (SegmentTag segment : segments) {
+        auto known = m_suspects.find(segment);
+        if (known == m_suspects.end() || !known->second.quarantinedSince)
+            continue;
+        quarantined.push_back(&known->second);
+        Duration wait = timeToTrial(known->second, turn(segment), now);
+        longest = std::max(longest.value_or(wait), wait);
+    }
+    if (!longest || *longest > Duration(0))
+        return longest;
+    for (Suspect* suspect : quarantined) {
+        suspect->lastTrial = now;
+        suspect->nextTrial = now + suspect->trialInterval;
+    }
+    return std::nullopt;
+}
+
+bool SegmentQuarantine::mayRetry(const std::vector<SegmentTag>& segments) const
+{
+    return std::none_of(segments.begin(), segments.end(), [this](SegmentTag segment) {
+        auto known = m_suspects.find(segment);
+        return known != m_suspects.end()
+            && (known->second.quarantinedSince || separateCrashes(known->second) >= crashesToRetry);
+    });
+}
+
+bool SegmentQuarantine::isQuarantined(SegmentTag segment) const
+{
+    if (m_quarantinedCount == 0)
+        return false;
+    auto known = m_suspects.find(segment);
+    return known != m_suspects.end() && known->second.quarantinedSince;
+}
+
+TimePoint SegmentQuarantine::lastEvidence(const Suspect& suspect)
+{
+    TimePoint last = std::max(*suspect.quarantinedSince, suspect.lastTrial);
+    return suspect.crashes.empty() ? last : std::max(last, suspect.crashes.back().at);
+}
+
+QuarantineReport SegmentQuarantine::report(TimePoint now) const
+{
+    QuarantineReport report;
+    for (const auto& [segment, suspect] : m_suspects) {
+        for (const Crash& crash : suspect.crashes) {
+            if (crash.own && now - crash.at < m_times.reporting && report.crashes.size() < maxReported)
+                report.crashes.push_back({ segment, crash.tag, now - crash.at });
+        }
+        if (suspect.quarantinedSince && report.quarantined.size() < maxReported)
+            report.quarantined.push_back({ segment, now - lastEvidence(suspect) });
+        TimePoint begin = lastBegin(segment);
+        if (now < suspect.reportBeginUntil && begin != TimePoint() && report.begins.size() < maxReported)
+            report.begins.push_back({ segment, now - begin });
+    }
+    return report;
+}
+
+void SegmentQuarantine::applyReport(const QuarantineReport& report, TimePoint now)
+{
+    for (const BeginObservation& begin : report.begins) {
+        auto known = m_suspects.find(begin.segment);
+        TimePoint at = now - begin.age;
+        if (known == m_suspects.end() || at <= lastBegin(begin.segment))
+            continue;
+        // The entry that observed the answer reports it; if others repeated that, it would never end.
+        TimePoint reportUntil = known->second.reportBeginUntil;
+        m_lastBegin[begin.segment] = at;
+        clear(begin.segment, at, now);
+        known->second.reportBeginUntil = reportUntil;
+    }
+    for (const CrashObservation& each : report.crashes)
+        addCrash(each.segment, { each.crash, now - each.age, false }, now);
+    for (const QuarantinedSegment& each : report.quarantined) {
+        Suspect& suspect = this->suspect(each.segment, now);
+        if (lastBegin(each.segment) > now - each.age)
+            suspect.reportBeginUntil = now + m_times.reporting;
+        else if (!suspect.quarantinedSince)
+            quarantine(each.segment, suspect, now - each.age);
+        else
+            suspect.nextTrial = std::max(suspect.nextTrial, now - each.age + suspect.trialInterval);
+    }
+}
+
+std::vector<QuarantineChange> SegmentQuarantine::takeChanges() { return std::exchange(m_changes, {}); }
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/libwisteriayard/segment_quarantine_test.cpp
@@ -0,0 +1,311 @@
+#define BOOST_TEST_MODULE segment_quarantine
+#include "wisteriayard/segment_quarantine.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr SegmentTag shared { 1 };
+constexpr SegmentTag deadly { 2 };
+constexpr SegmentTag other { 3 };
+
+TimePoint at(int ms) { return TimePoint(seconds(1000) + milliseconds(ms)); }
+std::size_t firstTurn(SegmentTag) { return 0; }
+
+enum class Kind { Crash, Answer };
+struct Step {
+    int ms;
+    Kind kind;
+    /// Which endpoint crashed.
+    std::uint32_t endpoint;
+};
+
+struct VerdictCase {
+    const char* name;
+    std::vector<Step> steps;
+    bool quarantined;
+    bool mayRetry;
+};
+std::ostream& operator<<(std::ostream& out, const VerdictCase& each) { return out << each.name; }
+
+const VerdictCase verdictCases[] = {
+    { "nothing", {}, false, true },
+    { "one_crash", { { 0, Kind::Crash, 1 } }, false, true },
+    { "two_crashes", { { 0, Kind::Crash, 1 }, { 400, Kind::Crash, 2 } }, false, false },
+    { "three_crashes", { { 0, Kind::Crash, 1 }, { 400, Kind::Crash, 2 }, { 800, Kind::Crash, 3 } }, true, false },
+    { "reported_several_times", { { 0, Kind::Crash, 1 }, { 400, Kind::Crash, 1 }, { 800, Kind::Crash, 1 } }, false,
+        true },
+    { "many_at_the_same_moment",
+        { { 0, Kind::Crash, 1 }, { 1, Kind::Crash, 2 }, { 5, Kind::Crash, 3 }, { 20, Kind::Crash, 4 },
+            { 250, Kind::Crash, 5 } },
+        false, true },
+    { "answer_in_between",
+        { { 0, Kind::Crash, 1 }, { 400, Kind::Crash, 2 }, { 500, Kind::Answer, 0 }, { 800, Kind::Crash, 3 } }, false,
+        true },
+    { "answer_after_the_third",
+        { { 0, Kind::Crash, 1 }, { 400, Kind::Crash, 2 }, { 800, Kind::Crash, 3 }, { 900, Kind::Answer, 0 } }, false,
+        true },
+    { "three_crashes_after_an_answer",
+        { { 0, Kind::Answer, 0 }, { 100, Kind::Crash, 1 }, { 500, Kind::Crash, 2 }, { 900, Kind::Crash, 3 } }, true,
+        false },
+    { "long_ago", { { 0, Kind::Crash, 1 }, { 400, Kind::Crash, 2 }, { 70'000, Kind::Crash, 3 } }, false, true },
+};
+
+} // namespace
+
+// Guards against a segment that crashes engines and is not recognised, and against a sound one that is kept from
+// engines because many of them failed for another reason.
+BOOST_DATA_TEST_CASE(segment_is_judged_by_separate_crashes_without_an_answer, data::make(verdictCases), each)
+{
+    SegmentQuarantine quarantine;
+    for (const Step& step : each.steps) {
+        if (step.kind == Kind::Answer)
+            quarantine.answerBegan({ deadly, shared }, at(step.ms));
+        else
+            quarantine.endpointCrashed(CrashTag(step.endpoint), { deadly }, at(step.ms), at(step.ms));
+    }
+    int end = each.steps.empty() ? 0 : each.steps.back().ms + 1;
+    BOOST_TEST(quarantine.isQuarantined(deadly) == each.quarantined);
+    BOOST_TEST(quarantine.refusal({ shared, deadly }, firstTurn, at(end)).has_value() == each.quarantined);
+    BOOST_TEST(quarantine.mayRetry({ shared, deadly }) == each.mayRetry);
+    BOOST_TEST(!quarantine.refusal({ shared, other }, firstTurn, at(end)));
+}
+
+namespace {
+
+/// Entries that report their observations to each other, and engines that crash some time after a request with the
+/// deadly segment was sent to them.
+class Fleet {
+public:
+    Fleet(std::size_t entries, double loss)
+        : m_entries(entries)
+        , m_loss(loss)
+    {
+    }
+
+    /// Lets all entries exchange reports, and engines crash, until a time.
+    void advanceTo(int ms)
+    {
+        for (; m_now < ms; m_now += roundMs) {
+            for (std::size_t from = 0; from < m_entries.size(); ++from)
+                exchange(from);
+            for (const Doomed& each : m_doomed) {
+                if (each.crashAt > m_now - roundMs && each.crashAt <= m_now && !each.aborted) {
+                    crashes.push_back(m_now);
+                    m_entries[each.entry].endpointCrashed(CrashTag(++m_nextCrash), each.segments, at(m_now), at(m_now));
+                }
+            }
+        }
+    }
+    /// A request arrives at an entry. @return whether it was sent to an engine
+    bool request(std::size_t entry, const std::vector<SegmentTag>& segments)
+    {
+        auto turn = [entry](SegmentTag) { return entry; };
+        if (m_entries[entry].refusal(segments, turn, at(m_now)))
+            return false;
+        if (std::find(segments.begin(), segments.end(), deadly) != segments.end()) {
+            m_doomed.push_back({ entry, segments, m_now + crashDelayMs });
+            sent.push_back(m_now);
+        } else {
+            m_entries[entry].answerBegan(segments, at(m_now));
+        }
+        return true;
+    }
+    SegmentQuarantine& entry(std::size_t index) { return m_entries[index]; }
+    /// The entry is restarted with empty memory.
+    void restart(std::size_t index) { m_entries[index] = SegmentQuarantine(); }
+    /// Ends the requests that wait at engines when their segment is put in quarantine, as entries do.
+    void abortWaiting()
+    {
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            for (const QuarantineChange& change : m_entries[i].takeChanges()) {
+                for (Doomed& each : m_doomed)
+                    each.aborted = each.aborted || (change.quarantined && each.entry == i && each.crashAt > m_now);
+            }
+        }
+    }
+    int now() const { return m_now; }
+
+    std::vector<int> crashes;
+    /// Times at which requests with the deadly segment were sent to engines.
+    std::vector<int> sent;
+
+private:
+    struct Doomed {
+        std::size_t entry;
+        std::vector<SegmentTag> segments;
+        int crashAt;
+        bool aborted = false;
+    };
+
+    static constexpr int roundMs = 100;
+    static constexpr int crashDelayMs = 500;
+
+    void exchange(std::size_t from)
+    {
+        QuarantineReport report = m_entries[from].report(at(m_now));
+        if (report.empty())
+            return;
+        for (std::size_t to = 0; to < m_entries.size(); ++to) {
+            if (to != from && m_random() >= m_loss * static_cast<double>(std::mt19937::max()))
+                m_entries[to].applyReport(report, at(m_now));
+        }
+    }
+
+    std::vector<SegmentQuarantine> m_entries;
+    double m_loss;
+    std::vector<Doomed> m_doomed;
+    std::uint32_t m_nextCrash = 0;
+    int m_now = 0;
+    std::mt19937 m_random { 5 };
+};
+
+struct FleetCase {
+    std::size_t entries;
+    double loss;
+    /// Time between two requests with the deadly segment, over all entries.
+    int intervalMs;
+    /// Time between restarts of one entry after the other; 0 for none.
+    int restartMs;
+};
+std::ostream& operator<<(std::ostream& out, const FleetCase& each)
+{
+    return out << each.entries << " entries, loss " << each.loss << ", every " << each.intervalMs << " ms, restarts "
+               << each.restartMs;
+}
+
+const FleetCase fleetCases[] = {
+    { 1, 0, 1500, 0 },
+    { 5, 0, 1500, 0 },
+    { 6, 0.03, 300, 0 },
+    { 6, 0.3, 100, 0 },
+    { 30, 0.03, 100, 0 },
+    { 30, 0.03, 1500, 700 },
+    { 100, 0.03, 100, 300 },
+    { 300, 0.03, 100, 0 },
+};
+
+} // namespace
+
+// Guards against entries that know only of the crashes that they have seen themselves: with many entries nobody would
+// see three. Later than 3 s after the fifth crash at most three requests may reach engines in a day of 48 s, also if
+// entries are restarted and datagrams are lost; sound requests with the same first segment go on.
+BOOST_DATA_TEST_CASE(entries_stop_the_segment_together, data::make(fleetCases), each)
+{
+    constexpr int dayMs = 48'000;
+    constexpr int contactMs = 3000;
+    Fleet fleet(each.entries, each.loss);
+    std::mt19937 random(9);
+    std::size_t refusedSound = 0;
+    std::size_t restarted = 0;
+    for (int ms = 100; ms < dayMs; ms += 100) {
+        if (each.intervalMs < 200 || ms % each.intervalMs < 100)
+            fleet.request(random() % each.entries, { shared, deadly });
+        for (int i = 0; i < 3; ++i)
+            refusedSound += fleet.request(random() % each.entries, { shared, other }) ? 0 : 1;
+        if (each.restartMs > 0 && ms % each.restartMs == 0 && fleet.crashes.size() > 5)
+            fleet.restart(restarted++ % each.entries);
+        fleet.abortWaiting();
+        fleet.advanceTo(ms);
+    }
+    BOOST_REQUIRE(!fleet.crashes.empty());
+    int fifth = fleet.crashes.size() < 5 ? dayMs : fleet.crashes[4];
+    auto late = std::count_if(fleet.sent.begin(), fleet.sent.end(), [fifth](int ms) { return ms > fifth + contactMs; });
+    BOOST_TEST(late <= 3);
+    BOOST_TEST(refusedSound == 0u);
+}
+
+namespace {
+
+struct TrialCase {
+    const char* name;
+    /// Whether engines still crash under the segment.
+    bool crashes;
+    /// Largest number of requests sent within five minutes, and whether the segment is still in quarantine.
+    std::size_t sent;
+    bool quarantined;
+};
+std::ostream& operator<<(std::ostream& out, const TrialCase& each) { return out << each.name; }
+
+const TrialCase trialCases[] = { { "still_crashes", true, 5, true }, { "sound", false, 1, false } };
+
+} // namespace
+
+// Guards against a wrong verdict that never ends because nothing is let through, and against trials that crash engines
+// again and again.
+BOOST_DATA_TEST_CASE(quarantine_ends_by_a_trial, data::make(trialCases), each)
+{
+    constexpr std::size_t entries = 6;
+    Fleet fleet(entries, 0);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        fleet.entry(0).endpointCrashed(CrashTag(1000 + i), { deadly }, at(fleet.now()), at(fleet.now()));
+        fleet.advanceTo(fleet.now() + 400);
+    }
+    std::size_t sent = 0;
+    for (int ms = fleet.now(); ms < 300'000 && fleet.entry(1).isQuarantined(deadly); ms += 200) {
+        std::size_t entry = static_cast<std::size_t>(ms / 200) % entries;
+        auto turn = [entry](SegmentTag) { return entry; };
+        if (!fleet.entry(entry).refusal({ deadly }, turn, at(ms))) {
+            ++sent;
+            if (each.crashes)
+                fleet.entry(entry).endpointCrashed(
+                    CrashTag(static_cast<std::uint32_t>(sent)), { deadly }, at(ms), at(ms));
+            else
+                fleet.entry(entry).answerBegan({ deadly }, at(ms));
+        }
+        fleet.advanceTo(ms);
+    }
+    BOOST_TEST(sent >= 1u);
+    BOOST_TEST(sent <= each.sent);
+    fleet.advanceTo(fleet.now() + 1000);
+    for (std::size_t i = 0; i < entries; ++i)
+        BOOST_TEST(fleet.entry(i).isQuarantined(deadly) == each.quarantined);
+}
+
+// Guards against a quarantine that is lost with the entries that know it: a new one learns it from reports or the
+// store.
+BOOST_AUTO_TEST_CASE(new_entry_learns_the_quarantine)
+{
+    SegmentQuarantine known;
+    for (std::uint32_t i = 0; i < 3; ++i)
+        known.endpointCrashed(CrashTag(i), { deadly }, at(400 * static_cast<int>(i)), at(400 * static_cast<int>(i)));
+    SegmentQuarantine fromPeer;
+    fromPeer.applyReport(known.report(at(10'000)), at(10'000));
+    BOOST_TEST(fromPeer.isQuarantined(deadly));
+    BOOST_TEST(fromPeer.refusal({ deadly }, firstTurn, at(10'000)).has_value());
+    SegmentQuarantine fromStore;
+    fromStore.restore(deadly, at(10'000));
+    BOOST_TEST(fromStore.isQuarantined(deadly));
+    // An answer here shows that the store's record is out of date.
+    SegmentQuarantine disproved;
+    disproved.answerBegan({ deadly }, at(9000));
+    disproved.restore(deadly, at(10'000));
+    BOOST_TEST(!disproved.isQuarantined(deadly));
+}
+
+// Guards against memory that grows with the number of segments that callers send.
+BOOST_AUTO_TEST_CASE(memory_is_bounded)
+{
+    SegmentQuarantine quarantine;
+    for (std::uint32_t i = 0; i < 3; ++i)
+        quarantine.endpointCrashed(
+            CrashTag(i), { deadly }, at(400 * static_cast<int>(i)), at(400 * static_cast<int>(i)));
+    for (std::uint32_t i = 0; i < 50'000; ++i) {
+        int ms = 2000 + static_cast<int>(i) / 100;
+        quarantine.endpointCrashed(CrashTag(100 + i), { SegmentTag(100 + i) }, at(ms), at(ms));
+        quarantine.answerBegan({ SegmentTag(1'000'000 + i) }, at(ms));
+        BOOST_REQUIRE(quarantine.size() <= SegmentQuarantine::maxSuspects + SegmentQuarantine::maxRemembered);
+    }
+    BOOST_TEST(quarantine.isQuarantined(deadly));
+    QuarantineReport report = quarantine.report(at(2500));
+    BOOST_TEST(report.crashes.size() <= SegmentQuarantine::maxReported);
+}
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -140,6 +140,16 @@
         return "view_changes_received";
     case Event::ViewDeltaRejected:
         return "view_delta_rejected";
+    case Event::EndpointCrashed:
+        return "endpoint_crashed";
+    case Event::SegmentQuarantined:
+        return "segment_quarantined";
+    case Event::SegmentReleased:
+        return "segment_released";
+    case Event::SegmentTried:
+        return "segment_tried";
+    case Event::QuarantineStoreFailed:
+        return "quarantine_store_failed";
     }
     return "unknown";
 }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -82,6 +82,11 @@
     LimitEntriesChanged = 709,
     ViewChangesReceived = 710,
     ViewDeltaRejected = 711,
+    EndpointCrashed = 720,
+    SegmentQuarantined = 721,
+    SegmentReleased = 722,
+    SegmentTried = 723,
+    QuarantineStoreFailed = 724,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
