Judge quarantine by evidence that reports do not shift

Cause: entries compared times from reports, which seem later by the time that a report takes, and passed them on. An answer at about the time of the crashes released the segment at one entry, the next report of another put it back. Times that were passed on also moved the next trial ever further away if reports took as long as the time between them.

Fix: a quarantine begins with the first crash that counts, an answer after it ends it; an entry that remembers an answer judges by crashes only and adopts nothing; only observed answers are reported; the time of the last trial is adopted if it differs by seconds. verdict_does_not_oscillate (rows 780 to 820 ms) and quarantine_ends_by_a_trial with reports of 90 ms failed before.

--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -108,6 +108,7 @@
             for (const QuarantinedSegment& each : report.quarantined) {
                 message.add_quarantined_segments(static_cast<std::uint32_t>(each.segment));
                 message.add_quarantined_ages_ms(clampToUint32(each.age / millisecond));
+                message.add_quarantined_quiet_ms(clampToUint32(each.quiet / millisecond));
             }
         }
 
@@ -189,7 +190,8 @@
         int begins = message.begun_segments_size();
         int quarantined = message.quarantined_segments_size();
         if (message.crash_tags_size() != crashes || message.crash_ages_ms_size() != crashes
-            || message.begun_ages_ms_size() != begins || message.quarantined_ages_ms_size() != quarantined)
+            || message.begun_ages_ms_size() != begins || message.quarantined_ages_ms_size() != quarantined
+            || message.quarantined_quiet_ms_size() != quarantined)
             return fail(Errc::Protocol, "peer datagram: columns of crash observations have different lengths");
         QuarantineReport report;
         for (int i = 0; i < crashes; ++i)
@@ -200,7 +202,8 @@
                 { SegmentTag(message.begun_segments(i)), std::chrono::milliseconds(message.begun_ages_ms(i)) });
         for (int i = 0; i < quarantined; ++i)
             report.quarantined.push_back({ SegmentTag(message.quarantined_segments(i)),
-                std::chrono::milliseconds(message.quarantined_ages_ms(i)) });
+                std::chrono::milliseconds(message.quarantined_ages_ms(i)),
+                std::chrono::milliseconds(message.quarantined_quiet_ms(i)) });
         return report;
     }
 
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -50,6 +50,9 @@
 /// Loads with a progress report whose last change is after its revision.
 const std::string impossibleProgress("\x0a\x08\x5a\x06\x08\x01\x10\x09\x18\x08", 10);
 
+/// Loads with a crash without its endpoint: one row in field 19.
+const std::string crashWithoutTag("\x0a\x07\x9a\x01\x04\x01\x02\x03\x04", 9);
+
 /// A difference with revision 5 in changes from 5 on, and one with revision 9 in changes up to 8.
 const std::string deltaBeforeItsChanges("\x3a\x08\x08\x01\x10\x05\x18\x08\x28\x05", 10);
 const std::string deltaAfterItsChanges("\x3a\x08\x08\x01\x10\x05\x18\x08\x28\x09", 10);
@@ -62,10 +65,10 @@
 /// Loads with a cache hint without an endpoint: one row in field 15.
 const std::string hintWithoutEndpoint("\x0a\x06\x7a\x04\x01\x02\x03\x04", 8);
 
-const std::string badDatagrams[] = { deltaBeforeItsChanges, deltaAfterItsChanges, limitWithoutEndpoint, limitNotFinite,
-    hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView, impossibleProgress, backlogWithoutRow,
-    backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text", std::string("\x0a\xff", 2), unevenColumns,
-    negativeContact, rateNotFinite, invalidRecord };
+const std::string badDatagrams[] = { crashWithoutTag, deltaBeforeItsChanges, deltaAfterItsChanges, limitWithoutEndpoint,
+    limitNotFinite, hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView, impossibleProgress,
+    backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text",
+    std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
 
 /// Version field with the current version, appended to a datagram.
 const std::string versionField("\x78\x02", 2);
@@ -325,6 +328,29 @@
     BOOST_TEST((std::get<PeerLimitCredit>(credit.value()).endpoint == limited));
 }
 
+// Guards against crash observations that are altered on their way, or that an observer leaves out of the sum for other
+// regions.
+BOOST_AUTO_TEST_CASE(crash_observations_reach_other_regions)
+{
+    PeerLoads sum = sampleLoads(1);
+    sum.quarantine.crashes = { { SegmentTag(5), CrashTag(77), milliseconds(100) } };
+    sum.quarantine.quarantined = { { SegmentTag(6), milliseconds(9000), milliseconds(700) } };
+    PeerLoads other;
+    other.quarantine.crashes = { { SegmentTag(5), CrashTag(78), milliseconds(20) } };
+    other.quarantine.begins = { { SegmentTag(8), milliseconds(300) } };
+    other.quarantine.quarantined = { { SegmentTag(6), milliseconds(9100), milliseconds(900) } };
+    sum.add(other, milliseconds(50));
+    QuarantineReport report = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sum)).value()).quarantine;
+    BOOST_REQUIRE(report.crashes.size() == 2u);
+    BOOST_TEST((report.crashes[1].segment == SegmentTag(5) && report.crashes[1].crash == CrashTag(78)));
+    BOOST_TEST((report.crashes[1].age == milliseconds(70)));
+    BOOST_REQUIRE(report.begins.size() == 1u);
+    BOOST_TEST((report.begins[0].segment == SegmentTag(8) && report.begins[0].age == milliseconds(350)));
+    BOOST_REQUIRE(report.quarantined.size() == 1u);
+    BOOST_TEST((report.quarantined[0].age == milliseconds(9000)));
+    BOOST_TEST((report.quarantined[0].quiet == milliseconds(700)));
+}
+
 // Guards against a limit that seems to change with each report, because reports carry it with less precision than
 // responses: each change ends credit that was passed on, and is logged.
 BOOST_DATA_TEST_CASE(limit_arrives_as_it_was_named, data::make({ 0.0, 0.1, 1.8, 2.2, 7.0 / 3, 12345.678 }), rate)
--- a/src/include/wisteriayard/segment_quarantine.h
+++ b/src/include/wisteriayard/segment_quarantine.h
@@ -33,8 +33,10 @@
 /// A segment that is in quarantine.
 struct QuarantinedSegment {
     SegmentTag segment {};
-    /// Time since the last crash or trial.
+    /// Time since the first crash that counts against it.
     Duration age {};
+    /// Time since the last crash or trial.
+    Duration quiet {};
 };
 
 /// What an entry knows of segments that may crash engines, for other entries.
@@ -131,34 +133,45 @@
         /// Observed by this entry, which reports it to others.
         bool own = false;
     };
+    struct Begin {
+        TimePoint at {};
+        /// Observed by this entry. Only then it is reported: repeated by others, it would seem ever later.
+        bool own = false;
+    };
     struct Suspect {
         /// In the order of time.
         std::vector<Crash> crashes;
+        /// Time of the first crash that counts against the segment in quarantine: an answer that began later ends the
+        /// quarantine.
         std::optional<TimePoint> quarantinedSince;
         Duration trialInterval {};
-        TimePoint lastTrial {};
+        /// Time of the last crash or trial in quarantine.
+        TimePoint lastEvidence {};
+        /// Time before which no trial was allowed, so that crashes before it come from requests sent earlier.
+        TimePoint firstTrial {};
         TimePoint nextTrial {};
-        /// Other entries suspect the segment although an answer to it has begun; they are told until then.
+        /// Other entries suspect the segment although an answer to it has begun here; it is reported until then.
         TimePoint reportBeginUntil {};
     };
 
     std::size_t separateCrashes(const Suspect& suspect) const;
     Suspect& suspect(SegmentTag segment, TimePoint now);
     void addCrash(SegmentTag segment, const Crash& crash, TimePoint now);
-    void quarantine(SegmentTag segment, Suspect& suspect, TimePoint since);
-    /// Time of the last crash or trial with a segment.
-    static TimePoint lastEvidence(const Suspect& suspect);
+    /// @param since time of the first crash that counts against the segment
+    /// @param lastEvidence time of the last crash or trial
+    void quarantine(SegmentTag segment, Suspect& suspect, TimePoint since, TimePoint lastEvidence);
     /// Ends the suspicion of a segment by an answer that began.
     void clear(SegmentTag segment, TimePoint begunAt, TimePoint now);
     /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
     Duration timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const;
     void startTrial(Suspect& suspect, TimePoint now);
-    TimePoint lastBegin(SegmentTag segment) const;
+    /// Time at which an answer to a segment began last; the earliest possible time if that is not remembered.
+    TimePoint lastBegin(SegmentTag segment, TimePoint now) const;
     void removeOld(TimePoint now);
 
     QuarantineTimes m_times;
     std::unordered_map<SegmentTag, Suspect> m_suspects;
-    std::unordered_map<SegmentTag, TimePoint> m_lastBegin;
+    std::unordered_map<SegmentTag, Begin> m_lastBegin;
     std::size_t m_quarantinedCount = 0;
     std::vector<QuarantineChange> m_changes;
 };
--- a/src/libwisteriayard/segment_quarantine.cpp
+++ b/src/libwisteriayard/segment_quarantine.cpp
@@ -10,6 +10,10 @@
     /// Crashes kept for a segment; more than are needed for any decision.
     constexpr std::size_t maxCrashes = 16;
 
+    /// Times in reports seem later by the time that the report takes. Entries pass them on, so smaller differences are
+    /// ignored; trials are much farther apart.
+    constexpr Duration reportTolerance = std::chrono::seconds(2);
+
     /// Adds an observation of a segment, or replaces an older one of the same segment.
     template <typename Observation> void keepNewest(std::vector<Observation>& kept, const Observation& observation)
     {
@@ -32,19 +36,20 @@
     for (const BeginObservation& each : other.begins)
         keepNewest(begins, { each.segment, each.age + age });
     for (const QuarantinedSegment& each : other.quarantined)
-        keepNewest(quarantined, { each.segment, each.age + age });
+        keepNewest(quarantined, { each.segment, each.age + age, each.quiet + age });
 }
 
-TimePoint SegmentQuarantine::lastBegin(SegmentTag segment) const
+TimePoint SegmentQuarantine::lastBegin(SegmentTag segment, TimePoint now) const
 {
     auto known = m_lastBegin.find(segment);
-    return known == m_lastBegin.end() ? TimePoint() : known->second;
+    bool isRemembered = known != m_lastBegin.end() && now - known->second.at < m_times.memory;
+    return isRemembered ? known->second.at : TimePoint();
 }
 
 void SegmentQuarantine::removeOld(TimePoint now)
 {
     if (m_lastBegin.size() >= maxRemembered)
-        std::erase_if(m_lastBegin, [&](const auto& each) { return now - each.second >= m_times.memory; });
+        std::erase_if(m_lastBegin, [&](const auto& each) { return now - each.second.at >= m_times.memory; });
     // Above the limit all are forgotten: it takes thousands of segments within the lifetime of observations.
     if (m_lastBegin.size() >= maxRemembered)
         m_lastBegin.clear();
@@ -83,18 +88,20 @@
     return count;
 }
 
-void SegmentQuarantine::quarantine(SegmentTag segment, Suspect& suspect, TimePoint since)
+void SegmentQuarantine::quarantine(SegmentTag segment, Suspect& suspect, TimePoint since, TimePoint lastEvidence)
 {
     suspect.quarantinedSince = since;
+    suspect.lastEvidence = lastEvidence;
     suspect.trialInterval = m_times.firstTrial;
-    suspect.nextTrial = since + suspect.trialInterval;
+    suspect.nextTrial = lastEvidence + suspect.trialInterval;
+    suspect.firstTrial = suspect.nextTrial;
     ++m_quarantinedCount;
     m_changes.push_back({ segment, true, suspect.crashes.size() });
 }
 
 void SegmentQuarantine::addCrash(SegmentTag segment, const Crash& crash, TimePoint now)
 {
-    if (lastBegin(segment) >= crash.at) {
+    if (lastBegin(segment, now) >= crash.at) {
         // The answer that began later clears the segment for the entry that reports the crash, too.
         if (!crash.own)
             suspect(segment, now).reportBeginUntil = now + m_times.reporting;
@@ -114,12 +121,13 @@
     suspect.crashes.insert(std::upper_bound(suspect.crashes.begin(), suspect.crashes.end(), crash.at, later), crash);
     if (!suspect.quarantinedSince) {
         if (separateCrashes(suspect) >= crashesToQuarantine)
-            quarantine(segment, suspect, crash.at);
+            quarantine(segment, suspect, suspect.crashes.front().at, crash.at);
         return;
     }
     // Requests sent before the quarantine may still crash engines; only a trial makes the next one later.
-    if (crash.at - *suspect.quarantinedSince >= m_times.firstTrial)
+    if (crash.at >= suspect.firstTrial)
         suspect.trialInterval = std::min(2 * suspect.trialInterval, m_times.longestTrialInterval);
+    suspect.lastEvidence = std::max(suspect.lastEvidence, crash.at);
     suspect.nextTrial = std::max(suspect.nextTrial, crash.at + suspect.trialInterval);
 }
 
@@ -138,7 +146,7 @@
     Suspect& suspect = known->second;
     std::erase_if(suspect.crashes, [begunAt](const Crash& crash) { return crash.at <= begunAt; });
     suspect.reportBeginUntil = now + m_times.reporting;
-    if (!suspect.quarantinedSince || begunAt <= *suspect.quarantinedSince)
+    if (!suspect.quarantinedSince || begunAt < *suspect.quarantinedSince)
         return;
     suspect.quarantinedSince.reset();
     --m_quarantinedCount;
@@ -150,7 +158,7 @@
     for (SegmentTag segment : segments) {
         if (m_lastBegin.count(segment) == 0)
             removeOld(now);
-        m_lastBegin[segment] = now;
+        m_lastBegin[segment] = { now, true };
         clear(segment, now, now);
     }
 }
@@ -158,8 +166,8 @@
 void SegmentQuarantine::restore(SegmentTag segment, TimePoint now)
 {
     Suspect& suspect = this->suspect(segment, now);
-    if (!suspect.quarantinedSince && lastBegin(segment) == TimePoint())
-        quarantine(segment, suspect, now);
+    if (!suspect.quarantinedSince && lastBegin(segment, now) == TimePoint())
+        quarantine(segment, suspect, now, now);
 }
 
 Duration SegmentQuarantine::timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const
@@ -185,7 +193,7 @@
     if (!longest || *longest > Duration(0))
         return longest;
     for (Suspect* suspect : quarantined) {
-        suspect->lastTrial = now;
+        suspect->lastEvidence = now;
         suspect->nextTrial = now + suspect->trialInterval;
     }
     return std::nullopt;
@@ -208,12 +216,6 @@
     return known != m_suspects.end() && known->second.quarantinedSince;
 }
 
-TimePoint SegmentQuarantine::lastEvidence(const Suspect& suspect)
-{
-    TimePoint last = std::max(*suspect.quarantinedSince, suspect.lastTrial);
-    return suspect.crashes.empty() ? last : std::max(last, suspect.crashes.back().at);
-}
-
 QuarantineReport SegmentQuarantine::report(TimePoint now) const
 {
     QuarantineReport report;
@@ -223,10 +225,11 @@
                 report.crashes.push_back({ segment, crash.tag, now - crash.at });
         }
         if (suspect.quarantinedSince && report.quarantined.size() < maxReported)
-            report.quarantined.push_back({ segment, now - lastEvidence(suspect) });
-        TimePoint begin = lastBegin(segment);
-        if (now < suspect.reportBeginUntil && begin != TimePoint() && report.begins.size() < maxReported)
-            report.begins.push_back({ segment, now - begin });
+            report.quarantined.push_back({ segment, now - *suspect.quarantinedSince, now - suspect.lastEvidence });
+        auto begin = m_lastBegin.find(segment);
+        bool isObserved = begin != m_lastBegin.end() && begin->second.own;
+        if (now < suspect.reportBeginUntil && isObserved && report.begins.size() < maxReported)
+            report.begins.push_back({ segment, now - begin->second.at });
     }
     return report;
 }
@@ -236,24 +239,27 @@
     for (const BeginObservation& begin : report.begins) {
         auto known = m_suspects.find(begin.segment);
         TimePoint at = now - begin.age;
-        if (known == m_suspects.end() || at <= lastBegin(begin.segment))
+        if (known == m_suspects.end() || at <= lastBegin(begin.segment, now))
             continue;
-        // The entry that observed the answer reports it; if others repeated that, it would never end.
-        TimePoint reportUntil = known->second.reportBeginUntil;
-        m_lastBegin[begin.segment] = at;
+        m_lastBegin[begin.segment] = { at, false };
         clear(begin.segment, at, now);
-        known->second.reportBeginUntil = reportUntil;
     }
     for (const CrashObservation& each : report.crashes)
         addCrash(each.segment, { each.crash, now - each.age, false }, now);
     for (const QuarantinedSegment& each : report.quarantined) {
         Suspect& suspect = this->suspect(each.segment, now);
-        if (lastBegin(each.segment) > now - each.age)
+        TimePoint lastEvidence = now - each.quiet;
+        if (suspect.quarantinedSince) {
+            if (lastEvidence - suspect.lastEvidence < reportTolerance)
+                continue;
+            suspect.lastEvidence = lastEvidence;
+            suspect.nextTrial = std::max(suspect.nextTrial, lastEvidence + suspect.trialInterval);
+        } else if (lastBegin(each.segment, now) == TimePoint()) {
+            quarantine(each.segment, suspect, now - each.age, lastEvidence);
+        } else {
+            // An entry that remembers an answer judges by the crashes after it, which are reported too.
             suspect.reportBeginUntil = now + m_times.reporting;
-        else if (!suspect.quarantinedSince)
-            quarantine(each.segment, suspect, now - each.age);
-        else
-            suspect.nextTrial = std::max(suspect.nextTrial, now - each.age + suspect.trialInterval);
+        }
     }
 }
 
--- a/src/libwisteriayard/segment_quarantine_test.cpp
+++ b/src/libwisteriayard/segment_quarantine_test.cpp
@@ -86,9 +86,12 @@
 /// deadly segment was sent to them.
 class Fleet {
 public:
-    Fleet(std::size_t entries, double loss)
+    /// @param loss share of the reports that are lost
+    /// @param latencyMs time after which a report arrives
+    Fleet(std::size_t entries, double loss, int latencyMs = 0)
         : m_entries(entries)
         , m_loss(loss)
+        , m_latencyMs(latencyMs)
     {
     }
 
@@ -157,12 +160,13 @@
             return;
         for (std::size_t to = 0; to < m_entries.size(); ++to) {
             if (to != from && m_random() >= m_loss * static_cast<double>(std::mt19937::max()))
-                m_entries[to].applyReport(report, at(m_now));
+                m_entries[to].applyReport(report, at(m_now + m_latencyMs));
         }
     }
 
     std::vector<SegmentQuarantine> m_entries;
     double m_loss;
+    int m_latencyMs;
     std::vector<Doomed> m_doomed;
     std::uint32_t m_nextCrash = 0;
     int m_now = 0;
@@ -245,7 +249,8 @@
 BOOST_DATA_TEST_CASE(quarantine_ends_by_a_trial, data::make(trialCases), each)
 {
     constexpr std::size_t entries = 6;
-    Fleet fleet(entries, 0);
+    // Reports take about as long as the time between two of them, so times that are passed on must not add up.
+    Fleet fleet(entries, 0, 90);
     for (std::uint32_t i = 0; i < 3; ++i) {
         fleet.entry(0).endpointCrashed(CrashTag(1000 + i), { deadly }, at(fleet.now()), at(fleet.now()));
         fleet.advanceTo(fleet.now() + 400);
@@ -271,6 +276,35 @@
         BOOST_TEST(fleet.entry(i).isQuarantined(deadly) == each.quarantined);
 }
 
+// Guards against entries that put a segment in quarantine and release it with each report, because each judges by times
+// that reports shift: one began to answer at about the time of the crashes that others saw.
+BOOST_DATA_TEST_CASE(
+    verdict_does_not_oscillate, data::make({ -500, -20, 0, 20, 380, 400, 420, 780, 800, 820, 1500 }), answerMs)
+{
+    constexpr std::size_t entries = 6;
+    constexpr int firstCrashMs = 1000;
+    Fleet fleet(entries, 0, 30);
+    std::size_t changes = 0;
+    for (int ms = 0; ms < 20'000; ms += 20) {
+        fleet.advanceTo(ms);
+        for (int crash = 0; crash < 3; ++crash) {
+            if (ms == firstCrashMs + 400 * crash)
+                fleet.entry(static_cast<std::size_t>(crash))
+                    .endpointCrashed(CrashTag(static_cast<std::uint32_t>(crash)), { deadly }, at(ms), at(ms));
+        }
+        if (ms == firstCrashMs + answerMs)
+            fleet.entry(4).answerBegan({ deadly }, at(ms));
+        for (std::size_t i = 0; i < entries; ++i)
+            changes += fleet.entry(i).takeChanges().size();
+    }
+    BOOST_TEST(changes <= 2 * entries);
+    bool answeredAfterFirstCrash = answerMs > 100;
+    if (answeredAfterFirstCrash) {
+        for (std::size_t i = 0; i < entries; ++i)
+            BOOST_TEST(!fleet.entry(i).isQuarantined(deadly));
+    }
+}
+
 // Guards against a quarantine that is lost with the entries that know it: a new one learns it from reports or the
 // store.
 BOOST_AUTO_TEST_CASE(new_entry_learns_the_quarantine)
