Never ask a caller to return after no time

A third of a caller's remaining time below 5 ms was rounded to zero, and a stopping entry named zero.

--- a/src/gateway/http_head.cpp
+++ b/src/gateway/http_head.cpp
@@ -39,6 +39,9 @@
         return line;
     }
 
+    /// Least value of Retry-After; less would be rounded to zero, which names no time.
+    constexpr Duration minRetryAfter = std::chrono::milliseconds(10);
+
     std::string secondsText(Duration time)
     {
         char text[32];
@@ -107,7 +110,7 @@
     appendHeader(text, "Content-Length", std::to_string(bodyText.size()));
     codec.appendLocalResponseHeaders(text, request);
     if (response.retryAfter)
-        appendHeader(text, "Retry-After", secondsText(*response.retryAfter));
+        appendHeader(text, "Retry-After", secondsText(std::max(minRetryAfter, *response.retryAfter)));
     if (!keepAlive)
         appendHeader(text, "Connection", "close");
     return text.append("\r\n").append(bodyText);
