Soak: crashing engines, streams without framing, followed configurations

Engines of the stand-ins crash and come back, and send streams that end with the connection (inside an event if they break). After all faults a route is added, and every entry must know it 2.5 s later. The new faults are drawn apart, so that the series of a seed stays the same.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -298,7 +298,9 @@
         self.runs = collections.Counter()
         self.seen_keys = []
         self.tenants = {}
-        self.fail, self.break_after = 0.0, None
+        # unframed sends streams with neither a length nor chunks, which end with the connection; they break inside an
+        # event.
+        self.fail, self.break_after, self.unframed = 0.0, None, False
         self.endless, self.endless_bytes, self.endless_pause_s = None, [], 0
         self.arrivals_after_leave = 0
         self.left_at = None
@@ -423,20 +425,25 @@
         return self.headers.get("X-Entry")
 
     def stream(self, endpoint, request, last):
+        unframed = endpoint.unframed
+        self.close_connection = unframed
         self.send_response(200)
-        for name, value in self.response_headers(request) + [("Content-Type", "text/event-stream"),
-                                                      ("Transfer-Encoding", "chunked")]:
+        framing = ("Connection", "close") if unframed else ("Transfer-Encoding", "chunked")
+        for name, value in self.response_headers(request) + [("Content-Type", "text/event-stream"), framing]:
             self.send_header(name, value)
         self.end_headers()
         for number in range(last + 1, endpoint.events + 1):
+            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
             if endpoint.break_after == number:
                 self.close_connection = True
+                if unframed:
+                    self.wfile.write(event[:len(event) // 2])
                 return
-            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             self.wfile.flush()
             time.sleep(endpoint.delay_s)
-        self.wfile.write(b"0\r\n\r\n")
+        if not unframed:
+            self.wfile.write(b"0\r\n\r\n")
 
     do_GET = do_POST = handle_request
 
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -2,7 +2,8 @@
 
 Injects overlapping faults: links to the store and to endpoints are delayed, reset, blocked in one direction or in both;
 gateways are terminated, paused, killed and restarted; the store refuses calls or loses responses; endpoints fail,
-interrupt streams, drain, name rate limits and return; the configuration changes. Afterwards the responses, executions and reports that
+interrupt streams, drain, name rate limits and return; engines crash and send streams without framing; the configuration
+changes. Afterwards a last change must be in force at every entry, and the responses, executions and reports that
 callers, endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
 """
 
@@ -23,6 +24,8 @@
 
 REFUSALS = (408, 421, 429, 503)
 SETTLE_S = 6
+# Time after which a configuration must be in force, `apply_ms` of the platform's first sites.
+APPLY_S = 2.5
 # Seed 20 once showed overload refusals that persisted at idle endpoints; seeds 1 and 2 inject most kinds of faults.
 DEFAULT_SEEDS = [1, 2, 20]
 ENDPOINT_EVENTS = 6
@@ -66,6 +69,8 @@
 
     def __init__(self, deployment, seed):
         self.deployment, self.random = deployment, random.Random(seed)
+        # Drawn apart, so that the series of the other faults of a seed stays the same.
+        self.engine_random = random.Random(seed + 1_000_000)
         self.pending_repairs = []
         self.log = []
         # Entries that were paused, and times of pauses and of faults of links: a burst of delayed requests may follow.
@@ -79,6 +84,17 @@
             self.pending_repairs.append((time.monotonic() + self.random.uniform(0.3, 3), end))
         self.heal(time.monotonic())
 
+    def engine_step(self):
+        engine = self.engine_random.choice([each for each in self.deployment.endpoints if each.events])
+        fault = self.engine_random.choice(("none", "none", "crash", "unframed"))
+        if fault == "crash":
+            engine.crash(self.engine_random.uniform(0.3, 1.5))
+        elif fault == "unframed":
+            engine.unframed = True
+            self.pending_repairs.append((time.monotonic() + self.engine_random.uniform(0.3, 3),
+                                         lambda: setattr(engine, "unframed", False)))
+        self.record("engine", engine.name, fault)
+
     def heal(self, until):
         due = [entry for entry in self.pending_repairs if entry[0] <= until]
         self.pending_repairs = [entry for entry in self.pending_repairs if entry[0] > until]
@@ -214,6 +230,16 @@
     return violations
 
 
+def configuration_violations(deployment):
+    """Adds a route, and returns the entries that don't serve it APPLY_S later."""
+    deployment.routes.append({"name": "added", "prefix": "/added/", "kind": "idempotent", "service": "plain"})
+    version = deployment.configure()
+    time.sleep(APPLY_S)
+    statuses = {gateway.name: gateway.call("/added/1").status for gateway in deployment.gateways}
+    return [f"{name} answers {status} on a route that version {version} added"
+            for name, status in statuses.items() if status in (401, 404)]
+
+
 def run_seed(bin_folder, seed, seconds, gateways):
     with Deployment(bin_folder, linked=True).start(gateways) as deployment:
         callers, faults = Callers(deployment, 3 * gateways, seed), Faults(deployment, seed)
@@ -221,6 +247,7 @@
             ends = time.monotonic() + seconds
             while time.monotonic() < ends:
                 faults.step()
+                faults.engine_step()
                 time.sleep(faults.random.uniform(0.1, 0.8))
             while faults.pending_repairs:
                 faults.heal(time.monotonic() + 60)
@@ -228,11 +255,12 @@
             for gateway in deployment.gateways:
                 wait_until(gateway.ready, f"{gateway.name} to recover, seed {seed}")
             time.sleep(SETTLE_S)
+            violations = configuration_violations(deployment)
             served_from = len(callers.answers)
             time.sleep(2)
         finally:
             callers.stop()
-        violations = find_violations(deployment, callers.answers, faults)
+        violations += find_violations(deployment, callers.answers, faults)
         late = callers.answers[served_from:]
         served = sum(answer.status == 200 for _, answer in late)
         if served < 0.9 * len(late):
