--- a/testsuite/gateway/run.py
+++ b/testsuite/gateway/run.py
@@ -315,6 +315,13 @@
                                              for event in g.events("endpoint_removed")), "the endpoint to be removed")
         assert [view_reads(gateway) for gateway in followers] == before, "followers read the store for a change"
         wait_in_force(gateways, deployment.configure())
+        # A change of a configuration that does not fit into a datagram is relayed as a difference.
+        deployment.routes += [{"name": f"many{number}", "prefix": f"/many{number}/", "kind": "idempotent",
+                               "service": "plain"} for number in range(400)]
+        wait_in_force(gateways, deployment.configure())
+        before = [view_reads(gateway) for gateway in followers]
+        wait_in_force(gateways, deployment.configure())
+        assert [view_reads(gateway) for gateway in followers] == before, "followers read a large configuration"
         for gateway in observers:
             gateway.signal(signal.SIGSTOP)
         wait_in_force(followers, deployment.configure())
