Read a large value again only after a response that may be cut

Changes in quick succession cost an observer one value more for every two. complete_response_is_not_read_again failed before (3 values read instead of 2).

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -223,7 +223,7 @@
     ChangeOrigin from = origin(source, bootTimeNow());
     reportChanges(batch, from);
     if (m_catchUp == CatchUp::CurrentState) {
-        m_mayHaveMissedChanges = m_mayHaveMissedChanges || batch.mayBePartial || supersededItems(batch) > 0;
+        m_mayHaveMissedChanges = m_mayHaveMissedChanges || batch.mayBePartial;
         dropSupersededItems(batch);
     }
     // A part of the history says nothing about the present.
--- a/src/gateway/store_follower_test.cpp
+++ b/src/gateway/store_follower_test.cpp
@@ -392,3 +392,19 @@
     BOOST_TEST((store.watchTimeout() > Duration(0)));
     BOOST_TEST((store.watchTimeout() < allowed));
 }
+
+// Guards against an entry that reads a large value once more after each response with several versions of it, although
+// the response was complete: changes in quick succession would cost it half as many bytes again.
+BOOST_AUTO_TEST_CASE(complete_response_is_not_read_again)
+{
+    OverwritingStore store;
+    Entry entry(store, ViewRole::Observer);
+    entry.runFor(timeToLoseContact);
+    store.write();
+    store.write();
+    entry.runUntilCurrent();
+    entry.runFor(timeToLoseContact);
+    BOOST_TEST(
+        entry.applied == std::vector<std::int64_t> { store.revision().value() }, boost::test_tools::per_element());
+    BOOST_TEST(store.takeValuesRead() == 2u);
+}
