--- a/src/libwisteriayard/segment_quarantine.cpp
+++ b/src/libwisteriayard/segment_quarantine.cpp
@@ -14,15 +14,17 @@
     /// ignored; trials are much farther apart.
     constexpr Duration reportTolerance = std::chrono::seconds(2);
 
-    /// Adds an observation of a segment, or replaces an older one of the same segment.
-    template <typename Observation> void keepNewest(std::vector<Observation>& kept, const Observation& observation)
+    /// @return the observation of a segment; added if there is none and the limit allows, else null
+    template <typename Observation>
+    Observation* findOrAdd(std::vector<Observation>& observations, const Observation& observation)
     {
-        auto known = std::find_if(kept.begin(), kept.end(),
+        auto known = std::find_if(observations.begin(), observations.end(),
             [&observation](const Observation& each) { return each.segment == observation.segment; });
-        if (known != kept.end())
-            known->age = std::min(known->age, observation.age);
-        else if (kept.size() < SegmentQuarantine::maxReported)
-            kept.push_back(observation);
+        if (known != observations.end())
+            return &*known;
+        if (observations.size() >= SegmentQuarantine::maxReported)
+            return nullptr;
+        return &observations.emplace_back(observation);
     }
 
 } // namespace
@@ -33,10 +35,18 @@
         if (crashes.size() < SegmentQuarantine::maxReported)
             crashes.push_back({ each.segment, each.crash, each.age + age });
     }
-    for (const BeginObservation& each : other.begins)
-        keepNewest(begins, { each.segment, each.age + age });
-    for (const QuarantinedSegment& each : other.quarantined)
-        keepNewest(quarantined, { each.segment, each.age + age, each.quiet + age });
+    for (const BeginObservation& each : other.begins) {
+        BeginObservation aged { each.segment, each.age + age };
+        if (auto* kept = findOrAdd(begins, aged))
+            kept->age = std::min(kept->age, aged.age);
+    }
+    for (const QuarantinedSegment& each : other.quarantined) {
+        QuarantinedSegment aged { each.segment, each.age + age, each.quiet + age };
+        if (auto* kept = findOrAdd(quarantined, aged)) {
+            kept->age = std::min(kept->age, aged.age);
+            kept->quiet = std::min(kept->quiet, aged.quiet);
+        }
+    }
 }
 
 TimePoint SegmentQuarantine::lastBegin(SegmentTag segment, TimePoint now) const
