--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -338,7 +338,7 @@
     PeerLoads other;
     other.quarantine.crashes = { { SegmentTag(5), CrashTag(78), milliseconds(20) } };
     other.quarantine.begins = { { SegmentTag(8), milliseconds(300) } };
-    other.quarantine.quarantined = { { SegmentTag(6), milliseconds(9100), milliseconds(900) } };
+    other.quarantine.quarantined = { { SegmentTag(6), milliseconds(9100), milliseconds(300) } };
     sum.add(other, milliseconds(50));
     QuarantineReport report = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sum)).value()).quarantine;
     BOOST_REQUIRE(report.crashes.size() == 2u);
@@ -348,7 +348,7 @@
     BOOST_TEST((report.begins[0].segment == SegmentTag(8) && report.begins[0].age == milliseconds(350)));
     BOOST_REQUIRE(report.quarantined.size() == 1u);
     BOOST_TEST((report.quarantined[0].age == milliseconds(9000)));
-    BOOST_TEST((report.quarantined[0].quiet == milliseconds(700)));
+    BOOST_TEST((report.quarantined[0].quiet == milliseconds(350)));
 }
 
 // Guards against a limit that seems to change with each report, because reports carry it with less precision than
