--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -209,10 +209,10 @@
 std::ostream& operator<<(std::ostream& out, const LargeValueCase& each) { return out << each.name; }
 
 const LargeValueCase largeValueCases[] = {
-    { "alone", { { "op/config", true } }, "d" },
-    { "between_others", { { "a", false }, { "op/config", true }, { "b", false }, { "c", false } }, "1d2" },
-    { "two_of_them", { { "op/config", true }, { "op/other", true } }, "dd" },
-    { "unknown_former_value", { { "a", false }, { "op/new", true }, { "b", false } }, "1" },
+    { "alone", { { "config/routes", true } }, "d" },
+    { "between_others", { { "a", false }, { "config/routes", true }, { "b", false }, { "c", false } }, "1d2" },
+    { "two_of_them", { { "config/routes", true }, { "config/other", true } }, "dd" },
+    { "unknown_former_value", { { "a", false }, { "config/new", true }, { "b", false } }, "1" },
 };
 
 // Guards against a change of a large value that is not relayed, so that each entry reads the value from the store, and
@@ -222,8 +222,8 @@
     std::string former;
     for (int i = 0; i < 20000; ++i)
         former += std::to_string(i) + ',';
-    StoreValues formerValues { { "op/config", { "op/config", former, Revision(5), {} } },
-        { "op/other", { "op/other", former, Revision(7), {} } } };
+    StoreValues formerValues { { "config/routes", { "config/routes", former, Revision(5), {} } },
+        { "config/other", { "config/other", former, Revision(7), {} } } };
     WatchBatch batch { Revision(50), {} };
     for (const auto& [key, isLarge] : each.items) {
         Revision revision(static_cast<std::int64_t>(11 + batch.items.size()));
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -48,6 +48,15 @@
         std::string operator()(const TimedOut&) const { return "timed_out"; }
     };
 
+    /// Tags of the segments of a prompt that other requests may share: all but the last.
+    std::vector<SegmentTag> sharedSegments(const std::vector<PromptSegment>& prompt)
+    {
+        std::vector<SegmentTag> tags;
+        for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+            tags.push_back(segmentTag(prompt[i].id));
+        return tags;
+    }
+
     /// Maximum number of prompt segments in a log line.
     constexpr std::size_t maxLoggedSegments = 8;
 
--- a/src/gateway/store_follower_test.cpp
+++ b/src/gateway/store_follower_test.cpp
@@ -56,7 +56,7 @@
     {
         ++m_revision;
         std::string value = "version " + std::to_string(m_revision) + m_filler;
-        m_versions.push_back({ "op/config", std::move(value), Revision(m_revision), firstRevision });
+        m_versions.push_back({ "config/routes", std::move(value), Revision(m_revision), firstRevision });
     }
     StoreRange current()
     {
@@ -152,7 +152,7 @@
 public:
     explicit Entry(OverwritingStore& store, ViewRole role, CatchUp catchUp = CatchUp::CurrentState)
         : m_store(store)
-        , m_follower(m_io, std::make_unique<OverwritingStoreClient>(m_io, store), "op/", catchUp, handlers(role),
+        , m_follower(m_io, std::make_unique<OverwritingStoreClient>(m_io, store), "config/", catchUp, handlers(role),
               EventLog::open(std::make_shared<spdlog::sinks::null_sink_mt>(), "entry"))
     {
         boost::asio::co_spawn(
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -27,9 +27,6 @@
     Tokens tokens { 0 };
 };
 
-/// Tags of the segments of a prompt that other requests may share: all but the last.
-std::vector<SegmentTag> sharedSegments(const std::vector<PromptSegment>& prompt);
-
 /// What the placement of a request depends on.
 struct PlacementRequest {
     /// In the order of the prompt; the last segment belongs to this request alone.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -73,14 +73,6 @@
 
 } // namespace
 
-std::vector<SegmentTag> sharedSegments(const std::vector<PromptSegment>& prompt)
-{
-    std::vector<SegmentTag> tags;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
-        tags.push_back(segmentTag(prompt[i].id));
-    return tags;
-}
-
 EndpointUse& EndpointUse::operator+=(const EndpointUse& other)
 {
     running += other.running;
--- a/src/libwisteriayard/segment_quarantine_test.cpp
+++ b/src/libwisteriayard/segment_quarantine_test.cpp
@@ -200,8 +200,8 @@
 
 } // namespace
 
-// Guards against entries that know only of the crashes that they have seen themselves: with many entries nobody would
-// see three. Later than 3 s after the fifth crash at most three requests may reach engines in a day of 48 s, also if
+// Guards against entries that know only of the crashes that they have seen themselves: with many entries none
+// sees three. Later than 3 s after the fifth crash at most three requests may reach engines in a day of 48 s, also if
 // entries are restarted and datagrams are lost; sound requests with the same first segment go on.
 BOOST_DATA_TEST_CASE(entries_stop_the_segment_together, data::make(fleetCases), each)
 {
