--- a/src/include/wisteriayard/segment_quarantine.h
+++ b/src/include/wisteriayard/segment_quarantine.h
@@ -60,6 +60,7 @@
     std::size_t crashes = 0;
 };
 
+/// Timing of the quarantine of prompt segments.
 struct QuarantineTimes {
     /// Crashes closer together count as one: the failure of many endpoints at the same moment has another cause.
     Duration separation = std::chrono::milliseconds(300);
@@ -164,7 +165,6 @@
     void clear(SegmentTag segment, TimePoint begunAt, TimePoint now);
     /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
     Duration timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const;
-    void startTrial(Suspect& suspect, TimePoint now);
     /// Time at which an answer to a segment began last; the earliest possible time if that is not remembered.
     TimePoint lastBegin(SegmentTag segment, TimePoint now) const;
     void removeOld(TimePoint now);
