--- a/src/include/wisteriayard/segment_quarantine.h
+++ b/src/include/wisteriayard/segment_quarantine.h
@@ -72,8 +72,6 @@
     /// engines. Doubles with each further crash.
     Duration firstTrial = std::chrono::seconds(20);
     Duration longestTrialInterval = std::chrono::minutes(10);
-    /// Time without an answer after which many crashes also count if they happened at the same moment.
-    Duration settling = std::chrono::seconds(1);
     /// Entries take turns in sending the request, until one of them has a request with the segment.
     Duration trialTurn = std::chrono::seconds(4);
 };
@@ -89,8 +87,6 @@
 public:
     /// Crashes after which a segment is in quarantine.
     static constexpr std::size_t crashesToQuarantine = 3;
-    /// The same for crashes that are not separate; a trial is due at once then.
-    static constexpr std::size_t crashesAtOnceToQuarantine = 5;
     /// Crashes since the last answer after which a request with the segment is not sent to another engine.
     static constexpr std::size_t crashesToRetry = 2;
     /// Limits on the number of segments with observations, and of segments whose last answer is remembered.
@@ -165,8 +161,6 @@
     /// @param since time of the first crash that counts against the segment
     /// @param lastEvidence time of the last crash or trial
     void quarantine(SegmentTag segment, Suspect& suspect, TimePoint since, TimePoint lastEvidence);
-    /// Puts a segment in quarantine if many engines crashed at the same moment and no answer has begun since.
-    void judge(SegmentTag segment, TimePoint now);
     /// Ends the suspicion of a segment by an answer that began.
     void clear(SegmentTag segment, TimePoint begunAt, TimePoint now);
     /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
--- a/src/libwisteriayard/segment_quarantine.cpp
+++ b/src/libwisteriayard/segment_quarantine.cpp
@@ -141,19 +141,6 @@
     suspect.nextTrial = std::max(suspect.nextTrial, crash.at + suspect.trialInterval);
 }
 
-void SegmentQuarantine::judge(SegmentTag segment, TimePoint now)
-{
-    auto known = m_suspects.find(segment);
-    if (known == m_suspects.end() || known->second.quarantinedSince)
-        return;
-    Suspect& suspect = known->second;
-    std::erase_if(suspect.crashes, [&](const Crash& each) { return now - each.at >= m_times.memory; });
-    if (suspect.crashes.size() < crashesAtOnceToQuarantine || now - suspect.crashes.front().at < m_times.settling)
-        return;
-    // All engines may have failed for another reason, so a trial is due at once, here and at entries that learn of it.
-    quarantine(segment, suspect, suspect.crashes.front().at, now - m_times.firstTrial);
-}
-
 void SegmentQuarantine::endpointCrashed(
     CrashTag crash, const std::vector<SegmentTag>& segments, TimePoint at, TimePoint now)
 {
@@ -201,8 +188,6 @@
 std::optional<Duration> SegmentQuarantine::refusal(
     const std::vector<SegmentTag>& segments, const TrialTurn& turn, TimePoint now)
 {
-    for (SegmentTag segment : segments)
-        judge(segment, now);
     if (m_quarantinedCount == 0)
         return std::nullopt;
     std::vector<Suspect*> quarantined;
