Log and count restorations of the store

The client of the store reads the era that each response names. No decision uses it yet. With the line store_restored, the two metrics and the number of requests in usage_window_closed the hypotheses of docs/incidents/restored-store.md can be told apart: a restoration that no 410 follows left no trace before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,12 +76,13 @@
             , m_state(m_io, settings, platform, EventLog::open(m_sink, settings.instance.value()))
             , m_acceptor(m_io)
             , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
-            , m_peers(m_state, platform.makeStore(m_io.get_executor(), leaseCallTimeout))
-            , m_config(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), platform.configPrefix(),
+            , m_peers(m_state, platform.makeStore(m_io.get_executor(), leaseCallTimeout, m_eras))
+            , m_config(m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras), platform.configPrefix(),
                   CatchUp::CurrentState, configHandlers(), m_state.log)
-            , m_endpoints(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), platform.endpointPrefix(),
-                  CatchUp::History, endpointHandlers(), m_state.log)
-            , m_quarantine(m_io, platform.makeStore(m_io.get_executor(), storeTimeout), m_state.crashGuard, m_state.log)
+            , m_endpoints(m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras),
+                  platform.endpointPrefix(), CatchUp::History, endpointHandlers(), m_state.log)
+            , m_quarantine(
+                  m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras), m_state.crashGuard, m_state.log)
         {
         }
 
@@ -104,6 +105,7 @@
             });
             if (m_state.settings.reportsUsage)
                 startUsage();
+            m_eras->addHandler([this](StoreEra former, StoreEra current) { storeRestored(former, current); });
             spawn([this] { return m_state.watchdog.run([this](Duration gap) { handleProcessPause(gap); }); });
             spawn([this] { return m_config.run(); });
             spawn([this] { return m_endpoints.run(); });
@@ -186,6 +188,16 @@
             return handlers;
         }
 
+        void storeRestored(StoreEra former, StoreEra current)
+        {
+            TimePoint now = bootTimeNow();
+            m_state.metrics.storeRestored();
+            m_state.log->write(Event::StoreRestored,
+                { { "former_era", former.value() }, { "era", current.value() },
+                    { "config_revision", m_config.progress(now).revision.value() },
+                    { "endpoints_revision", m_endpoints.progress(now).revision.value() } });
+        }
+
         /// Connects a copy of a part of the store to the exchange with other entries.
         void connectToPeers(StoreFollower::Handlers& handlers, StoreView view)
         {
@@ -277,7 +289,7 @@
                 options.lease.activationDelay = unfencedActivationDelay;
                 options.lease.reacquisitionGap = settings.leaseTime + leaseMargin;
             }
-            options.store = m_platform.makeStore(m_io.get_executor(), leaseCallTimeout);
+            options.store = m_platform.makeStore(m_io.get_executor(), leaseCallTimeout, m_eras);
             options.sender = [this](LeaseKeeper& keeper, WindowId window, const std::string& record) {
                 return sendUsage(keeper, window, record);
             };
@@ -369,6 +381,7 @@
             m_state.metrics.setActiveRequests(m_state.activeRequests);
             m_state.metrics.setViewAge("config", now - m_state.configConfirmedAt);
             m_state.metrics.setViewAge("endpoints", now - m_state.endpointsConfirmedAt);
+            m_state.metrics.setStoreEra(m_eras->current());
             m_state.metrics.setDroppedLogLines(static_cast<double>(m_sink->dropped()));
         }
 
@@ -458,6 +471,7 @@
         GatewayOptions m_options;
         std::shared_ptr<BufferedSink> m_sink;
         GatewayState m_state;
+        std::shared_ptr<StoreEraMonitor> m_eras = std::make_shared<StoreEraMonitor>();
         boost::asio::ip::tcp::acceptor m_acceptor;
         boost::asio::signal_set m_signals;
         std::shared_ptr<HttpServer> m_readinessServer;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -74,6 +74,9 @@
     , m_active(gauge(*m_registry, "wisteriayard_gateway_active_requests", "Requests being served"))
     , m_viewAge(
           gauge(*m_registry, "wisteriayard_gateway_view_age_seconds", "Time since the store was last heard, by view"))
+    , m_storeEra(gauge(*m_registry, "wisteriayard_gateway_store_era", "Era that the store names in its responses"))
+    , m_restorations(counter(*m_registry, "wisteriayard_gateway_store_restorations_total",
+          "Restorations of the store from an older copy that this process noticed"))
     , m_dropped(gauge(*m_registry, "wisteriayard_gateway_log_lines_dropped",
           "Log lines dropped since the start because standard output was not read"))
 {
@@ -160,6 +163,10 @@
     m_viewAge.Add({ { "view", view } }).Set(toSeconds(age));
 }
 
+void GatewayMetrics::setStoreEra(StoreEra era) { m_storeEra.Add({}).Set(static_cast<double>(era.value())); }
+
+void GatewayMetrics::storeRestored() { m_restorations.Add({}).Increment(); }
+
 void GatewayMetrics::setDroppedLogLines(double count) { m_dropped.Add({}).Set(count); }
 
 std::string GatewayMetrics::text() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -51,6 +51,9 @@
     void viewRead(const std::string& view, const std::string& cause);
     /// @param count changes that arrived together with a later one of the same key
     void supersededChangesReceived(const std::string& view, std::size_t count);
+    void setStoreEra(StoreEra era);
+    /// The store came back from an older copy of itself.
+    void storeRestored();
     void setDroppedLogLines(double count);
 
     /// All metrics in the Prometheus text format.
@@ -79,6 +82,8 @@
     prometheus::Family<prometheus::Gauge>& m_configVersion;
     prometheus::Family<prometheus::Gauge>& m_active;
     prometheus::Family<prometheus::Gauge>& m_viewAge;
+    prometheus::Family<prometheus::Gauge>& m_storeEra;
+    prometheus::Family<prometheus::Counter>& m_restorations;
     prometheus::Family<prometheus::Gauge>& m_dropped;
 };
 
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -36,6 +36,8 @@
     metrics.setActiveRequests(1);
     metrics.setViewAge("config", Duration(1));
     metrics.viewRead("config", "gap");
+    metrics.setStoreEra(StoreEra(1));
+    metrics.storeRestored();
     metrics.setDroppedLogLines(0);
     std::set<std::string> names;
     std::istringstream text(metrics.text());
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store_client.h"
+#include "store_era.h"
 #include "wisteriayard/endpoint_placement.h"
 #include "wisteriayard/error.h"
 #include "wisteriayard/ids.h"
@@ -154,7 +155,9 @@
     virtual ~PlatformPort() = default;
 
     virtual const WireCodec& codec() const = 0;
-    virtual std::unique_ptr<StoreClient> makeStore(boost::asio::any_io_executor executor, Duration timeout) const = 0;
+    /// @param eras records the era of each response
+    virtual std::unique_ptr<StoreClient> makeStore(
+        boost::asio::any_io_executor executor, Duration timeout, std::shared_ptr<StoreEraMonitor> eras) const = 0;
 
     virtual std::string configPrefix() const = 0;
     virtual std::string configKey() const = 0;
--- a/src/include/wisteriayard/units.h
+++ b/src/include/wisteriayard/units.h
@@ -12,6 +12,9 @@
 using Bytes = StrongNumber<struct BytesTag, std::int64_t>;
 /// Modification revision of the key-value store; increases with each write.
 using Revision = StrongNumber<struct RevisionTag, std::int64_t>;
+/// Number of a store's history. Rises each time the store comes back from an older copy of itself; 0 for a store that
+/// names none.
+using StoreEra = StrongNumber<struct StoreEraTag, std::int64_t>;
 /// Fencing token of a lease holder.
 using Epoch = StrongNumber<struct EpochTag, std::int64_t>;
 /// Engine priority; a lower number is served first.
--- a/src/include/wisteriayard/usage.h
+++ b/src/include/wisteriayard/usage.h
@@ -107,6 +107,9 @@
     std::optional<WindowId> m_settled;
 };
 
+/// Number of requests in the window itself, without late ones.
+std::int64_t requestCount(const UsageContent& content);
+
 /// Sums up the partial usage records of a window.
 FinalUsageRecord makeFinalUsageRecord(WindowId window, const std::map<IncarnationId, PartialUsageRecord>& records);
 
--- a/src/libwisteriayard/usage.cpp
+++ b/src/libwisteriayard/usage.cpp
@@ -132,6 +132,14 @@
     return ids;
 }
 
+std::int64_t requestCount(const UsageContent& content)
+{
+    std::int64_t count = 0;
+    for (const auto& [key, figures] : content.lines)
+        count += figures.requests;
+    return count;
+}
+
 FinalUsageRecord makeFinalUsageRecord(WindowId window, const std::map<IncarnationId, PartialUsageRecord>& records)
 {
     FinalUsageRecord final;
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -138,6 +138,8 @@
         return "limit_entries_changed";
     case Event::ViewChangesReceived:
         return "view_changes_received";
+    case Event::StoreRestored:
+        return "store_restored";
     case Event::ViewDeltaRejected:
         return "view_delta_rejected";
     case Event::EndpointCrashed:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -82,6 +82,7 @@
     LimitEntriesChanged = 709,
     ViewChangesReceived = 710,
     ViewDeltaRejected = 711,
+    StoreRestored = 712,
     EndpointCrashed = 720,
     SegmentQuarantined = 721,
     SegmentReleased = 722,
--- a/src/wisteriayardd/usage_closer.cpp
+++ b/src/wisteriayardd/usage_closer.cpp
@@ -91,7 +91,8 @@
         co_return fail(
             Errc::Conflict, "window " + std::to_string(next.value()) + " was closed by another lease holder");
     m_log->write(Event::UsageWindowClosed,
-        { { "window", next.value() }, { "parts", records.value().size() }, { "epoch", m_keeper.epoch().value() } });
+        { { "window", next.value() }, { "parts", records.value().size() }, { "requests", requestCount(final.content) },
+            { "epoch", m_keeper.epoch().value() } });
     if (m_closedHandler)
         m_closedHandler(final);
     co_return true;
