--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -68,6 +68,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 22u);
+    BOOST_TEST(code.size() == 24u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -52,22 +52,45 @@
     """The metadata store: items with revisions, leases and watches.
 
     While `down` is set, it refuses all calls. `response_loss_rate` is the share of POST calls that take effect but get
-    no response.
+    no response. restore() brings back what copy() returned earlier; later revisions and lease numbers are then given out
+    again.
     """
 
     def __init__(self):
         self.lock = threading.Condition()
+        self.era = 1
         self.items = {}
-        self.history = []
+        # Watches can begin at history_start or later.
+        self.history, self.history_start = [], 0
         self.revision = 10
         self.leases = {}
-        self.lease_numbers = iter(range(1000, 10**9))
+        self.last_lease = 1000
         self.down = False
         self.response_loss_rate = 0.0
         self.random = random.Random(1)
         super().__init__(StoreHandler)
         threading.Thread(target=self._expire, daemon=True).start()
 
+    def copy(self):
+        with self.lock:
+            return dict(self.items), self.revision, dict(self.leases), self.last_lease
+
+    def restore(self, copy, passed_revisions=0):
+        """Replaces the content by a copy. `passed_revisions` are given out at once, for changes of other keys."""
+        with self.lock:
+            items, self.revision, leases, self.last_lease = copy
+            self.items, self.leases = dict(items), dict(leases)
+            self.history, self.history_start = [], self.revision
+            self.era += 1
+            self.revision += passed_revisions
+            self.lock.notify_all()
+
+    def grant_lease(self, ttl_ms):
+        with self.lock:
+            self.last_lease += 1
+            self.leases[self.last_lease] = (ttl_ms, time.monotonic() + ttl_ms / 1000)
+            return self.last_lease
+
     def put(self, key, value, lease=0, revision=None):
         with self.lock:
             # All writes of a transaction share a revision.
@@ -111,6 +134,8 @@
         deadline = time.monotonic() + wait_ms / 1000
         with self.lock:
             while True:
+                if after > self.revision or after < self.history_start:
+                    return None
                 events = [event for event in self.history if event["rev"] > after and event["key"].startswith(prefix)]
                 left = deadline - time.monotonic()
                 if events or left <= 0 or self.down:
@@ -136,13 +161,15 @@
         url = urllib.parse.urlsplit(self.path)
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         text = self.body()
+        era = store.era
         if store.down:
-            return self.answer(503)
+            return self.answer(503, None, [("Store-Era", str(era))])
         status, document = self.execute(store, method, url.path, query, json.loads(text or b"{}"))
-        if method == "POST" and store.random.random() < store.response_loss_rate:
+        lost = method == "POST" and store.random.random() < store.response_loss_rate
+        if lost or era != store.era:
             self.close_connection = True
             return None
-        return self.answer(status, document)
+        return self.answer(status, document, [("Store-Era", str(era))])
 
     def execute(self, store, method, path, query, request):
         if path == "/kv-key":
@@ -155,14 +182,12 @@
                          if key.startswith(query["prefix"]) and key > query.get("after", "")]
                 return 200, {"items": items[:50], "has_more": len(items) > 50, "store_revision": store.revision}
         if path == "/kv-watch":
-            return 200, store.watch(query["prefix"], int(query["after"]), int(query["wait_ms"]))
+            changes = store.watch(query["prefix"], int(query["after"]), int(query["wait_ms"]))
+            return (200, changes) if changes else (410, None)
         if path == "/kv-txn":
             return store.transact(request)
         if path == "/kv-lease":
-            with store.lock:
-                lease = next(store.lease_numbers)
-                store.leases[lease] = (request["ttl_ms"], time.monotonic() + request["ttl_ms"] / 1000)
-            return 200, {"lease": lease, "ttl_ms": request["ttl_ms"]}
+            return 200, {"lease": store.grant_lease(request["ttl_ms"]), "ttl_ms": request["ttl_ms"]}
         lease = int(path.rsplit("/", 1)[1])
         with store.lock:
             if lease not in store.leases:
--- /dev/null
+++ b/testsuite/restored_store/run.py
@@ -0,0 +1,199 @@
+#!/usr/bin/env python3
+"""The store comes back from an older copy of itself: what was written since is gone, and revisions and lease numbers are
+given out again. Entries must neither report usage twice nor keep an old configuration, and must write again what only
+they know.
+"""
+
+import argparse
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
+from platform_deployment import WINDOW_S, Deployment, wait_until  # noqa: E402
+from platform_standins import Endpoint  # noqa: E402
+
+GATEWAYS = 6
+# Revisions that the restored store gives out for other changes before the entries ask it again.
+PASSED_REVISIONS = 1000
+LONG_LEASE_MS = 600_000
+
+
+def restore(deployment, copy, passed_revisions=0):
+    """Takes the store away for a moment and brings it back as it was at the time of the copy."""
+    deployment.store.down = True
+    time.sleep(0.3)
+    deployment.store.restore(copy, passed_revisions)
+    deployment.store.down = False
+
+
+def version_in_force(gateway):
+    return max((event["version"] for event in gateway.events("config_in_force")), default=0)
+
+
+def reported(deployment):
+    return len(deployment.reports.windows)
+
+
+def call_all(deployment, count=1):
+    for _ in range(count):
+        for gateway in deployment.gateways:
+            gateway.call("/lookup/1")
+
+
+def report_windows(deployment):
+    """@return a copy of the store after the first report; at least two more windows are reported after it"""
+    copy = None
+    while reported(deployment) < 3:
+        if copy is None and reported(deployment) == 1 and deployment.store.value("usage/sent"):
+            copy = deployment.store.copy()
+        call_all(deployment)
+    return copy
+
+
+def windows_are_reported_once(deployment):
+    """The store forgets which windows were closed and reported, and the partial records of the next ones."""
+    copy = report_windows(deployment)
+    restore(deployment, copy)
+    before = reported(deployment)
+    while reported(deployment) < before + 3:
+        call_all(deployment)
+    assert not deployment.reports.conflicts, deployment.reports.conflicts
+
+
+def windows_are_reported_once_by_restarted_entries(deployment):
+    """All entries that know what was reported are killed while the store is away."""
+    copy = report_windows(deployment)
+    deployment.store.down = True
+    for gateway in deployment.gateways:
+        gateway.stop()
+    deployment.store.restore(copy)
+    deployment.store.down = False
+    for gateway in deployment.gateways:
+        gateway.start()
+    for gateway in deployment.gateways:
+        wait_until(gateway.ready, f"{gateway.name} to be ready")
+    before = reported(deployment)
+    while reported(deployment) < before + 2:
+        call_all(deployment)
+    assert not deployment.reports.conflicts, deployment.reports.conflicts
+
+
+def usage_of_open_windows_is_kept(deployment):
+    """Partial records that the store has forgotten are written again before their window is closed."""
+    while reported(deployment) < 2:
+        call_all(deployment)
+    copy = deployment.store.copy()
+    # All calls lie in one window that is open during the restoration.
+    while time.time() % WINDOW_S > WINDOW_S / 20:
+        time.sleep(0.01)
+    window = int(time.time() // WINDOW_S)
+    call_all(deployment, 5)
+    parts = f"usage/part/{window:015d}/"
+    wait_until(lambda: sum(key.startswith(parts) for key in list(deployment.store.items)) == GATEWAYS,
+               "the partial records of all entries")
+    restore(deployment, copy)
+    wait_until(lambda: window in deployment.reports.windows, "the report of the window")
+    counts = deployment.reports.windows[window]
+    assert counts == {"acme": 5 * GATEWAYS}, counts
+
+
+def changes_take_effect(deployment):
+    """The restored store gives out the revisions that entries have seen again, for other changes."""
+    copy = deployment.store.copy()
+    for _ in range(3):
+        version = deployment.configure()
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: version_in_force(each) >= version, f"version {version} at {gateway.name}")
+    # The first version in the new history has a revision that the copies of all entries exceed.
+    deployment.store.down = True
+    time.sleep(0.3)
+    deployment.store.restore(copy)
+    version = deployment.configure()
+    with deployment.store.lock:
+        deployment.store.revision += PASSED_REVISIONS
+    deployment.store.down = False
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: version_in_force(each) >= version, f"version {version} at {gateway.name}")
+
+
+def registration_is_written_again(deployment):
+    """The lease number of a lost registration is given out again, and its renewals succeed."""
+    late = deployment.gateways[-1]
+    key = "member/" + late.name
+    with deployment.store.lock:
+        items, revision, leases, last_lease = deployment.store.copy()
+        lease = items[key]["lease"]
+        items = {each: item for each, item in items.items() if item["lease"] != lease}
+        leases.pop(lease)
+    restore(deployment, (items, revision, leases, lease - 1))
+    assert deployment.store.grant_lease(LONG_LEASE_MS) == lease
+    wait_until(lambda: deployment.store.value(key), "the registration of " + late.name)
+
+
+def departed_endpoint_stays_out(deployment):
+    """An endpoint that has left is in the list again, with the record that it had before."""
+    plain = [endpoint for endpoint in deployment.endpoints if endpoint.service == "plain"]
+    copy = deployment.store.copy()
+    deployment.store.put("servers/" + plain[0].name, plain[0].entry(state="draining"))
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: any(event["endpoint"] == plain[0].name
+                                            for event in each.events("endpoint_removed")), "its removal")
+    runs = sum(plain[0].runs.values())
+    restore(deployment, copy)
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: each.events("store_restored"), f"{gateway.name} to notice the restoration")
+    time.sleep(0.5)
+    call_all(deployment, 5)
+    assert sum(plain[0].runs.values()) == runs, "the endpoint got requests after it had left"
+    # Its own new record counts again.
+    deployment.store.put("servers/" + plain[0].name, plain[0].entry(state="ready"))
+    wait_until(lambda: call_all(deployment) or sum(plain[0].runs.values()) > runs, "requests to the endpoint")
+
+
+def joined_endpoint_stays_in(deployment):
+    """An endpoint that joined after the copy is missing in the list until it writes its record again."""
+    copy = deployment.store.copy()
+    joined = Endpoint("p9", "plain", "a")
+    deployment.endpoints.append(joined)
+    deployment.store.put("servers/" + joined.name, joined.entry())
+    wait_until(lambda: call_all(deployment) or sum(joined.runs.values()) > 0, "requests to the endpoint")
+    # Watches must not go on after the restoration, as if nothing had happened.
+    with deployment.store.lock:
+        deployment.store.revision += PASSED_REVISIONS
+    deployment.store.put("servers/other", "{}")
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: each.events("config_rejected"), f"{gateway.name} to read the record")
+    restore(deployment, copy)
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: each.events("store_restored"), f"{gateway.name} to notice the restoration")
+    time.sleep(0.5)
+    deployment.store.put("servers/" + joined.name, joined.entry())
+    time.sleep(0.5)
+    removed = [event for gateway in deployment.gateways for event in gateway.events("endpoint_removed")]
+    assert not removed, removed
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--case")
+    options = parser.parse_args()
+    failed = []
+    for case in (windows_are_reported_once, windows_are_reported_once_by_restarted_entries,
+                 usage_of_open_windows_is_kept, changes_take_effect, registration_is_written_again,
+                 departed_endpoint_stays_out, joined_endpoint_stays_in):
+        if options.case not in (None, case.__name__):
+            continue
+        deployment = Deployment(options.bin)
+        try:
+            with deployment.start(GATEWAYS):
+                case(deployment)
+            print("passed:", case.__name__, flush=True)
+        except AssertionError as error:
+            failed.append(case.__name__)
+            print("failed:", case.__name__, error, flush=True)
+    sys.exit(1 if failed else 0)
+
+
+main()
