Keep the era of the store in its revisions

Callers saw 404 on routes that had been added, and an old configuration for more than 4 s (CONFIG), after the store had come back from an older copy.

Cause: revisions are given out again in the new history. A copy that is complete up to a number of the former one takes changes with lower numbers for known ones, and progress reports of observers confirm it; a watch is not told 410 if the store has the number again.

A revision now holds the era in its upper bits, so the comparisons that exist order both histories. A copy of another era is read anew and not repaired by changes, because the keys it lacks or has in excess are unknown.

The new rows of relayed_view_test fail without the check of eras.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_directory.h"
 
 #include "address.h"
+#include "wisteriayard/store_numbers.h"
 
 #include <cmath>
 
@@ -61,7 +62,8 @@
     if (!record) {
         // A record that cannot be decoded is ignored; the other endpoints stay in use.
         m_log->write(Event::ConfigRejected,
-            { { "key", item.key }, { "revision", item.modRevision.value() }, { "error", record.error().message } });
+            { { "key", item.key }, { "revision", numberInEra(item.modRevision) },
+                { "error", record.error().message } });
         return;
     }
     auto known = m_records.find(id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "peer_exchange.h"
 #include "quarantine_store.h"
 #include "store_follower.h"
+#include "wisteriayard/store_numbers.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -194,8 +195,8 @@
             m_state.metrics.storeRestored();
             m_state.log->write(Event::StoreRestored,
                 { { "former_era", former.value() }, { "era", current.value() },
-                    { "config_revision", m_config.progress(now).revision.value() },
-                    { "endpoints_revision", m_endpoints.progress(now).revision.value() } });
+                    { "config_revision", numberInEra(m_config.progress(now).revision) },
+                    { "endpoints_revision", numberInEra(m_endpoints.progress(now).revision) } });
         }
 
         /// Connects a copy of a part of the store to the exchange with other entries.
@@ -244,7 +245,8 @@
             }
             m_state.metrics.configRejected();
             m_state.log->write(Event::ConfigRejected,
-                { { "key", item.key }, { "revision", item.modRevision.value() }, { "error", config.error().message } });
+                { { "key", item.key }, { "revision", numberInEra(item.modRevision) },
+                    { "error", config.error().message } });
         }
 
         StoreFollower::Handlers endpointHandlers()
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway_state.h"
 
+#include "wisteriayard/store_numbers.h"
+
 namespace wisteriayard {
 
 namespace {
@@ -42,7 +44,7 @@
     log->write(Event::ConfigInForce,
         { { "version", version.value() }, { "before", routes ? routes->config().version.value() : 0 },
             { "routes", next->config().routes.size() }, { "keys", next->config().keys.size() },
-            { "revision", origin.revision.value() }, { "source", origin.source },
+            { "revision", numberInEra(origin.revision) }, { "source", origin.source },
             { "max_delay_ms", origin.maxDelay ? nlohmann::json(origin.maxDelay->count() / 1000) : nlohmann::json() } });
     if (origin.maxDelay)
         metrics.configApplied(*origin.maxDelay);
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "clock.h"
+#include "wisteriayard/store_numbers.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -142,7 +143,8 @@
     // The changes that the store no longer has are relayed, so that the other entries of the region need not read the
     // store again.
     auto lostAt = std::exchange(m_historyLostAfter, std::nullopt);
-    if (lostAt && m_handlers.role() == ViewRole::Observer)
+    bool sameEra = lostAt && eraOf(*lostAt) == eraOf(range.value().revision);
+    if (sameEra && m_handlers.role() == ViewRole::Observer)
         m_handlers.relayChanges(*lostAt, changesSince(m_keys, *lostAt, range.value()), m_values);
     m_keys.clear();
     m_values.clear();
@@ -246,7 +248,7 @@
         if (value)
             return std::move(value.value());
         m_log->write(Event::ViewDeltaRejected,
-            { { "key", delta.key }, { "revision", delta.revision.value() }, { "error", value.error().message } });
+            { { "key", delta.key }, { "revision", numberInEra(delta.revision) }, { "error", value.error().message } });
     }
     return std::nullopt;
 }
@@ -334,7 +336,7 @@
         bytes += item.value.size();
     m_log->write(Event::ViewChangesReceived,
         { { "prefix", m_prefix }, { "source", changeSourceName(origin.source) }, { "items", batch.items.size() },
-            { "superseded", superseded }, { "bytes", bytes }, { "revision", batch.revision.value() },
+            { "superseded", superseded }, { "bytes", bytes }, { "revision", numberInEra(batch.revision) },
             { "unconfirmed_ms", unconfirmedFor.count() / 1000 } });
 }
 
@@ -344,7 +346,7 @@
         return;
     m_role = role;
     m_log->write(Event::ViewRoleChanged,
-        { { "prefix", m_prefix }, { "role", viewRoleName(role) }, { "revision", m_view.revision().value() } });
+        { { "prefix", m_prefix }, { "role", viewRoleName(role) }, { "revision", numberInEra(m_view.revision()) } });
 }
 
 void StoreFollower::reportRead(ReadCause cause)
@@ -354,7 +356,7 @@
     if (std::exchange(m_readCause, cause) == cause || cause == ReadCause::None)
         return;
     m_log->write(Event::ViewRead,
-        { { "prefix", m_prefix }, { "cause", readCauseName(cause) }, { "revision", m_view.revision().value() },
+        { { "prefix", m_prefix }, { "cause", readCauseName(cause) }, { "revision", numberInEra(m_view.revision()) },
             { "age_ms", m_view.progress(bootTimeNow()).age.count() / 1000 } });
 }
 
--- a/src/include/wisteriayard/units.h
+++ b/src/include/wisteriayard/units.h
@@ -10,7 +10,7 @@
 /// Tokens of prompt or output.
 using Tokens = StrongNumber<struct TokensTag, std::int64_t>;
 using Bytes = StrongNumber<struct BytesTag, std::int64_t>;
-/// Modification revision of the key-value store; increases with each write.
+/// Modification revision of the key-value store; increases with each write, also over eras (store_numbers.h).
 using Revision = StrongNumber<struct RevisionTag, std::int64_t>;
 /// Number of a store's history. Rises each time the store comes back from an older copy of itself; 0 for a store that
 /// names none.
--- a/src/libwisteriayard/relayed_view.cpp
+++ b/src/libwisteriayard/relayed_view.cpp
@@ -1,6 +1,7 @@
 #include "wisteriayard/relayed_view.h"
 
 #include "wisteriayard/rendezvous.h"
+#include "wisteriayard/store_numbers.h"
 
 #include <algorithm>
 
@@ -63,6 +64,11 @@
 {
     if (!m_revision)
         return false;
+    // The keys that a copy of another era lacks or has in excess are unknown, so it can't be repaired by changes.
+    if (eraOf(to) != eraOf(*m_revision)) {
+        announce(to, now);
+        return false;
+    }
     if (from > *m_revision) {
         announce(std::max(from, lastChange.value_or(from)), now);
         return false;
@@ -75,8 +81,11 @@
 {
     if (!m_revision)
         return;
-    if (reported.lastChange > *m_revision) {
-        announce(reported.lastChange, now);
+    // In another era the present revision matters even if nothing has changed.
+    bool sameEra = eraOf(reported.revision) == eraOf(*m_revision);
+    Revision newest = sameEra ? reported.lastChange : reported.revision;
+    if (newest > *m_revision || !sameEra) {
+        announce(newest, now);
         return;
     }
     advance(reported.revision, std::nullopt, now - reported.age);
--- a/src/libwisteriayard/relayed_view_test.cpp
+++ b/src/libwisteriayard/relayed_view_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE relayed_view
 #include "wisteriayard/relayed_view.h"
+#include "wisteriayard/store_numbers.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -104,6 +105,37 @@
         milliseconds(200), ReadCause::NotLoaded, 0 },
 };
 
+/// Revision in the era that follows the one of the other cases, in which numbers are given out again.
+std::int64_t restored(std::int64_t number) { return inEra<Revision>(StoreEra(1), number).value(); }
+
+const ReadCase restoredCases[] = {
+    { "changes_of_the_restored_store", [](RelayedView& view) { changes(view, restored(5), restored(6), Duration(0)); },
+        milliseconds(100), ReadCause::Gap, 10 },
+    { "changes_that_follow_the_lost_history", [](RelayedView& view) { changes(view, 10, restored(6), Duration(0)); },
+        milliseconds(100), ReadCause::Gap, 10 },
+    { "progress_report_of_the_restored_store",
+        [](RelayedView& view) {
+            view.applyProgress(progress(restored(4), restored(6), milliseconds(5)), at(milliseconds(0)));
+        },
+        milliseconds(100), ReadCause::Gap, 10 },
+    { "progress_report_without_a_change_since_the_restoration",
+        [](RelayedView& view) { view.applyProgress(progress(10, restored(6), milliseconds(5)), at(milliseconds(0))); },
+        milliseconds(100), ReadCause::Gap, 10 },
+    { "read_of_the_restored_store",
+        [](RelayedView& view) {
+            view.applyProgress(progress(restored(4), restored(6), milliseconds(5)), at(milliseconds(0)));
+            view.loaded(Revision(restored(6)), at(milliseconds(80)));
+        },
+        milliseconds(100), ReadCause::None, restored(6) },
+    { "observer_that_has_not_noticed_the_restoration",
+        [](RelayedView& view) {
+            view.loaded(Revision(restored(6)), at(milliseconds(0)));
+            view.applyProgress(progress(12, 14, milliseconds(5)), at(milliseconds(2000)));
+            changes(view, 14, 15, milliseconds(2100));
+        },
+        milliseconds(2200), ReadCause::Stale, restored(6) },
+};
+
 struct RoleCase {
     int entries;
     std::size_t observers;
@@ -143,6 +175,15 @@
     BOOST_TEST(view.revision().value() == each.revision);
 }
 
+// Guards against a copy that compares revisions of two histories of a store, which has given them out twice.
+BOOST_DATA_TEST_CASE(copy_of_another_era_is_read_anew, data::make(restoredCases), each)
+{
+    RelayedView view = loadedView(10);
+    each.events(view);
+    BOOST_TEST((view.storeReadCause(at(each.when)) == each.cause));
+    BOOST_TEST(view.revision().value() == each.revision);
+}
+
 // Guards against confirming a copy as of a datagram's arrival instead of the store's response.
 BOOST_AUTO_TEST_CASE(age_counts_from_the_answer_of_the_store)
 {
