--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -197,6 +197,7 @@
                 { { "former_era", former.value() }, { "era", current.value() },
                     { "config_revision", numberInEra(m_config.progress(now).revision) },
                     { "endpoints_revision", numberInEra(m_endpoints.progress(now).revision) } });
+            m_peers.storeRestored(now);
         }
 
         /// Connects a copy of a part of the store to the exchange with other entries.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -56,6 +56,7 @@
     : m_state(state)
     , m_store(std::move(store))
     , m_socket(state.io)
+    , m_registrationTimer(state.io)
 {
 }
 
@@ -124,18 +125,24 @@
 
 awaitable<void> PeerExchange::keepRegistered()
 {
-    boost::asio::steady_timer timer(m_state.io);
     while (!m_leaving) {
         RegistrationState state = RegistrationState::Unconfirmed;
         if (m_lease.value() != 0)
             state = co_await renewRegistration();
         else
             state = co_await registerSelf();
-        timer.expires_after(registrationCallDelay(state));
-        co_await timer.async_wait(use_awaitable);
+        boost::system::error_code ignored; // storeRestored() cancels the wait
+        m_registrationTimer.expires_after(registrationCallDelay(state));
+        co_await m_registrationTimer.async_wait(redirect_error(use_awaitable, ignored));
     }
 }
 
+void PeerExchange::storeRestored(TimePoint now)
+{
+    m_registrationsIncompleteUntil = now + missingPeerGrace;
+    m_registrationTimer.cancel();
+}
+
 awaitable<void> PeerExchange::unregister()
 {
     m_leaving = true;
@@ -160,7 +167,11 @@
     }
     TimePoint now = bootTimeNow();
     for (const auto& [instance, peer] : previous) {
-        if (m_peers.count(instance) == 0 && !peer.leaving)
+        if (m_peers.count(instance) > 0)
+            continue;
+        if (now < m_registrationsIncompleteUntil && isLive(peer, now))
+            m_peers[instance] = peer;
+        else if (!peer.leaving)
             m_missingPeers.try_emplace(instance, MissingPeer { peer.region, now });
     }
     m_registrationsReadAt = now;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -4,6 +4,7 @@
 #include "peer_messages.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -36,6 +37,9 @@
     boost::asio::awaitable<void> sendLoads();
     /// Receives and handles datagrams until the socket is closed.
     boost::asio::awaitable<void> receiveDatagrams();
+    /// The store came back from an older copy. Registers again at once, and keeps peers that are still heard although
+    /// their registrations are missing, until they have done the same.
+    void storeRestored(TimePoint now);
     /// Removes the registration at shutdown.
     boost::asio::awaitable<void> unregister();
 
@@ -123,6 +127,10 @@
     std::map<InstanceId, MissingPeer> m_missingPeers;
     LimitEntries m_limitEntries;
     LeaseId m_lease {};
+    /// Waits for the next call about the registration.
+    boost::asio::steady_timer m_registrationTimer;
+    /// Until then registrations may be missing because the store was restored.
+    TimePoint m_registrationsIncompleteUntil {};
     /// Start of the current registration, and the last time at which it was certainly in force.
     TimePoint m_registeredSince {};
     TimePoint m_registrationConfirmedAt {};
