Let holders from before a restoration of the store end first

Entries could act as holder of lease/usage at the same time, and on sites whose platform does not check fencing tokens one could act before and after another one.

Cause: the lease of a holder may be missing in a restored store, so a successor gets it at once, while the former holder still counts the time of its lease. A holder whose key the copy has kept goes on with a lease that the store may end at any time.

When a process sees a new era, its lease counts as lost, and one that it acquires takes effect only a lease time later: by then each former holder has stopped. Its own key from the former history is deleted instead of waiting for its expiry. Fencing tokens hold the era since revisions do, so they rise over restorations for every receiver, also for a holder that starts in the new era with an empty memory.

Test: successor_waits_after_a_restoration_of_the_store (lease_test); the function that it tests is new.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -198,6 +198,8 @@
                     { "config_revision", numberInEra(m_config.progress(now).revision) },
                     { "endpoints_revision", numberInEra(m_endpoints.progress(now).revision) } });
             m_peers.storeRestored(now);
+            if (m_state.usage)
+                m_state.usage->storeRestored(now);
         }
 
         /// Connects a copy of a part of the store to the exchange with other entries.
--- a/src/include/wisteriayard/lease.h
+++ b/src/include/wisteriayard/lease.h
@@ -66,6 +66,10 @@
     Status renewed(TimePoint sent);
     /// The store no longer has the lease, or the process releases it.
     Status lost();
+    /// The store came back from an older copy, in which this lease may not exist. The holder of that time, this process
+    /// or another, may act until the lease would have expired, without the store preventing a successor. So a lease
+    /// that is acquired now takes effect only after that.
+    void storeRestored(TimePoint now);
     /// Evaluates the end of the activation delay and the expiry of the lease.
     void tick(TimePoint now);
 
--- a/src/libwisteriayard/lease.cpp
+++ b/src/libwisteriayard/lease.cpp
@@ -49,6 +49,7 @@
             machine.readyAt = event.now
                 + machine.times.activationDelay.value_or(machine.times.timeToLive + machine.times.safetyMargin);
             machine.readyAt = std::max(machine.readyAt, machine.actedUntil + machine.times.reacquisitionGap);
+            machine.readyAt = std::max(machine.readyAt, machine.othersActUntil);
         }
     };
 
@@ -122,6 +123,8 @@
         TimePoint readyAt {};
         /// Latest time at which this instance may have acted.
         TimePoint actedUntil {};
+        /// Latest time at which a holder from before a restoration of the store may act.
+        TimePoint othersActUntil {};
         Epoch epoch {};
     };
 
@@ -181,6 +184,11 @@
 Status LeaseHolder::requestUnanswered() { return apply(*m_machine, RequestUnanswered {}, "an unanswered request"); }
 Status LeaseHolder::renewed(TimePoint sent) { return apply(*m_machine, Renewed { sent }, "a renewal"); }
 Status LeaseHolder::lost() { return apply(*m_machine, Lost {}, "a loss"); }
+void LeaseHolder::storeRestored(TimePoint now)
+{
+    m_machine->othersActUntil = now + m_machine->times.timeToLive;
+    (void)lost(); // refused if no lease is held
+}
 void LeaseHolder::tick(TimePoint now) { m_machine->process_event(Tick { now }); }
 
 LeaseState LeaseHolder::state() const { return static_cast<LeaseState>(m_machine->current_state()[0]); }
--- a/src/libwisteriayard/lease_test.cpp
+++ b/src/libwisteriayard/lease_test.cpp
@@ -135,3 +135,45 @@
         BOOST_TEST(holder.authorityEnds(at(second)).has_value() == (second >= each.actsAt));
     }
 }
+
+struct RestorationCase {
+    const char* name;
+    LeaseState state;
+    /// First second at which the process may act.
+    int actsAt;
+};
+std::ostream& operator<<(std::ostream& out, const RestorationCase& each) { return out << each.name; }
+
+// Time to live 6 s, safety margin 1 s, no activation delay; the store is restored at 7 s.
+const RestorationCase restorationCases[] = {
+    { "successor", LeaseState::Free, 13 },
+    { "request_under_way", LeaseState::Acquiring, 13 },
+    { "unanswered_request", LeaseState::Indeterminate, 13 },
+    { "holder", LeaseState::Holding, 13 },
+};
+
+// Guards against a successor that acts while the holder from before a restoration of the store still does.
+BOOST_DATA_TEST_CASE(
+    successor_waits_after_a_restoration_of_the_store, boost::unit_test::data::make(restorationCases), each)
+{
+    LeaseHolder holder(LeaseTimes { seconds(6), seconds(1), seconds(0) });
+    if (each.state != LeaseState::Free)
+        BOOST_REQUIRE(holder.requestSent(at(6)));
+    if (each.state == LeaseState::Indeterminate)
+        BOOST_REQUIRE(holder.requestUnanswered());
+    if (each.state == LeaseState::Holding) {
+        BOOST_REQUIRE(holder.acquired(Epoch(3), at(6)));
+        holder.tick(at(6));
+        BOOST_REQUIRE(holder.authorityEnds(at(6)));
+    }
+    holder.storeRestored(at(7));
+    BOOST_TEST(!holder.authorityEnds(at(7)));
+    if (holder.state() == LeaseState::Free)
+        BOOST_REQUIRE(holder.requestSent(at(8)));
+    BOOST_REQUIRE(holder.acquired(Epoch(9), at(8)));
+    for (int second = 8; second <= each.actsAt; ++second) {
+        BOOST_REQUIRE(holder.renewed(at(second)));
+        holder.tick(at(second));
+        BOOST_TEST(holder.authorityEnds(at(second)).has_value() == (second >= each.actsAt));
+    }
+}
--- a/src/wisteriayardd/lease_keeper.cpp
+++ b/src/wisteriayardd/lease_keeper.cpp
@@ -78,6 +78,8 @@
     bool free = !existing && existing.error().code == Errc::NotFound;
     if (!free) {
         (void)m_holder.refused();
+        if (existing)
+            co_await deleteRemainder(existing.value());
         co_return;
     }
     auto lease = co_await m_store.grantLease(m_times.timeToLive);
@@ -99,6 +101,16 @@
     co_await readBack(value);
 }
 
+awaitable<void> LeaseKeeper::deleteRemainder(const StoreItem& item)
+{
+    if (item.value.rfind(m_holderId + "/", 0) != 0)
+        co_return;
+    Transaction transaction;
+    transaction.compares.emplace_back(CompareModRevision { m_key, item.modRevision });
+    transaction.onSuccess.emplace_back(DeleteOperation { m_key });
+    [[maybe_unused]] auto deleted = co_await m_store.transact(std::move(transaction)); // else it expires
+}
+
 awaitable<void> LeaseKeeper::readBack(const std::string& value)
 {
     auto item = co_await m_store.read(m_key);
@@ -121,6 +133,12 @@
     m_holder.tick(bootTimeNow());
 }
 
+void LeaseKeeper::storeRestored(TimePoint now)
+{
+    m_holder.storeRestored(now);
+    logStateChange();
+}
+
 awaitable<void> LeaseKeeper::release()
 {
     m_released = true;
--- a/src/wisteriayardd/lease_keeper.h
+++ b/src/wisteriayardd/lease_keeper.h
@@ -30,6 +30,8 @@
     void setCandidate(std::function<bool()> isCandidate) { m_isCandidate = std::move(isCandidate); }
     /// Acquires and renews the lease until release().
     boost::asio::awaitable<void> run();
+    /// The store came back from an older copy.
+    void storeRestored(TimePoint now);
     /// Releases the lease at shutdown, so that a successor need not wait until it expires.
     boost::asio::awaitable<void> release();
 
@@ -43,6 +45,8 @@
 
 private:
     boost::asio::awaitable<void> acquire();
+    /// Deletes the key if it is a remainder of this process: an earlier lease, which is not renewed any more.
+    boost::asio::awaitable<void> deleteRemainder(const StoreItem& item);
     boost::asio::awaitable<void> readBack(const std::string& value);
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> sleepFor(Duration time);
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -201,6 +201,8 @@
     (void)applyFinalRecord(window, counted);
 }
 
+void UsageReporter::storeRestored(TimePoint now) { m_keeper.storeRestored(now); }
+
 bool UsageReporter::applyFinalRecord(WindowId window, std::optional<std::uint64_t> counted)
 {
     WindowId open = std::max(windowNow(), window + WindowId(1));
--- a/src/wisteriayardd/usage_reporter.h
+++ b/src/wisteriayardd/usage_reporter.h
@@ -57,6 +57,8 @@
     /// Settles a window that another entry has closed.
     /// @param counted sequence number of this entry's record that the final usage record counts
     void windowClosed(WindowId window, const IncarnationId& entry, std::optional<std::uint64_t> counted);
+    /// The store came back from an older copy.
+    void storeRestored(TimePoint now);
     /// State as JSON. Control thread only.
     nlohmann::json status() const;
 
