Report no usage window again after the store was restored

Cause: only the store knew which windows were closed and reported. When it comes back older, the next holder, or the same one, closes them again from the partial records that the copy happens to have.

Now each entry knows the last closed window: the closer tells all of them before it reports, and regular reports between entries repeat it. A holder that finds the marks last checked in another era (usage/era) moves usage/closed up to that window before it closes any. An entry that has just started counts each window that was due at its start as closed. Final records of the last eight windows that a process closed or reported are written again, so they can be reported as they were. A window whose record nobody has is skipped: another record of it would bill usage twice, one that is missing is only late.

Cost: one read per holder and era, one more datagram per window and entry.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -7,6 +7,7 @@
 #include "wisteriayard/rendezvous.h"
 
 #include <algorithm>
+#include <set>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -314,6 +315,8 @@
     report.wallClockMs = m_state.clock.guardedMilliseconds(wallClockMilliseconds(), now);
     report.storeContactTime = storeContactTime(now);
     report.leaving = m_leaving;
+    if (m_state.usage)
+        report.closedWindow = m_state.usage->lastClosedWindow();
     return report;
 }
 
@@ -470,11 +473,19 @@
 
 void PeerExchange::announceWindowClosed(const FinalUsageRecord& final)
 {
+    std::set<InstanceId> informed;
     for (const auto& [entry, sequence] : final.counted) {
         InstanceId instance(entry.value().substr(0, entry.value().rfind('.')));
         auto peer = m_peers.find(instance);
-        if (peer != m_peers.end())
-            send(encodePeerMessage(PeerWindowClosed { final.window, entry, sequence }), peer->second);
+        if (peer == m_peers.end())
+            continue;
+        send(encodePeerMessage(PeerWindowClosed { final.window, entry, sequence }), peer->second);
+        informed.insert(instance);
+    }
+    std::string closed = encodePeerMessage(PeerWindowClosed { final.window, IncarnationId(), std::nullopt });
+    for (const auto& [instance, peer] : m_peers) {
+        if (informed.count(instance) == 0)
+            send(closed, peer);
     }
 }
 
@@ -551,6 +562,8 @@
     sender.reachesStore = loads.storeContactTime > Duration(0);
     sender.isObserver = !loads.viewProgress.empty();
     sender.leaving = loads.leaving;
+    if (m_state.usage && loads.closedWindow)
+        m_state.usage->windowClosedElsewhere(*loads.closedWindow);
     detectPause(now);
     if (now >= m_ignoreViewsUntil) {
         for (const auto& [view, progress] : loads.viewProgress)
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -51,7 +51,8 @@
     /// @return false if this entry is not a follower, no observer is available, or the record doesn't fit into a
     /// datagram
     bool sendUsageToObserver(WindowId window, const IncarnationId& entry, const PartialUsageRecord& record);
-    /// Sends each entry the number of its partial usage record that a final usage record includes.
+    /// Tells all entries that a usage window is closed, and each one the number of its partial usage record that the
+    /// final usage record includes. Called before the window is reported.
     void announceWindowClosed(const FinalUsageRecord& final);
     /// Whether this entry is one of the few that try to acquire a free lease.
     bool isLeaseCandidate() const;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -89,6 +89,8 @@
                 message.add_limit_ages_ms(clampToUint32(limit.age / std::chrono::milliseconds(1)));
             }
             addQuarantine(message, loads.quarantine);
+            if (loads.closedWindow)
+                message.set_closed_window(loads.closedWindow->value());
             message.set_leaving(loads.leaving);
             message.set_entries(loads.entryCount);
         }
@@ -273,6 +275,8 @@
         }
         BOOST_OUTCOME_TRY(loads.limits, decodeLimits(message));
         BOOST_OUTCOME_TRY(loads.quarantine, decodeQuarantine(message));
+        if (message.has_closed_window())
+            loads.closedWindow = WindowId(message.closed_window());
         loads.leaving = message.leaving();
         loads.entryCount = std::max<std::uint32_t>(1, message.entries());
         return PeerMessage(std::move(loads));
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -54,6 +54,8 @@
     QuarantineReport quarantine;
     /// Progress of the sender's copies of the store; empty if it is not an observer.
     std::map<StoreView, ViewProgress> viewProgress;
+    /// Last usage window that the sender knows to be closed.
+    std::optional<WindowId> closedWindow;
     /// The sender is shutting down and will soon stop sending.
     bool leaving = false;
     /// Number of entries of the sender's region, including the sender, whose endpoint load and work are summed up.
@@ -81,6 +83,7 @@
 /// Announces that the sender has closed a usage window.
 struct PeerWindowClosed {
     WindowId window;
+    /// Empty if the final record includes no record of the receiver.
     IncarnationId entry;
     /// Sequence number of the receiver's partial usage record that the final record includes, if any.
     std::optional<std::uint64_t> countedSequence;
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -150,9 +150,11 @@
     BOOST_TEST(changes.items[1].modRevision.value() == 15);
     PeerLoads loads = sampleLoads(1);
     loads.leaving = true;
+    loads.closedWindow = WindowId(357731282);
     loads.viewProgress[StoreView::Configuration] = { Revision(7), Revision(30), milliseconds(450) };
     auto decodedLoads = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(loads)).value());
     BOOST_TEST(decodedLoads.leaving);
+    BOOST_TEST((decodedLoads.closedWindow == loads.closedWindow));
     BOOST_TEST(decodedLoads.viewProgress.at(StoreView::Configuration).lastChange.value() == 7);
     BOOST_TEST(decodedLoads.viewProgress.at(StoreView::Configuration).revision.value() == 30);
     BOOST_TEST((decodedLoads.viewProgress.at(StoreView::Configuration).age == milliseconds(450)));
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -102,6 +102,12 @@
         return "usage_part_failed";
     case Event::UsageLate:
         return "usage_late";
+    case Event::UsageMarksChecked:
+        return "usage_marks_checked";
+    case Event::UsageRecordRestored:
+        return "usage_record_restored";
+    case Event::UsageReportSkipped:
+        return "usage_report_skipped";
     case Event::UsageLost:
         return "usage_lost";
     case Event::OncePartitionClaimed:
--- a/src/wisteriayardd/usage_closer.cpp
+++ b/src/wisteriayardd/usage_closer.cpp
@@ -1,6 +1,7 @@
 #include "usage_closer.h"
 
 #include "clock.h"
+#include "wisteriayard/store_numbers.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -9,6 +10,14 @@
 
 using boost::asio::awaitable;
 
+namespace {
+
+    /// Limit of final usage records kept in memory. A store comes back from a copy that is some seconds old, and
+    /// windows have several seconds each.
+    constexpr std::size_t maxKeptRecords = 8;
+
+} // namespace
+
 UsageCloser::UsageCloser(boost::asio::io_context& io, UsageTimes times, StoreClient& store, LeaseKeeper& keeper,
     UsageReportSender sender, WallClock clock, std::shared_ptr<EventLog> log)
     : m_io(io)
@@ -18,6 +27,7 @@
     , m_sender(std::move(sender))
     , m_clock(std::move(clock))
     , m_log(std::move(log))
+    , m_dueAtStart(lastDue())
 {
 }
 
@@ -25,6 +35,7 @@
 {
     boost::asio::steady_timer timer(m_io);
     while (true) {
+        co_await restoreRecords();
         bool more = false;
         if (!m_keeper.authorityEnds(bootTimeNow())) {
             m_nextOpen.reset();
@@ -43,15 +54,91 @@
     }
 }
 
-bool UsageCloser::isDue(WindowId window) const
+WindowId UsageCloser::lastDue() const
 {
     auto length = std::chrono::duration_cast<std::chrono::milliseconds>(m_times.window).count();
     auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(m_times.grace).count();
-    return m_clock() >= (window.value() + 1) * length + grace;
+    return WindowId((m_clock() - grace) / length - 1);
+}
+
+bool UsageCloser::isDue(WindowId window) const { return window <= lastDue(); }
+
+void UsageCloser::keepRecord(WindowId window, const std::string& record)
+{
+    m_records[window] = record;
+    if (m_records.size() > maxKeptRecords)
+        m_records.erase(m_records.begin());
+}
+
+awaitable<void> UsageCloser::restoreRecords()
+{
+    while (!m_recordsToRestore.empty()) {
+        auto [window, record] = *m_recordsToRestore.begin();
+        Transaction transaction;
+        transaction.compares.emplace_back(CompareModRevision { finalUsageRecordKey(window), Revision(0) });
+        transaction.onSuccess.emplace_back(PutOperation { finalUsageRecordKey(window), record, LeaseId() });
+        auto result = co_await m_store.transact(std::move(transaction));
+        if (!result) {
+            m_log->write(Event::UsageStepFailed, { { "error", result.error().message } });
+            co_return;
+        }
+        m_recordsToRestore.erase(window);
+        if (result.value().succeeded)
+            m_log->write(Event::UsageRecordRestored, { { "window", window.value() } });
+    }
+}
+
+awaitable<Status> UsageCloser::checkMarks(StoreEra era)
+{
+    auto checked = co_await readEraMark(m_store, usageEraKey);
+    if (!checked)
+        co_return checked.error();
+    if (checked.value().era == era)
+        co_return boost::outcome_v2::success();
+    auto closed = co_await readWindowMark(m_store, usageClosedKey);
+    if (!closed)
+        co_return closed.error();
+    std::optional<WindowId> last = m_lastClosed;
+    // Before this process started, others may have closed each window that was due. Without an earlier era there was no
+    // restoration.
+    if (checked.value().era)
+        last = std::max(last.value_or(m_dueAtStart), m_dueAtStart);
+    bool isBehind = last && (!closed.value().window || *closed.value().window < *last);
+    Transaction transaction;
+    transaction.compares.emplace_back(CompareCreateRevision { m_keeper.key(), Revision(m_keeper.epoch().value()) });
+    transaction.compares.emplace_back(CompareModRevision { std::string(usageEraKey), checked.value().revision });
+    transaction.compares.emplace_back(CompareModRevision { std::string(usageClosedKey), closed.value().revision });
+    transaction.onSuccess.emplace_back(
+        PutOperation { std::string(usageEraKey), std::to_string(era.value()), LeaseId() });
+    if (isBehind)
+        transaction.onSuccess.emplace_back(
+            PutOperation { std::string(usageClosedKey), std::to_string(last->value()), LeaseId() });
+    if (isBehind && !closed.value().window)
+        transaction.onSuccess.emplace_back(
+            PutOperation { std::string(usageSentKey), std::to_string(last->value() - 1), LeaseId() });
+    auto result = co_await m_store.transact(std::move(transaction));
+    if (!result)
+        co_return result.error();
+    if (!result.value().succeeded)
+        co_return fail(Errc::Conflict, "the usage marks were changed by another lease holder");
+    auto windowField = [](const std::optional<WindowId>& window) {
+        return window ? nlohmann::json(window->value()) : nlohmann::json();
+    };
+    m_log->write(Event::UsageMarksChecked,
+        { { "era", era.value() }, { "closed_in_store", windowField(closed.value().window) },
+            { "closed", windowField(isBehind ? last : closed.value().window) } });
+    co_return boost::outcome_v2::success();
 }
 
 awaitable<Result<bool>> UsageCloser::step()
 {
+    StoreEra era = eraOf(m_keeper.epoch());
+    if (era != m_checkedEra) {
+        Status checked = co_await checkMarks(era);
+        if (!checked)
+            co_return checked.error();
+        m_checkedEra = era;
+    }
     auto closed = co_await readWindowMark(m_store, usageClosedKey);
     if (!closed)
         co_return closed.error();
@@ -93,6 +180,8 @@
     m_log->write(Event::UsageWindowClosed,
         { { "window", next.value() }, { "parts", records.value().size() }, { "requests", requestCount(final.content) },
             { "epoch", m_keeper.epoch().value() } });
+    windowClosed(next);
+    keepRecord(next, finalUsageRecordJson(final));
     if (m_closedHandler)
         m_closedHandler(final);
     co_return true;
@@ -119,17 +208,26 @@
 awaitable<Result<bool>> UsageCloser::reportWindow(const WindowMark& sent, WindowId next)
 {
     auto item = co_await m_store.read(finalUsageRecordKey(next));
-    if (!item)
+    bool isUnknown = !item && item.error().code == Errc::NotFound;
+    if (!item && !isUnknown)
         co_return item.error();
-    auto posted = co_await m_sender(m_keeper, next, item.value().value);
-    if (!posted)
-        co_return posted.error(); // the next step sends it again, unchanged
+    if (isUnknown) {
+        // Closed before the store was restored, so another record may have been reported.
+        m_log->write(Event::UsageReportSkipped, { { "window", next.value() } });
+    } else {
+        windowClosed(next);
+        keepRecord(next, item.value().value);
+        auto posted = co_await m_sender(m_keeper, next, item.value().value);
+        if (!posted)
+            co_return posted.error(); // the next step sends it again, unchanged
+    }
     auto marked = co_await m_store.transact(sentTransaction(sent, next));
     if (!marked)
         co_return marked.error();
     if (!marked.value().succeeded)
         co_return false;
-    m_log->write(Event::UsageReportSent, { { "window", next.value() }, { "epoch", m_keeper.epoch().value() } });
+    if (!isUnknown)
+        m_log->write(Event::UsageReportSent, { { "window", next.value() }, { "epoch", m_keeper.epoch().value() } });
     auto deleted = co_await deletePartialRecords(next);
     if (!deleted)
         co_return deleted.error();
--- a/src/wisteriayardd/usage_closer.h
+++ b/src/wisteriayardd/usage_closer.h
@@ -5,6 +5,9 @@
 #include "store_client.h"
 #include "usage_store.h"
 
+#include <algorithm>
+#include <map>
+
 namespace wisteriayard {
 
 /// Lengths and delays of usage windows.
@@ -33,7 +36,10 @@
 /// Closes usage windows in order and reports them to the platform, while the process holds `lease/usage`.
 ///
 /// Each step starts from the state in the store, so it recovers from unanswered requests and a new lease holder
-/// continues where the former one stopped.
+/// continues where the former one stopped. If the store comes back from an older copy, that state is completed by what
+/// processes know: which windows were closed, and the final usage records of those that they closed or reported
+/// themselves. A window that may have been reported and whose record nobody knows is not reported again, because
+/// another record of it would bill usage twice.
 class UsageCloser {
 public:
     UsageCloser(boost::asio::io_context& io, UsageTimes times, StoreClient& store, LeaseKeeper& keeper,
@@ -41,6 +47,12 @@
 
     /// Sets a callback for the final usage record of each window that this entry closes.
     void setClosedHandler(std::function<void(const FinalUsageRecord&)> closed) { m_closedHandler = std::move(closed); }
+    /// Records that another process has closed a window.
+    void windowClosed(WindowId window) { m_lastClosed = std::max(m_lastClosed.value_or(window), window); }
+    /// Last window that is known to be closed.
+    std::optional<WindowId> lastClosed() const { return m_lastClosed; }
+    /// The store came back from an older copy. Writes the final usage records that this process knows again.
+    void storeRestored() { m_recordsToRestore = m_records; }
     /// Runs until the event loop stops.
     boost::asio::awaitable<void> run();
 
@@ -48,12 +60,19 @@
     /// Closes or reports at most one window.
     /// @return whether another step may be due at once
     boost::asio::awaitable<Result<bool>> step();
+    /// Corrects the marks in the store if it was restored since they were last checked.
+    /// @param era present era of the store
+    boost::asio::awaitable<Status> checkMarks(StoreEra era);
+    boost::asio::awaitable<void> restoreRecords();
+    void keepRecord(WindowId window, const std::string& record);
     boost::asio::awaitable<Result<bool>> closeWindow(const WindowMark& closed, WindowId next);
     boost::asio::awaitable<Result<bool>> reportWindow(const WindowMark& sent, WindowId next);
     boost::asio::awaitable<Status> deletePartialRecords(WindowId last);
     Transaction finalTransaction(const WindowMark& closed, const FinalUsageRecord& final) const;
     Transaction sentTransaction(const WindowMark& sent, WindowId window) const;
     bool isDue(WindowId window) const;
+    /// Last window that is due.
+    WindowId lastDue() const;
     /// Whether the next window is known not to be due yet, so that the store need not be read.
     bool isWaiting() const { return m_nextOpen && !isDue(*m_nextOpen); }
 
@@ -67,6 +86,15 @@
     std::shared_ptr<EventLog> m_log;
     /// The next window to close, if all earlier ones are closed and reported; unset while the lease is not held.
     std::optional<WindowId> m_nextOpen;
+    /// Last window that was due when the process started: of later ones it knows whether they were closed.
+    WindowId m_dueAtStart;
+    std::optional<WindowId> m_lastClosed;
+    /// Era in which the marks were checked last; 0 for a store without eras.
+    StoreEra m_checkedEra { 0 };
+    /// Final usage records of the last windows that this process closed or reported, and those of them that have to be
+    /// written again.
+    std::map<WindowId, std::string> m_records;
+    std::map<WindowId, std::string> m_recordsToRestore;
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -195,13 +195,18 @@
 
 void UsageReporter::windowClosed(WindowId window, const IncarnationId& entry, std::optional<std::uint64_t> counted)
 {
+    m_closer.windowClosed(window);
     if (entry != m_self)
         return;
     m_unconfirmed.erase(window);
     (void)applyFinalRecord(window, counted);
 }
 
-void UsageReporter::storeRestored(TimePoint now) { m_keeper.storeRestored(now); }
+void UsageReporter::storeRestored(TimePoint now)
+{
+    m_keeper.storeRestored(now);
+    m_closer.storeRestored();
+}
 
 bool UsageReporter::applyFinalRecord(WindowId window, std::optional<std::uint64_t> counted)
 {
--- a/src/wisteriayardd/usage_reporter.h
+++ b/src/wisteriayardd/usage_reporter.h
@@ -54,6 +54,10 @@
         WindowId window, const IncarnationId& entry, PartialUsageRecord record, std::function<void()> written);
     /// Confirms that another entry has written a record of this entry.
     void partialRecordStored(WindowId window, const IncarnationId& entry, std::uint64_t sequence);
+    /// Last usage window that this entry knows to be closed.
+    std::optional<WindowId> lastClosedWindow() const { return m_closer.lastClosed(); }
+    /// Records that another entry knows a window to be closed.
+    void windowClosedElsewhere(WindowId window) { m_closer.windowClosed(window); }
     /// Settles a window that another entry has closed.
     /// @param counted sequence number of this entry's record that the final usage record counts
     void windowClosed(WindowId window, const IncarnationId& entry, std::optional<std::uint64_t> counted);
--- a/src/wisteriayardd/usage_store.cpp
+++ b/src/wisteriayardd/usage_store.cpp
@@ -19,15 +19,43 @@
         return text;
     }
 
-    Result<WindowId> parseWindow(std::string_view text)
+    Result<std::int64_t> parseNumber(std::string_view text)
     {
         std::int64_t value = 0;
         auto result = std::from_chars(text.data(), text.data() + text.size(), value);
         if (result.ec != std::errc() || result.ptr != text.data() + text.size())
-            return fail(Errc::Protocol, "store: \"" + std::string(text.substr(0, 40)) + "\" is not a window number");
+            return fail(Errc::Protocol, "store: \"" + std::string(text.substr(0, 40)) + "\" is not a number");
+        return value;
+    }
+
+    Result<WindowId> parseWindow(std::string_view text)
+    {
+        BOOST_OUTCOME_TRY(auto value, parseNumber(text));
         return WindowId(value);
     }
 
+    /// Value of a key that holds a number.
+    struct NumberMark {
+        std::optional<std::int64_t> value;
+        Revision revision;
+    };
+
+    awaitable<Result<NumberMark>> readNumber(StoreClient& store, std::string_view key)
+    {
+        auto item = co_await store.read(std::string(key));
+        NumberMark mark;
+        if (!item && item.error().code == Errc::NotFound)
+            co_return mark;
+        if (!item)
+            co_return item.error();
+        auto value = parseNumber(item.value().value);
+        if (!value)
+            co_return value.error();
+        mark.value = value.value();
+        mark.revision = item.value().modRevision;
+        co_return mark;
+    }
+
     Transaction windowStateTransaction(WindowId window)
     {
         Transaction transaction;
@@ -50,17 +78,25 @@
 
 awaitable<Result<WindowMark>> readWindowMark(StoreClient& store, std::string_view key)
 {
-    auto item = co_await store.read(std::string(key));
+    auto number = co_await readNumber(store, key);
+    if (!number)
+        co_return number.error();
     WindowMark mark;
-    if (!item && item.error().code == Errc::NotFound)
-        co_return mark;
-    if (!item)
-        co_return item.error();
-    auto window = parseWindow(item.value().value);
-    if (!window)
-        co_return window.error();
-    mark.window = window.value();
-    mark.revision = item.value().modRevision;
+    if (number.value().value)
+        mark.window = WindowId(*number.value().value);
+    mark.revision = number.value().revision;
+    co_return mark;
+}
+
+awaitable<Result<EraMark>> readEraMark(StoreClient& store, std::string_view key)
+{
+    auto number = co_await readNumber(store, key);
+    if (!number)
+        co_return number.error();
+    EraMark mark;
+    if (number.value().value)
+        mark.era = StoreEra(*number.value().value);
+    mark.revision = number.value().revision;
     co_return mark;
 }
 
--- a/src/wisteriayardd/usage_store.h
+++ b/src/wisteriayardd/usage_store.h
@@ -15,6 +15,9 @@
 constexpr std::string_view usageClosedKey = "usage/closed";
 /// Holds the number of the last window whose report the platform accepted.
 constexpr std::string_view usageSentKey = "usage/sent";
+/// Holds the era of the store in which the two marks above were last checked against what processes know. If the store
+/// is in another era, it was restored, and the marks may be older than the reports.
+constexpr std::string_view usageEraKey = "usage/era";
 /// Prefix of the partial usage records of a window.
 std::string partialUsageWindowPrefix(WindowId window);
 std::string partialUsageRecordKey(WindowId window, const IncarnationId& entry);
@@ -28,6 +31,13 @@
     Revision revision;
 };
 
+/// Value of a key that holds an era of the store.
+struct EraMark {
+    std::optional<StoreEra> era;
+    /// 0 if the key does not exist.
+    Revision revision;
+};
+
 /// State of a window that an entry needs to settle it.
 struct WindowState {
     std::optional<FinalUsageRecord> final;
@@ -38,6 +48,7 @@
 /// Reads a key that holds a window number.
 /// @return a mark without a window if the key does not exist
 boost::asio::awaitable<Result<WindowMark>> readWindowMark(StoreClient& store, std::string_view key);
+boost::asio::awaitable<Result<EraMark>> readEraMark(StoreClient& store, std::string_view key);
 /// Reads the final usage record of a window and whether it is closed, at one revision.
 boost::asio::awaitable<Result<WindowState>> readWindowState(StoreClient& store, WindowId window);
 /// Reads the partial usage records of a window.
