Write partial usage records again after the store was restored

Cause: an entry writes a partial record again only if it has changed, and the records that the store had confirmed are gone from the copy.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -6,12 +6,13 @@
 #include "store_json.h"
 #include "wisteriayard/rendezvous.h"
 
-#include <algorithm>
-#include <set>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace wisteriayard {
 
 using boost::asio::awaitable;
--- a/src/include/wisteriayard/usage.h
+++ b/src/include/wisteriayard/usage.h
@@ -79,6 +79,8 @@
     std::optional<PartialUsageRecord> nextPartialRecord(WindowId window);
     /// Records that the store confirmed a partial usage record.
     void partialRecordStored(WindowId window, std::uint64_t sequence);
+    /// Records that the store may have lost all partial usage records, so that they have to be written again.
+    void partialRecordsLost();
     /// Settles a window by its final usage record: usage that the record does not include becomes late usage of the
     /// open window.
     /// @return number of late requests
--- a/src/libwisteriayard/usage.cpp
+++ b/src/libwisteriayard/usage.cpp
@@ -84,6 +84,12 @@
         it->second.stored = std::max(it->second.stored, sequence);
 }
 
+void UsageLedger::partialRecordsLost()
+{
+    for (auto& [id, window] : m_windows)
+        window.stored = 0;
+}
+
 std::int64_t UsageLedger::settle(const FinalUsageRecord& final, WindowId open)
 {
     auto record = final.counted.find(m_self);
--- a/src/libwisteriayard/usage_test.cpp
+++ b/src/libwisteriayard/usage_test.cpp
@@ -81,6 +81,20 @@
     BOOST_TEST(!ledger.nextPartialRecord(window));
 }
 
+// Guards against usage of an open window that is missing in its report after the store has lost the partial record.
+BOOST_AUTO_TEST_CASE(lost_record_is_written_again_unchanged)
+{
+    UsageLedger ledger(self);
+    ledger.count(window, key, requests(1));
+    auto first = ledger.nextPartialRecord(window);
+    ledger.partialRecordStored(window, first->sequence);
+    ledger.partialRecordsLost();
+    auto again = ledger.nextPartialRecord(window);
+    BOOST_REQUIRE(again);
+    BOOST_TEST(again->sequence == first->sequence);
+    BOOST_TEST((again->content == first->content));
+}
+
 // Guards against a settled window that is reopened with the same sequence numbers when the clock is set back.
 BOOST_AUTO_TEST_CASE(settled_window_stays_closed)
 {
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -204,6 +204,7 @@
 
 void UsageReporter::storeRestored(TimePoint now)
 {
+    m_ledger.partialRecordsLost();
     m_keeper.storeRestored(now);
     m_closer.storeRestored();
 }
