Distrust the list of a restored store where entries know better

After the store had come back older, requests went to endpoints that had announced to leave, and endpoints that had joined lately got none.

Cause: the list was taken as the present state. It names endpoints that have left since the copy was made, as ready, and lacks those that joined, until each of them writes again.

An entry remembers departures for a minute. For 5 s after a restoration it holds back records of the first complete read that name an incarnation which has left, or an earlier one than it knows; a record written since then counts at once, and one that is still there after 5 s too, as servers that are gone have lapsed by then. Endpoints that are missing are kept for 2.1 s, as after an outage, whatever other entries say about an outage.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -31,6 +31,12 @@
 void EndpointDirectory::replace(const StoreRange& range, TimePoint now)
 {
     m_membership.storeContacted(now);
+    if (m_loaded && eraOf(range.revision) > eraOf(m_readRevision)) {
+        m_membership.storeRestored(now);
+        m_restoredRevision = range.revision;
+        m_heldBack.clear();
+    }
+    m_readRevision = range.revision;
     std::set<EndpointId> missing = m_membership.members();
     for (const StoreItem& item : range.items) {
         missing.erase(idOf(item.key));
@@ -53,6 +59,7 @@
 void EndpointDirectory::applyItem(const StoreItem& item, TimePoint now)
 {
     EndpointId id = idOf(item.key);
+    m_heldBack.erase(id);
     if (item.value.empty()) {
         if (m_membership.registrationRemoved(id, now))
             remove(id, "entry_removed", now);
@@ -66,6 +73,11 @@
                 { "error", record.error().message } });
         return;
     }
+    if (mayBeOld(item) && isOutdated(record.value(), now)) {
+        m_heldBack[id] = item;
+        m_log->write(Event::EndpointHeldBack, { { "endpoint", id.value() } });
+        return;
+    }
     auto known = m_records.find(id);
     bool restarted = known != m_records.end()
         && (known->second.incarnation != record.value().incarnation || known->second.address != record.value().address
@@ -73,10 +85,21 @@
     if (restarted)
         remove(id, "restarted", now);
     bool usable = m_membership.registrationListed(id, record.value().incarnation);
-    if (!usable || record.value().state == EndpointState::Draining)
-        remove(id, "draining", now);
-    else
+    if (usable && record.value().state != EndpointState::Draining) {
         put(record.value());
+        return;
+    }
+    remove(id, "draining", now);
+    m_membership.departed(id, record.value().incarnation, now);
+}
+
+bool EndpointDirectory::isOutdated(const EndpointRecord& record, TimePoint now) const
+{
+    if (m_membership.isRestoredListSettled(now))
+        return false;
+    auto known = m_records.find(record.id);
+    bool hasRestarted = known != m_records.end() && record.incarnation < known->second.incarnation;
+    return hasRestarted || m_membership.hasDeparted(record.id, record.incarnation);
 }
 
 PlacementEndpoint EndpointDirectory::placementEndpoint(const EndpointRecord& record) const
@@ -113,6 +136,7 @@
     auto known = m_records.find(id);
     if (known == m_records.end())
         return;
+    m_membership.departed(id, known->second.incarnation, now);
     placement(known->second.target).remove(id, now);
     m_records.erase(known);
     m_idsByTag.erase(endpointTag(id));
@@ -124,6 +148,10 @@
 {
     for (const EndpointId& id : m_membership.removeLapsed(now))
         remove(id, "lapsed_in_outage", now);
+    if (m_heldBack.empty() || !m_membership.isRestoredListSettled(now))
+        return;
+    for (const auto& [id, item] : std::exchange(m_heldBack, {}))
+        applyItem(item, now);
 }
 
 void EndpointDirectory::removeMisdirected(const EndpointId& id, TimePoint now) { remove(id, "address_reused", now); }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -33,7 +33,8 @@
     void replace(const StoreRange& range, TimePoint now);
     /// Applies changes of the list.
     void apply(const WatchBatch& batch, TimePoint now);
-    /// Removes endpoints that were not listed again within the grace period after an outage of the store.
+    /// Removes endpoints that were not listed again within the grace period after an outage or restoration of the
+    /// store, and uses records that were held back once the list of a restored store is right again.
     void removeLapsed(TimePoint now);
     /// Records that another entry has had contact with the store without an outage since a point in time.
     void storeWasUpSince(TimePoint since, TimePoint now) { m_membership.storeWasUpSince(since, now); }
@@ -88,6 +89,10 @@
 
 private:
     void applyItem(const StoreItem& item, TimePoint now);
+    /// Whether a record may come from the copy from which the store was restored.
+    bool mayBeOld(const StoreItem& item) const { return item.modRevision <= m_restoredRevision; }
+    /// Whether an endpoint has left or restarted since the copy with this record was made.
+    bool isOutdated(const EndpointRecord& record, TimePoint now) const;
     void put(const EndpointRecord& record);
     void remove(const EndpointId& id, std::string_view reason, TimePoint now);
     EndpointId idOf(const std::string& key) const;
@@ -108,6 +113,12 @@
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
     LimitEntries m_limitEntries;
     bool m_loaded = false;
+    /// Revision of the last complete read.
+    Revision m_readRevision;
+    /// Revision of the first complete read since the store was restored; 0 if it never was.
+    Revision m_restoredRevision;
+    /// Outdated records in the list of a restored store. They are used after all if the list still has them later.
+    std::map<EndpointId, StoreItem> m_heldBack;
 };
 
 } // namespace wisteriayard
--- a/src/include/wisteriayard/membership.h
+++ b/src/include/wisteriayard/membership.h
@@ -21,6 +21,11 @@
     Duration returnGracePeriod = std::chrono::milliseconds(2100);
     /// How long a shutdown announcement is kept. The endpoint has terminated by then.
     Duration leavingRetention = std::chrono::hours(1);
+    /// How long departures are remembered: the store may be restored from a copy that is some seconds old.
+    Duration departureRetention = std::chrono::minutes(1);
+    /// Time after a restoration of the store until its list is right again: endpoints that are running have written
+    /// their records by then, and those of others have lapsed.
+    Duration restoredListSettling = std::chrono::seconds(5);
 };
 
 /// Interval at which an entry renews its registration.
@@ -57,6 +62,15 @@
     void storeWasUpSince(TimePoint since, TimePoint now);
     /// Start of the current period of contact with the store without an outage.
     std::optional<TimePoint> contactSince() const { return m_contactSince; }
+    /// Records that the store came back from an older copy. Endpoints that are missing in its list may have registered
+    /// after that copy, so they are kept for the grace period, whatever other entries report.
+    void storeRestored(TimePoint now);
+    /// Records that an endpoint has left: its registration was removed, or the list says that it is shutting down.
+    void departed(const EndpointId& id, Incarnation incarnation, TimePoint now);
+    /// Whether this or a later incarnation of an endpoint has left, and has not been listed since.
+    bool hasDeparted(const EndpointId& id, Incarnation incarnation) const;
+    /// Whether the list of the store is right again after the last restoration.
+    bool isRestoredListSettled(TimePoint now) const { return now >= m_restoredListSettles; }
     /// Records that the store lists the registration of an endpoint.
     /// @return whether the endpoint may receive requests: false if this incarnation has announced its shutdown, because
     /// the list may be older than the announcement
@@ -78,6 +92,10 @@
         Incarnation incarnation;
         TimePoint announcedAt {};
     };
+    struct Departure {
+        Incarnation incarnation;
+        TimePoint at {};
+    };
 
     MembershipTimes m_times;
     std::set<EndpointId> m_members;
@@ -90,6 +108,11 @@
     TimePoint m_outageStart {};
     /// Registrations missing before this time may have lapsed because of an outage.
     TimePoint m_graceEnd {};
+    std::map<EndpointId, Departure> m_departures;
+    /// The same as m_graceEnd, because of a restoration of the store.
+    TimePoint m_restorationGraceEnd {};
+    /// Until then the list may contain endpoints that have left.
+    TimePoint m_restoredListSettles {};
 };
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/membership.cpp
+++ b/src/libwisteriayard/membership.cpp
@@ -1,5 +1,7 @@
 #include "wisteriayard/membership.h"
 
+#include <algorithm>
+
 namespace wisteriayard {
 
 namespace {
@@ -42,13 +44,32 @@
         return;
     m_graceEnd = now;
     for (auto& [id, until] : m_lapsed)
-        until = now;
+        until = std::max(now, m_restorationGraceEnd);
+}
+
+void Membership::storeRestored(TimePoint now)
+{
+    m_restorationGraceEnd = now + m_times.returnGracePeriod;
+    m_restoredListSettles = now + m_times.restoredListSettling;
+}
+
+void Membership::departed(const EndpointId& id, Incarnation incarnation, TimePoint now)
+{
+    std::erase_if(m_departures, [&](const auto& each) { return now - each.second.at > m_times.departureRetention; });
+    m_departures[id] = { incarnation, now };
+}
+
+bool Membership::hasDeparted(const EndpointId& id, Incarnation incarnation) const
+{
+    auto departure = m_departures.find(id);
+    return departure != m_departures.end() && incarnation <= departure->second.incarnation;
 }
 
 bool Membership::registrationListed(const EndpointId& id, Incarnation incarnation)
 {
     m_members.insert(id);
     m_lapsed.erase(id);
+    m_departures.erase(id);
     auto leaving = m_leaving.find(id);
     if (leaving == m_leaving.end())
         return true;
@@ -72,8 +93,9 @@
 {
     if (m_members.count(id) == 0)
         return false;
-    if (now < m_graceEnd) {
-        m_lapsed.emplace(id, m_graceEnd);
+    TimePoint graceEnd = std::max(m_graceEnd, m_restorationGraceEnd);
+    if (now < graceEnd) {
+        m_lapsed.emplace(id, graceEnd);
         return false;
     }
     m_members.erase(id);
--- a/src/libwisteriayard/membership_test.cpp
+++ b/src/libwisteriayard/membership_test.cpp
@@ -144,3 +144,58 @@
 {
     BOOST_TEST(registrationCallDelay(each.state) <= each.latest);
 }
+
+// Guards against dropping an endpoint that joined after the copy from which the store was restored, although other
+// entries report that there was no outage.
+BOOST_AUTO_TEST_CASE(endpoint_missing_after_a_restoration_gets_grace)
+{
+    Membership membership;
+    membership.storeContacted(start);
+    membership.registrationListed(id, first);
+    TimePoint back = start + seconds(1);
+    membership.storeContacted(back);
+    membership.storeRestored(back);
+    BOOST_TEST(!membership.registrationRemoved(id, back));
+    membership.storeWasUpSince(start - seconds(4), back + milliseconds(50));
+    BOOST_TEST(membership.removeLapsed(back + milliseconds(1900)).empty());
+    BOOST_TEST(membership.removeLapsed(back + milliseconds(2200)).size() == 1u);
+}
+
+struct DepartureCase {
+    const char* name;
+    Incarnation departed;
+    Incarnation listed;
+    bool listedSince;
+    bool hasDeparted;
+};
+std::ostream& operator<<(std::ostream& out, const DepartureCase& each) { return out << each.name; }
+
+const DepartureCase departureCases[] = {
+    { "same_incarnation", first, first, false, true },
+    { "earlier_incarnation", second, first, false, true },
+    { "later_incarnation", first, second, false, false },
+    { "same_incarnation_listed_since", first, first, true, false },
+};
+
+// Guards against requests to an endpoint that left after the copy from which the store was restored, and against
+// ignoring one that came back.
+BOOST_DATA_TEST_CASE(departures_are_remembered, data::make(departureCases), each)
+{
+    Membership membership;
+    membership.storeContacted(start);
+    membership.registrationListed(id, each.departed);
+    membership.departed(id, each.departed, start);
+    if (each.listedSince)
+        membership.registrationListed(id, each.listed);
+    BOOST_TEST(membership.hasDeparted(id, each.listed) == each.hasDeparted);
+}
+
+// Guards against holding back records of the restored list forever: some are not written again.
+BOOST_AUTO_TEST_CASE(restored_list_settles)
+{
+    Membership membership;
+    BOOST_TEST(membership.isRestoredListSettled(start));
+    membership.storeRestored(start);
+    BOOST_TEST(!membership.isRestoredListSettled(start + milliseconds(4900)));
+    BOOST_TEST(membership.isRestoredListSettled(start + milliseconds(5000)));
+}
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -78,6 +78,8 @@
         return "endpoint_added";
     case Event::EndpointRemoved:
         return "endpoint_removed";
+    case Event::EndpointHeldBack:
+        return "endpoint_held_back";
     case Event::AgentLost:
         return "agent_lost";
     case Event::InstanceListUnavailable:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -52,6 +52,7 @@
     EndpointAdded = 400,
     EndpointRemoved = 401,
     AgentLost = 402,
+    EndpointHeldBack = 404,
     InstanceListUnavailable = 403,
     LeaseChanged = 500,
     OrderSent = 501,
