Write the quarantine of segments again after the store was restored

Entries that start later would have sent requests with a segment in quarantine, because the restored store did not have its record, and running entries write only changes.

The entry whose turn it is writes each segment in quarantine again, when it notices the restoration. A record that is back although the segment was released is read by starting entries only, and ends by their first trial.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,10 +100,7 @@
             BOOST_OUTCOME_TRY(m_peers.open());
             m_peers.setViews(peerViews());
             m_state.crashGuard.setTrialTurn([this](SegmentTag segment) { return m_peers.trialTurn(segment); });
-            m_state.crashGuard.setChangeHandler([this](const QuarantineChange& change) {
-                if (m_peers.trialTurn(change.segment) == 0)
-                    m_quarantine.changed(change);
-            });
+            m_state.crashGuard.setChangeHandler([this](const QuarantineChange& change) { storeQuarantine(change); });
             if (m_state.settings.reportsUsage)
                 startUsage();
             m_eras->addHandler([this](StoreEra former, StoreEra current) { storeRestored(former, current); });
@@ -189,6 +186,13 @@
             return handlers;
         }
 
+        /// Writes a change to the store, if it is this entry's turn.
+        void storeQuarantine(const QuarantineChange& change)
+        {
+            if (m_peers.trialTurn(change.segment) == 0)
+                m_quarantine.changed(change);
+        }
+
         void storeRestored(StoreEra former, StoreEra current)
         {
             TimePoint now = bootTimeNow();
@@ -200,6 +204,8 @@
             m_peers.storeRestored(now);
             if (m_state.usage)
                 m_state.usage->storeRestored(now);
+            for (const QuarantinedSegment& each : m_state.crashGuard.report(now).quarantined)
+                storeQuarantine({ each.segment, true });
         }
 
         /// Connects a copy of a part of the store to the exchange with other entries.
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -17,6 +17,7 @@
 # Revisions that the restored store gives out for other changes before the entries ask it again.
 PASSED_REVISIONS = 1000
 LONG_LEASE_MS = 600_000
+QUARANTINE_KEY = "quarantine/123"
 
 
 def restore(deployment, copy, passed_revisions=0):
@@ -174,6 +175,17 @@
     assert not removed, removed
 
 
+def quarantine_is_written_again(deployment):
+    """A prompt segment that crashes engines is forgotten by the store, but not by the entries."""
+    # Entries write the record that they find at their start with a lease of their own.
+    wait_until(lambda: deployment.store.items[QUARANTINE_KEY]["lease"], "the record of the quarantine")
+    time.sleep(1)
+    copy = list(deployment.store.copy())
+    copy[0].pop(QUARANTINE_KEY)
+    restore(deployment, copy)
+    wait_until(lambda: deployment.store.value(QUARANTINE_KEY), "the record of the quarantine")
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--bin", required=True)
@@ -182,10 +194,11 @@
     failed = []
     for case in (windows_are_reported_once, windows_are_reported_once_by_restarted_entries,
                  usage_of_open_windows_is_kept, changes_take_effect, registration_is_written_again,
-                 departed_endpoint_stays_out, joined_endpoint_stays_in):
+                 departed_endpoint_stays_out, joined_endpoint_stays_in, quarantine_is_written_again):
         if options.case not in (None, case.__name__):
             continue
         deployment = Deployment(options.bin)
+        deployment.store.put(QUARANTINE_KEY, "1")
         try:
             with deployment.start(GATEWAYS):
                 case(deployment)
