Keep lease ids whole beside their era

An id and its era are now two fields of LeaseId. Revisions stay packed: a single counter gives them out, and they have to be ordered. The stand-in of the store gives out wide lease ids too.

--- a/src/include/wisteriayard/store_numbers.h
+++ b/src/include/wisteriayard/store_numbers.h
@@ -4,8 +4,9 @@
 
 namespace wisteriayard {
 
-/// A store that was restored from an older copy gives out revisions and lease numbers again. Therefore these numbers
-/// hold the era in their upper bits: those of different eras are never equal, and those of a later era are greater.
+/// @name Revisions of a store that may be restored
+/// A store that was restored from an older copy gives out the same numbers again. Therefore a revision holds the era in
+/// its upper bits: those of different eras are never equal, and those of a later era are greater.
 /// @{
 
 constexpr int eraShift = 40;
@@ -14,20 +15,19 @@
 /// Limit of eras.
 constexpr std::int64_t maxEra = std::int64_t(1) << 22;
 
-/// @param number number as the store names it, from 0 to maxNumberInEra - 1
-template <typename Number> constexpr Number inEra(StoreEra era, std::int64_t number)
+/// @param number revision as the store names it, from 0 to maxNumberInEra - 1
+constexpr Revision revisionOf(StoreEra era, std::int64_t number)
 {
-    return Number(era.value() * maxNumberInEra + number);
+    return Revision(era.value() * maxNumberInEra + number);
 }
 
-/// Era in which the store gave a number out.
-template <typename Number> constexpr StoreEra eraOf(Number number) { return StoreEra(number.value() / maxNumberInEra); }
+/// Era in which the store gave a revision out.
+constexpr StoreEra eraOf(Revision revision) { return StoreEra(revision.value() / maxNumberInEra); }
+/// Era in which the store gave the revision out that serves as a fencing token.
+constexpr StoreEra eraOf(Epoch epoch) { return eraOf(Revision(epoch.value())); }
 
-/// The number as the store names it.
-template <typename Number> constexpr std::int64_t numberInEra(Number number)
-{
-    return number.value() % maxNumberInEra;
-}
+/// The revision as the store names it.
+constexpr std::int64_t numberInEra(Revision revision) { return revision.value() % maxNumberInEra; }
 
 /// @}
 
--- a/src/libstore/store_types.h
+++ b/src/libstore/store_types.h
@@ -37,8 +37,26 @@
     Revision revision;
 };
 
-/// Id of a lease; 0 means no lease.
-using LeaseId = StrongNumber<struct LeaseIdTag, std::int64_t>;
+/// Id of a lease. A restored store gives the same values out again, so ids of different eras differ.
+class LeaseId {
+public:
+    /// No lease.
+    LeaseId() = default;
+    explicit LeaseId(std::int64_t value, StoreEra era = StoreEra(0))
+        : m_value(value)
+        , m_era(era)
+    {
+    }
+
+    /// The id as the store names it; 0 means no lease.
+    std::int64_t value() const { return m_value; }
+    StoreEra era() const { return m_era; }
+    friend bool operator==(const LeaseId&, const LeaseId&) = default;
+
+private:
+    std::int64_t m_value = 0;
+    StoreEra m_era { 0 };
+};
 
 /// Condition that the last write of a key has this revision; 0 requires that the key does not exist.
 struct CompareModRevision {
--- a/src/libwisteriayard/relayed_view_test.cpp
+++ b/src/libwisteriayard/relayed_view_test.cpp
@@ -106,7 +106,7 @@
 };
 
 /// Revision in the era that follows the one of the other cases, in which numbers are given out again.
-std::int64_t restored(std::int64_t number) { return inEra<Revision>(StoreEra(1), number).value(); }
+std::int64_t restored(std::int64_t number) { return revisionOf(StoreEra(1), number).value(); }
 
 const ReadCase restoredCases[] = {
     { "changes_of_the_restored_store", [](RelayedView& view) { changes(view, restored(5), restored(6), Duration(0)); },
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -64,7 +64,8 @@
         self.history, self.history_start = [], 0
         self.revision = 10
         self.leases = {}
-        self.last_lease = 1000
+        # Wider than revisions, as on the platform.
+        self.last_lease = 10**15
         self.down = False
         self.response_loss_rate = 0.0
         self.random = random.Random(1)
