Wait for the records of all entries after a restoration, and not for the own former lease

The key of the former lease is in the copy, and only an entry that competes for the lease deleted its own; the holder did not compete any more, so the successor waited until the lease ended. And an entry that was killed and started in the new era was holder at once, and closed a due window 0.6 s after the restoration, when two other entries had not written their records again.

A process that held the lease deletes its remainder whether it competes or not. A holder that finds the store restored closes and reports nothing for 2.4 s after it noticed the restoration, or after its own start. The wait for former holders is a safety margin shorter, since they stop that much before their lease ends, and includes the delay for late calls where fencing tokens are not checked.

The two new cases of testsuite/restored_store passed before too: which entry gets the lease there is up to the order of their calls.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,6 +64,9 @@
     constexpr double usageGraceFraction = 0.35;
     constexpr Duration usageSettleDelay = std::chrono::milliseconds(1500);
     constexpr Duration usageStepInterval = std::chrono::milliseconds(400);
+    /// An entry notices a restoration of the store within a few hundred milliseconds; its records are then written in
+    /// the next round, those of followers by an observer.
+    constexpr Duration usageRestorationSettling = std::chrono::milliseconds(2400);
     constexpr std::int64_t usageRetainedWindows = 24;
     constexpr Duration reportTimeout = std::chrono::milliseconds(1200);
 
@@ -291,6 +294,7 @@
             options.times.grace = scaled(settings.usageDelay, usageGraceFraction);
             options.times.settleDelay = usageSettleDelay;
             options.times.stepInterval = usageStepInterval;
+            options.times.restorationSettling = usageRestorationSettling;
             options.times.retainedWindows = usageRetainedWindows;
             options.lease.timeToLive = settings.leaseTime;
             options.lease.safetyMargin = leaseMargin;
--- a/src/libwisteriayard/lease.cpp
+++ b/src/libwisteriayard/lease.cpp
@@ -186,7 +186,9 @@
 Status LeaseHolder::lost() { return apply(*m_machine, Lost {}, "a loss"); }
 void LeaseHolder::storeRestored(TimePoint now)
 {
-    m_machine->othersActUntil = now + m_machine->times.timeToLive;
+    const LeaseTimes& times = m_machine->times;
+    m_machine->othersActUntil
+        = now + times.timeToLive - times.safetyMargin + times.activationDelay.value_or(Duration(0));
     (void)lost(); // refused if no lease is held
 }
 void LeaseHolder::tick(TimePoint now) { m_machine->process_event(Tick { now }); }
--- a/src/wisteriayardd/lease_keeper.cpp
+++ b/src/wisteriayardd/lease_keeper.cpp
@@ -59,6 +59,8 @@
     while (!m_released) {
         m_holder.tick(bootTimeNow());
         bool isFree = m_holder.state() == LeaseState::Free;
+        if (isFree && m_mayHaveRemainder)
+            co_await deleteRemainder();
         if (isFree && m_isCandidate())
             co_await acquire();
         else if (!isFree)
@@ -78,8 +80,6 @@
     bool free = !existing && existing.error().code == Errc::NotFound;
     if (!free) {
         (void)m_holder.refused();
-        if (existing)
-            co_await deleteRemainder(existing.value());
         co_return;
     }
     auto lease = co_await m_store.grantLease(m_times.timeToLive);
@@ -101,14 +101,17 @@
     co_await readBack(value);
 }
 
-awaitable<void> LeaseKeeper::deleteRemainder(const StoreItem& item)
+awaitable<void> LeaseKeeper::deleteRemainder()
 {
-    if (item.value.rfind(m_holderId + "/", 0) != 0)
-        co_return;
-    Transaction transaction;
-    transaction.compares.emplace_back(CompareModRevision { m_key, item.modRevision });
-    transaction.onSuccess.emplace_back(DeleteOperation { m_key });
-    [[maybe_unused]] auto deleted = co_await m_store.transact(std::move(transaction)); // else it expires
+    auto item = co_await m_store.read(m_key);
+    bool isOwn = item && item.value().value.rfind(m_holderId + "/", 0) == 0;
+    if (isOwn) {
+        Transaction transaction;
+        transaction.compares.emplace_back(CompareModRevision { m_key, item.value().modRevision });
+        transaction.onSuccess.emplace_back(DeleteOperation { m_key });
+        [[maybe_unused]] auto deleted = co_await m_store.transact(std::move(transaction)); // else it expires
+    }
+    m_mayHaveRemainder = false;
 }
 
 awaitable<void> LeaseKeeper::readBack(const std::string& value)
@@ -135,6 +138,7 @@
 
 void LeaseKeeper::storeRestored(TimePoint now)
 {
+    m_mayHaveRemainder = m_lease != LeaseId();
     m_holder.storeRestored(now);
     logStateChange();
 }
--- a/src/wisteriayardd/lease_keeper.h
+++ b/src/wisteriayardd/lease_keeper.h
@@ -45,8 +45,9 @@
 
 private:
     boost::asio::awaitable<void> acquire();
-    /// Deletes the key if it is a remainder of this process: an earlier lease, which is not renewed any more.
-    boost::asio::awaitable<void> deleteRemainder(const StoreItem& item);
+    /// Deletes the key if it is that of a lease which this process held before the store was restored and does not
+    /// renew any more.
+    boost::asio::awaitable<void> deleteRemainder();
     boost::asio::awaitable<void> readBack(const std::string& value);
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> sleepFor(Duration time);
@@ -65,6 +66,8 @@
     std::uint64_t m_attempt = 0;
     LeaseState m_loggedState = LeaseState::Free;
     bool m_released = false;
+    /// This process held the lease before the store was restored, so the key may be in the copy.
+    bool m_mayHaveRemainder = false;
 };
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/usage_closer.cpp
+++ b/src/wisteriayardd/usage_closer.cpp
@@ -28,9 +28,16 @@
     , m_clock(std::move(clock))
     , m_log(std::move(log))
     , m_dueAtStart(lastDue())
+    , m_settledAt(bootTimeNow() + m_times.restorationSettling)
 {
 }
 
+void UsageCloser::storeRestored(TimePoint now)
+{
+    m_recordsToRestore = m_records;
+    m_settledAt = now + m_times.restorationSettling;
+}
+
 awaitable<void> UsageCloser::run()
 {
     boost::asio::steady_timer timer(m_io);
@@ -101,8 +108,10 @@
     std::optional<WindowId> last = m_lastClosed;
     // Before this process started, others may have closed each window that was due. Without an earlier era there was no
     // restoration.
-    if (checked.value().era)
+    if (checked.value().era) {
         last = std::max(last.value_or(m_dueAtStart), m_dueAtStart);
+        m_closesFrom = m_settledAt;
+    }
     bool isBehind = last && (!closed.value().window || *closed.value().window < *last);
     Transaction transaction;
     transaction.compares.emplace_back(CompareCreateRevision { m_keeper.key(), Revision(m_keeper.epoch().value()) });
@@ -139,6 +148,8 @@
             co_return checked.error();
         m_checkedEra = era;
     }
+    if (bootTimeNow() < m_closesFrom)
+        co_return false;
     auto closed = co_await readWindowMark(m_store, usageClosedKey);
     if (!closed)
         co_return closed.error();
--- a/src/wisteriayardd/usage_closer.h
+++ b/src/wisteriayardd/usage_closer.h
@@ -21,6 +21,8 @@
     Duration settleDelay { 0 };
     /// Interval at which the lease holder checks for windows to close or report.
     Duration stepInterval = std::chrono::milliseconds(200);
+    /// Time after a restoration of the store within which entries write what it has forgotten.
+    Duration restorationSettling { 0 };
     /// Number of final usage records that are retained.
     std::int64_t retainedWindows = 1440;
 };
@@ -52,7 +54,7 @@
     /// Last window that is known to be closed.
     std::optional<WindowId> lastClosed() const { return m_lastClosed; }
     /// The store came back from an older copy. Writes the final usage records that this process knows again.
-    void storeRestored() { m_recordsToRestore = m_records; }
+    void storeRestored(TimePoint now);
     /// Runs until the event loop stops.
     boost::asio::awaitable<void> run();
 
@@ -60,7 +62,8 @@
     /// Closes or reports at most one window.
     /// @return whether another step may be due at once
     boost::asio::awaitable<Result<bool>> step();
-    /// Corrects the marks in the store if it was restored since they were last checked.
+    /// Corrects the marks in the store if it was restored since they were last checked. Windows are closed and reported
+    /// only after the other entries have written again what the store has forgotten.
     /// @param era present era of the store
     boost::asio::awaitable<Status> checkMarks(StoreEra era);
     boost::asio::awaitable<void> restoreRecords();
@@ -89,6 +92,11 @@
     /// Last window that was due when the process started: of later ones it knows whether they were closed.
     WindowId m_dueAtStart;
     std::optional<WindowId> m_lastClosed;
+    /// Time from which on the records of entries are in the store again, after the last restoration or, for one before
+    /// it, the start of this process.
+    TimePoint m_settledAt;
+    /// Time before which no window is closed or reported.
+    TimePoint m_closesFrom {};
     /// Era in which the marks were checked last; 0 for a store without eras.
     StoreEra m_checkedEra { 0 };
     /// Final usage records of the last windows that this process closed or reported, and those of them that have to be
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -206,7 +206,7 @@
 {
     m_ledger.partialRecordsLost();
     m_keeper.storeRestored(now);
-    m_closer.storeRestored();
+    m_closer.storeRestored(now);
 }
 
 bool UsageReporter::applyFinalRecord(WindowId window, std::optional<std::uint64_t> counted)
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -17,6 +17,8 @@
 # Revisions that the restored store gives out for other changes before the entries ask it again.
 PASSED_REVISIONS = 1000
 LONG_LEASE_MS = 600_000
+# Time from the end of a window until it is closed, in the gateways' settings of the deployment.
+USAGE_GRACE_S = 3.5
 QUARANTINE_KEY = "quarantine/123"
 
 
@@ -99,6 +101,36 @@
     assert counts == {"acme": 5 * GATEWAYS}, counts
 
 
+def former_lease_is_given_up(deployment):
+    """The copy has the key of the usage lease, with a lease that nobody renews and that lasts long."""
+    copy = report_windows(deployment)
+    copy[2][copy[0]["lease/usage"]["lease"]] = (LONG_LEASE_MS, time.monotonic() + LONG_LEASE_MS / 1000)
+    restore(deployment, copy)
+    before = reported(deployment)
+    wait_until(lambda: call_all(deployment) or reported(deployment) > before, "a report after the restoration")
+
+
+def new_holder_awaits_records(deployment):
+    """The holder of the usage lease starts anew, and a window is due before the others have written their records."""
+    while reported(deployment) < 2:
+        call_all(deployment)
+    copy = deployment.store.copy()
+    while time.time() % WINDOW_S > WINDOW_S / 20:
+        time.sleep(0.01)
+    window = int(time.time() // WINDOW_S)
+    call_all(deployment, 5)
+    time.sleep(max(0, (window + 1) * WINDOW_S + USAGE_GRACE_S - 0.2 - time.time()))
+    lock = deployment.store.value("lease/usage")
+    holder = next(gateway for gateway in deployment.gateways if lock and lock.startswith(gateway.name + "."))
+    holder.stop()
+    restore(deployment, copy)
+    holder.start()
+    wait_until(lambda: window in deployment.reports.windows, "the report of the window")
+    # The killed entry takes with it what the store has forgotten of its own requests.
+    count = deployment.reports.windows[window].get("acme", 0)
+    assert count >= 5 * (GATEWAYS - 1), f"{count} requests reported"
+
+
 def changes_take_effect(deployment):
     """The restored store gives out the revisions that entries have seen again, for other changes."""
     copy = deployment.store.copy()
@@ -193,8 +225,9 @@
     options = parser.parse_args()
     failed = []
     for case in (windows_are_reported_once, windows_are_reported_once_by_restarted_entries,
-                 usage_of_open_windows_is_kept, changes_take_effect, registration_is_written_again,
-                 departed_endpoint_stays_out, joined_endpoint_stays_in, quarantine_is_written_again):
+                 usage_of_open_windows_is_kept, former_lease_is_given_up, new_holder_awaits_records,
+                 changes_take_effect, registration_is_written_again, departed_endpoint_stays_out,
+                 joined_endpoint_stays_in, quarantine_is_written_again):
         if options.case not in (None, case.__name__):
             continue
         deployment = Deployment(options.bin)
