--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -1,7 +1,8 @@
 """Randomized fault soak of gateway processes under load over persistent connections.
 
 Injects overlapping faults: links to the store and to endpoints are delayed, reset, blocked in one direction or in both;
-gateways are terminated, paused, killed and restarted; the store refuses calls or loses responses; endpoints fail,
+gateways are terminated, paused, killed and restarted; the store refuses calls, loses responses or comes back from an
+older copy; endpoints fail,
 interrupt streams, drain, name rate limits and return; engines crash and send streams without framing; the configuration
 changes. Afterwards a last change must be in force at every entry, and the responses, executions and reports that
 callers, endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
@@ -29,6 +30,9 @@
 # Seed 20 once showed overload refusals that persisted at idle endpoints; seeds 1 and 2 inject most kinds of faults.
 DEFAULT_SEEDS = [1, 2, 20]
 ENDPOINT_EVENTS = 6
+# Restorations per step, and steps that the oldest copy may be back.
+RESTORATION_RATE = 0.15
+COPIES = 8
 PATHS = (("/lookup/", "idempotent"), ("/charge/", "once"), ("/chat/", "once"), ("/match/", "resumable"))
 
 
@@ -71,6 +75,9 @@
         self.deployment, self.random = deployment, random.Random(seed)
         # Drawn apart, so that the series of the other faults of a seed stays the same.
         self.engine_random = random.Random(seed + 1_000_000)
+        self.store_random = random.Random(seed + 2_000_000)
+        # Copies of the store, one a step.
+        self.copies = collections.deque(maxlen=COPIES)
         self.pending_repairs = []
         self.log = []
         # Entries that were paused, and times of pauses and of faults of links: a burst of delayed requests may follow.
@@ -95,6 +102,27 @@
                                          lambda: setattr(engine, "unframed", False)))
         self.record("engine", engine.name, fault)
 
+    def store_step(self):
+        """Restores the store from an older copy. The operator and the endpoints write again after a while."""
+        store = self.deployment.store
+        self.copies.append(store.copy())
+        if self.store_random.random() > RESTORATION_RATE:
+            return
+        copy = self.store_random.choice(self.copies)
+        self.copies.clear()
+        lost = {key: value for key, value in ((key, store.value(key)) for key in list(store.items))
+                if key.startswith(("op/", "servers/"))}
+        store.restore(copy)
+        restored = {key: store.value(key) for key in lost}
+        self.record("restore", store.revision)
+
+        def write_again():
+            for key, value in lost.items():
+                # A value that has been written since is newer.
+                if store.value(key) == restored[key] != value:
+                    store.put(key, value)
+        self.pending_repairs.append((time.monotonic() + self.store_random.uniform(0.1, 1.5), write_again))
+
     def heal(self, until):
         due = [entry for entry in self.pending_repairs if entry[0] <= until]
         self.pending_repairs = [entry for entry in self.pending_repairs if entry[0] > until]
@@ -248,6 +276,7 @@
             while time.monotonic() < ends:
                 faults.step()
                 faults.engine_step()
+                faults.store_step()
                 time.sleep(faults.random.uniform(0.1, 0.8))
             while faults.pending_repairs:
                 faults.heal(time.monotonic() + 60)
@@ -266,7 +295,9 @@
         if served < 0.9 * len(late):
             violations.append(f"after all faults {served} of {len(late)} requests were served")
         statuses = collections.Counter(answer.status for _, answer in callers.answers)
-        print(f"seed {seed}: {len(callers.answers)} requests, {len(faults.log)} faults, {dict(statuses)}", flush=True)
+        restorations = sum(what == "restore" for _, what, *_ in faults.log)
+        print(f"seed {seed}: {len(callers.answers)} requests, {len(faults.log)} faults, {restorations} restorations, "
+              f"{dict(statuses)}", flush=True)
         if violations:
             print("\n".join(violations[:20]), *faults.log, sep="\n")
         assert not violations, f"seed {seed}: {len(violations)} violated guarantees"
