Keep shares of rate limits over a restoration of the store

Cause: an entry that registers anew uses its shares of rate limits only 8 s later, when all others have counted it. After a restoration all entries register anew, so nobody uses a share for 8 s, and nobody learns that a limit has ended. But the others keep counting an entry that they hear, so it may go on.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -106,7 +106,10 @@
         co_return RegistrationState::Unconfirmed;
     m_lease = lease.value();
     m_wasRegisteredAtStart = wasRegistered;
-    m_registeredSince = bootTimeNow();
+    // After a restoration of the store the others have kept counting this entry.
+    bool wasCounted = start < m_registrationsIncompleteUntil && m_registeredSince != TimePoint();
+    if (!wasCounted)
+        m_registeredSince = bootTimeNow();
     m_registrationConfirmedAt = start;
     co_return RegistrationState::Confirmed;
 }
