Rename: quarantine of crash suspects, with a tag type of its own

SegmentQuarantine becomes CrashQuarantine and its keys become SuspectTag, so that requests as a whole can be suspects too. No behaviour changes: tags of segments, messages, logs and keys in the store are the same.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -40,23 +40,23 @@
 {
 }
 
-std::optional<Duration> CrashGuard::refusal(const std::vector<SegmentTag>& segments, TimePoint now)
+std::optional<Duration> CrashGuard::refusal(const std::vector<SuspectTag>& tags, TimePoint now)
 {
-    auto wait = m_quarantine.refusal(segments, m_trialTurn, now);
+    auto wait = m_quarantine.refusal(tags, m_trialTurn, now);
     if (wait) {
         m_metrics.quarantineRefused();
         return wait;
     }
-    for (SegmentTag segment : segments) {
-        if (m_quarantine.isQuarantined(segment))
-            m_log->write(Event::SegmentTried, { { "segment", static_cast<std::uint32_t>(segment) } });
+    for (SuspectTag tag : tags) {
+        if (m_quarantine.isQuarantined(tag))
+            m_log->write(Event::SegmentTried, { { "segment", static_cast<std::uint32_t>(tag) } });
     }
     return std::nullopt;
 }
 
-void CrashGuard::answerBegan(const std::vector<SegmentTag>& segments, TimePoint now)
+void CrashGuard::answerBegan(const std::vector<SuspectTag>& tags, TimePoint now)
 {
-    m_quarantine.answerBegan(segments, now);
+    m_quarantine.answerBegan(tags, now);
     publishChanges("answer");
 }
 
@@ -94,13 +94,13 @@
     co_return *probe->refused;
 }
 
-awaitable<void> CrashGuard::connectionBroke(EndpointRecord endpoint, std::vector<SegmentTag> segments, TimePoint at)
+awaitable<void> CrashGuard::connectionBroke(EndpointRecord endpoint, std::vector<SuspectTag> tags, TimePoint at)
 {
     bool crashed = co_await refusesConnections(endpoint);
     if (!crashed)
         co_return;
     m_metrics.endpointCrashed();
-    m_quarantine.endpointCrashed(crashTag(endpoint), segments, at, bootTimeNow());
+    m_quarantine.endpointCrashed(crashTag(endpoint), tags, at, bootTimeNow());
     publishChanges("crash");
 }
 
@@ -112,9 +112,9 @@
     publishChanges("peer");
 }
 
-void CrashGuard::restore(SegmentTag segment, TimePoint now)
+void CrashGuard::restore(SuspectTag tag, TimePoint now)
 {
-    m_quarantine.restore(segment, now);
+    m_quarantine.restore(tag, now);
     publishChanges("store");
 }
 
@@ -122,24 +122,23 @@
 {
     for (const QuarantineChange& change : m_quarantine.takeChanges()) {
         m_log->write(change.quarantined ? Event::SegmentQuarantined : Event::SegmentReleased,
-            { { "segment", static_cast<std::uint32_t>(change.segment) }, { "crashes", change.crashes },
+            { { "segment", static_cast<std::uint32_t>(change.tag) }, { "crashes", change.crashes },
                 { "source", source } });
         m_metrics.setQuarantinedSegments(m_quarantine.quarantinedCount());
         m_onChange(change);
         if (!change.quarantined)
             continue;
         for (WaitingAttempt* attempt : m_waiting) {
-            if (std::find(attempt->m_segments.begin(), attempt->m_segments.end(), change.segment)
-                != attempt->m_segments.end())
+            if (std::find(attempt->m_tags.begin(), attempt->m_tags.end(), change.tag) != attempt->m_tags.end())
                 attempt->m_abort();
         }
     }
 }
 
 CrashGuard::WaitingAttempt::WaitingAttempt(
-    CrashGuard& guard, const std::vector<SegmentTag>& segments, std::function<void()> abort)
+    CrashGuard& guard, const std::vector<SuspectTag>& tags, std::function<void()> abort)
     : m_guard(guard)
-    , m_segments(segments)
+    , m_tags(tags)
     , m_abort(std::move(abort))
     , m_position(guard.m_waiting.insert(guard.m_waiting.end(), this))
 {
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -3,7 +3,7 @@
 #include "event_log.h"
 #include "gateway_metrics.h"
 #include "platform_port.h"
-#include "wisteriayard/segment_quarantine.h"
+#include "wisteriayard/crash_quarantine.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,31 +24,30 @@
     CrashGuard(boost::asio::io_context& io, std::shared_ptr<EventLog> log, GatewayMetrics& metrics);
 
     /// Sets the order in which entries may send a request with a quarantined segment on trial.
-    void setTrialTurn(SegmentQuarantine::TrialTurn turn) { m_trialTurn = std::move(turn); }
+    void setTrialTurn(CrashQuarantine::TrialTurn turn) { m_trialTurn = std::move(turn); }
     /// @param onChange called when a segment is put in quarantine or released
     void setChangeHandler(std::function<void(const QuarantineChange&)> onChange) { m_onChange = std::move(onChange); }
 
     /// @return time until a request with these segments can be tried again; none if it may be sent now
-    std::optional<Duration> refusal(const std::vector<SegmentTag>& segments, TimePoint now);
-    bool mayRetry(const std::vector<SegmentTag>& segments) const { return m_quarantine.mayRetry(segments); }
-    void answerBegan(const std::vector<SegmentTag>& segments, TimePoint now);
+    std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, TimePoint now);
+    bool mayRetry(const std::vector<SuspectTag>& tags) const { return m_quarantine.mayRetry(tags); }
+    void answerBegan(const std::vector<SuspectTag>& tags, TimePoint now);
     /// Finds out whether an endpoint crashed whose connection broke before it began to answer, and records it.
     /// @param at time at which the connection broke
-    boost::asio::awaitable<void> connectionBroke(
-        EndpointRecord endpoint, std::vector<SegmentTag> segments, TimePoint at);
+    boost::asio::awaitable<void> connectionBroke(EndpointRecord endpoint, std::vector<SuspectTag> tags, TimePoint at);
 
     /// @name Exchange with other entries and the store
     /// @{
     QuarantineReport report(TimePoint now) const { return m_quarantine.report(now); }
     void applyReport(const QuarantineReport& report, TimePoint now);
-    void restore(SegmentTag segment, TimePoint now);
+    void restore(SuspectTag tag, TimePoint now);
     /// @}
 
     /// Registers an attempt that waits for the beginning of its answer, until destruction.
     class WaitingAttempt {
     public:
         /// @param abort called if one of the segments is put in quarantine meanwhile
-        WaitingAttempt(CrashGuard& guard, const std::vector<SegmentTag>& segments, std::function<void()> abort);
+        WaitingAttempt(CrashGuard& guard, const std::vector<SuspectTag>& tags, std::function<void()> abort);
         WaitingAttempt(const WaitingAttempt&) = delete;
         WaitingAttempt& operator=(const WaitingAttempt&) = delete;
         ~WaitingAttempt();
@@ -56,7 +55,7 @@
     private:
         friend class CrashGuard;
         CrashGuard& m_guard;
-        const std::vector<SegmentTag>& m_segments;
+        const std::vector<SuspectTag>& m_tags;
         std::function<void()> m_abort;
         std::list<WaitingAttempt*>::iterator m_position;
     };
@@ -76,8 +75,8 @@
     boost::asio::io_context& m_io;
     std::shared_ptr<EventLog> m_log;
     GatewayMetrics& m_metrics;
-    SegmentQuarantine m_quarantine;
-    SegmentQuarantine::TrialTurn m_trialTurn = [](SegmentTag) { return 0; };
+    CrashQuarantine m_quarantine;
+    CrashQuarantine::TrialTurn m_trialTurn = [](SuspectTag) { return 0; };
     std::function<void(const QuarantineChange&)> m_onChange = [](const QuarantineChange&) {};
     std::map<EndpointId, std::shared_ptr<Probe>> m_probes;
     std::list<WaitingAttempt*> m_waiting;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -102,7 +102,7 @@
             }
             BOOST_OUTCOME_TRY(m_peers.open());
             m_peers.setViews(peerViews());
-            m_state.crashGuard.setTrialTurn([this](SegmentTag segment) { return m_peers.trialTurn(segment); });
+            m_state.crashGuard.setTrialTurn([this](SuspectTag suspect) { return m_peers.trialTurn(suspect); });
             m_state.crashGuard.setChangeHandler([this](const QuarantineChange& change) { storeQuarantine(change); });
             if (m_state.settings.reportsUsage)
                 startUsage();
@@ -192,7 +192,7 @@
         /// Writes a change to the store, if it is this entry's turn.
         void storeQuarantine(const QuarantineChange& change)
         {
-            if (m_peers.trialTurn(change.segment) == 0)
+            if (m_peers.trialTurn(change.tag) == 0)
                 m_quarantine.changed(change);
         }
 
@@ -207,8 +207,8 @@
             m_peers.storeRestored(now);
             if (m_state.usage)
                 m_state.usage->storeRestored(now);
-            for (const QuarantinedSegment& each : m_state.crashGuard.report(now).quarantined)
-                storeQuarantine({ each.segment, true });
+            for (const QuarantinedSuspect& each : m_state.crashGuard.report(now).quarantined)
+                storeQuarantine({ each.tag, true });
         }
 
         /// Connects a copy of a part of the store to the exchange with other entries.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -99,16 +99,16 @@
         {
             constexpr auto millisecond = std::chrono::milliseconds(1);
             for (const CrashObservation& each : report.crashes) {
-                message.add_crash_segments(static_cast<std::uint32_t>(each.segment));
+                message.add_crash_segments(static_cast<std::uint32_t>(each.tag));
                 message.add_crash_tags(static_cast<std::uint32_t>(each.crash));
                 message.add_crash_ages_ms(clampToUint32(each.age / millisecond));
             }
             for (const BeginObservation& each : report.begins) {
-                message.add_begun_segments(static_cast<std::uint32_t>(each.segment));
+                message.add_begun_segments(static_cast<std::uint32_t>(each.tag));
                 message.add_begun_ages_ms(clampToUint32(each.age / millisecond));
             }
-            for (const QuarantinedSegment& each : report.quarantined) {
-                message.add_quarantined_segments(static_cast<std::uint32_t>(each.segment));
+            for (const QuarantinedSuspect& each : report.quarantined) {
+                message.add_quarantined_segments(static_cast<std::uint32_t>(each.tag));
                 message.add_quarantined_ages_ms(clampToUint32(each.age / millisecond));
                 message.add_quarantined_quiet_ms(clampToUint32(each.quiet / millisecond));
             }
@@ -197,13 +197,13 @@
             return fail(Errc::Protocol, "peer datagram: columns of crash observations have different lengths");
         QuarantineReport report;
         for (int i = 0; i < crashes; ++i)
-            report.crashes.push_back({ SegmentTag(message.crash_segments(i)), CrashTag(message.crash_tags(i)),
+            report.crashes.push_back({ SuspectTag(message.crash_segments(i)), CrashTag(message.crash_tags(i)),
                 std::chrono::milliseconds(message.crash_ages_ms(i)) });
         for (int i = 0; i < begins; ++i)
             report.begins.push_back(
-                { SegmentTag(message.begun_segments(i)), std::chrono::milliseconds(message.begun_ages_ms(i)) });
+                { SuspectTag(message.begun_segments(i)), std::chrono::milliseconds(message.begun_ages_ms(i)) });
         for (int i = 0; i < quarantined; ++i)
-            report.quarantined.push_back({ SegmentTag(message.quarantined_segments(i)),
+            report.quarantined.push_back({ SuspectTag(message.quarantined_segments(i)),
                 std::chrono::milliseconds(message.quarantined_ages_ms(i)),
                 std::chrono::milliseconds(message.quarantined_quiet_ms(i)) });
         return report;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "store_types.h"
+#include "wisteriayard/crash_quarantine.h"
 #include "wisteriayard/endpoint_placement.h"
 #include "wisteriayard/error.h"
 #include "wisteriayard/relayed_view.h"
-#include "wisteriayard/segment_quarantine.h"
 #include "wisteriayard/usage.h"
 #include "wisteriayard/value_delta.h"
 
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -335,19 +335,19 @@
 BOOST_AUTO_TEST_CASE(crash_observations_reach_other_regions)
 {
     PeerLoads sum = sampleLoads(1);
-    sum.quarantine.crashes = { { SegmentTag(5), CrashTag(77), milliseconds(100) } };
-    sum.quarantine.quarantined = { { SegmentTag(6), milliseconds(9000), milliseconds(700) } };
+    sum.quarantine.crashes = { { SuspectTag(5), CrashTag(77), milliseconds(100) } };
+    sum.quarantine.quarantined = { { SuspectTag(6), milliseconds(9000), milliseconds(700) } };
     PeerLoads other;
-    other.quarantine.crashes = { { SegmentTag(5), CrashTag(78), milliseconds(20) } };
-    other.quarantine.begins = { { SegmentTag(8), milliseconds(300) } };
-    other.quarantine.quarantined = { { SegmentTag(6), milliseconds(9100), milliseconds(300) } };
+    other.quarantine.crashes = { { SuspectTag(5), CrashTag(78), milliseconds(20) } };
+    other.quarantine.begins = { { SuspectTag(8), milliseconds(300) } };
+    other.quarantine.quarantined = { { SuspectTag(6), milliseconds(9100), milliseconds(300) } };
     sum.add(other, milliseconds(50));
     QuarantineReport report = std::get<PeerLoads>(decodePeerMessage(encodePeerMessage(sum)).value()).quarantine;
     BOOST_REQUIRE(report.crashes.size() == 2u);
-    BOOST_TEST((report.crashes[1].segment == SegmentTag(5) && report.crashes[1].crash == CrashTag(78)));
+    BOOST_TEST((report.crashes[1].tag == SuspectTag(5) && report.crashes[1].crash == CrashTag(78)));
     BOOST_TEST((report.crashes[1].age == milliseconds(70)));
     BOOST_REQUIRE(report.begins.size() == 1u);
-    BOOST_TEST((report.begins[0].segment == SegmentTag(8) && report.begins[0].age == milliseconds(350)));
+    BOOST_TEST((report.begins[0].tag == SuspectTag(8) && report.begins[0].age == milliseconds(350)));
     BOOST_REQUIRE(report.quarantined.size() == 1u);
     BOOST_TEST((report.quarantined[0].age == milliseconds(9000)));
     BOOST_TEST((report.quarantined[0].quiet == milliseconds(350)));
--- a/src/gateway/quarantine_store.cpp
+++ b/src/gateway/quarantine_store.cpp
@@ -23,16 +23,16 @@
     /// Limit on queued changes; a change beyond it is only known to running entries.
     constexpr std::size_t maxPending = 64;
 
-    std::string keyOf(SegmentTag segment) { return prefix + std::to_string(static_cast<std::uint32_t>(segment)); }
+    std::string keyOf(SuspectTag tag) { return prefix + std::to_string(static_cast<std::uint32_t>(tag)); }
 
-    std::optional<SegmentTag> segmentOf(const std::string& key)
+    std::optional<SuspectTag> segmentOf(const std::string& key)
     {
         std::uint32_t value = 0;
         const char* end = key.data() + key.size();
         auto parsed = std::from_chars(key.data() + std::min(prefix.size(), key.size()), end, value);
         if (parsed.ec != std::errc() || parsed.ptr != end)
             return std::nullopt;
-        return SegmentTag(value);
+        return SuspectTag(value);
     }
 
 } // namespace
@@ -48,8 +48,8 @@
 
 void QuarantineStore::changed(const QuarantineChange& change)
 {
-    if (m_pending.size() < maxPending || m_pending.count(change.segment) > 0)
-        m_pending[change.segment] = change.quarantined;
+    if (m_pending.size() < maxPending || m_pending.count(change.tag) > 0)
+        m_pending[change.tag] = change.quarantined;
 }
 
 awaitable<void> QuarantineStore::run()
@@ -67,11 +67,11 @@
         co_await timer.async_wait(use_awaitable);
         if (m_pending.empty())
             continue;
-        auto [segment, quarantined] = *m_pending.begin();
-        bool written = co_await write(segment, quarantined);
+        auto [tag, quarantined] = *m_pending.begin();
+        bool written = co_await write(tag, quarantined);
         // The state may have changed during the call.
-        if (written && m_pending.at(segment) == quarantined)
-            m_pending.erase(segment);
+        if (written && m_pending.at(tag) == quarantined)
+            m_pending.erase(tag);
     }
 }
 
@@ -84,13 +84,13 @@
     }
     m_failing = false;
     for (const StoreItem& item : range.value().items) {
-        if (auto segment = segmentOf(item.key))
-            m_guard.restore(*segment, bootTimeNow());
+        if (auto tag = segmentOf(item.key))
+            m_guard.restore(*tag, bootTimeNow());
     }
     co_return true;
 }
 
-awaitable<bool> QuarantineStore::write(SegmentTag segment, bool quarantined)
+awaitable<bool> QuarantineStore::write(SuspectTag tag, bool quarantined)
 {
     Transaction transaction;
     if (quarantined) {
@@ -99,9 +99,9 @@
             logFailure(lease.error());
             co_return false;
         }
-        transaction.onSuccess.emplace_back(PutOperation { keyOf(segment), "1", lease.value() });
+        transaction.onSuccess.emplace_back(PutOperation { keyOf(tag), "1", lease.value() });
     } else {
-        transaction.onSuccess.emplace_back(DeleteOperation { keyOf(segment) });
+        transaction.onSuccess.emplace_back(DeleteOperation { keyOf(tag) });
     }
     auto result = co_await m_store->transact(std::move(transaction));
     if (!result) {
--- a/src/gateway/quarantine_store.h
+++ b/src/gateway/quarantine_store.h
@@ -25,7 +25,7 @@
 
 private:
     boost::asio::awaitable<bool> load();
-    boost::asio::awaitable<bool> write(SegmentTag segment, bool quarantined);
+    boost::asio::awaitable<bool> write(SuspectTag tag, bool quarantined);
     void logFailure(const Error& error);
 
     boost::asio::io_context& m_io;
@@ -33,7 +33,7 @@
     CrashGuard& m_guard;
     std::shared_ptr<EventLog> m_log;
     /// Segments whose state has to be written: whether they are in quarantine.
-    std::map<SegmentTag, bool> m_pending;
+    std::map<SuspectTag, bool> m_pending;
     bool m_failing = false;
 };
 
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -49,18 +49,18 @@
     };
 
     /// Tags of the segments of a prompt that other requests may share: all but the last.
-    std::vector<SegmentTag> sharedSegments(const std::vector<PromptSegment>& prompt)
+    std::vector<SuspectTag> sharedSegments(const std::vector<PromptSegment>& prompt)
     {
-        std::vector<SegmentTag> tags;
+        std::vector<SuspectTag> tags;
         for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
-            tags.push_back(segmentTag(prompt[i].id));
+            tags.push_back(segmentSuspect(prompt[i].id));
         return tags;
     }
 
     /// Maximum number of prompt segments in a log line.
     constexpr std::size_t maxLoggedSegments = 8;
 
-    nlohmann::json segmentsField(const std::vector<SegmentTag>& segments)
+    nlohmann::json segmentsField(const std::vector<SuspectTag>& segments)
     {
         nlohmann::json field = nlohmann::json::array();
         for (std::size_t i = 0; i < std::min(segments.size(), maxLoggedSegments); ++i)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -127,7 +127,7 @@
     boost::asio::ip::tcp::socket& m_caller;
     CallerRequest m_request;
     RequestTraits m_traits;
-    std::vector<SegmentTag> m_sharedSegments;
+    std::vector<SuspectTag> m_sharedSegments;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
     TargetId m_target;
--- a/src/include/wisteriayard/segment_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -12,12 +12,17 @@
 
 namespace wisteriayard {
 
+/// Short hash of what may make endpoints crash: a prompt segment.
+enum class SuspectTag : std::uint32_t {};
+/// @param segment id of a prompt segment
+SuspectTag segmentSuspect(std::uint64_t segment);
+
 /// Short hash of one incarnation of an endpoint that crashed.
 enum class CrashTag : std::uint32_t {};
 
 /// An endpoint crashed before it began to answer a request with this segment.
 struct CrashObservation {
-    SegmentTag segment {};
+    SuspectTag tag {};
     CrashTag crash {};
     /// Time since the crash.
     Duration age {};
@@ -25,14 +30,14 @@
 
 /// An endpoint began to answer a request with this segment.
 struct BeginObservation {
-    SegmentTag segment {};
+    SuspectTag tag {};
     /// Time since the first event of the answer.
     Duration age {};
 };
 
 /// A segment that is in quarantine.
-struct QuarantinedSegment {
-    SegmentTag segment {};
+struct QuarantinedSuspect {
+    SuspectTag tag {};
     /// Time since the first crash that counts against it.
     Duration age {};
     /// Time since the last crash or trial.
@@ -43,7 +48,7 @@
 struct QuarantineReport {
     std::vector<CrashObservation> crashes;
     std::vector<BeginObservation> begins;
-    std::vector<QuarantinedSegment> quarantined;
+    std::vector<QuarantinedSuspect> quarantined;
 
     /// Adds the observations of another report; of several for a segment, the newest answer and quarantine are kept.
     /// @param age time since the other report was received
@@ -53,7 +58,7 @@
 
 /// A change that is to be logged.
 struct QuarantineChange {
-    SegmentTag segment {};
+    SuspectTag tag {};
     /// Whether the segment is now in quarantine or was released.
     bool quarantined = false;
     /// Number of crashes that count against the segment.
@@ -83,7 +88,7 @@
 /// waited for its first event, unless an engine has begun to answer a request with it since. Segments that are also
 /// part of sound requests are cleared by these. One request at a time may be sent on trial, ever more rarely; if its
 /// answer begins, the quarantine ends.
-class SegmentQuarantine {
+class CrashQuarantine {
 public:
     /// Crashes after which a segment is in quarantine.
     static constexpr std::size_t crashesToQuarantine = 3;
@@ -95,26 +100,26 @@
     /// Limit on the observations of each kind in a report.
     static constexpr std::size_t maxReported = 64;
 
-    explicit SegmentQuarantine(QuarantineTimes times = {})
+    explicit CrashQuarantine(QuarantineTimes times = {})
         : m_times(times)
     {
     }
 
     /// Records that an endpoint began to answer a request with these segments.
-    void answerBegan(const std::vector<SegmentTag>& segments, TimePoint now);
+    void answerBegan(const std::vector<SuspectTag>& tags, TimePoint now);
     /// Records that an endpoint crashed before it began to answer a request with these segments.
-    void endpointCrashed(CrashTag crash, const std::vector<SegmentTag>& segments, TimePoint at, TimePoint now);
+    void endpointCrashed(CrashTag crash, const std::vector<SuspectTag>& tags, TimePoint at, TimePoint now);
     /// Puts a segment in quarantine that was found earlier, by an entry that is gone.
-    void restore(SegmentTag segment, TimePoint now);
+    void restore(SuspectTag tag, TimePoint now);
 
     /// Position of this entry in the order in which entries may send a request with a segment on trial.
-    using TrialTurn = std::function<std::size_t(SegmentTag)>;
+    using TrialTurn = std::function<std::size_t(SuspectTag)>;
     /// Whether a request with these segments must not be sent. A request that may be sent on trial counts as sent.
     /// @return time until the segments can be tried again; none if the request may be sent
-    std::optional<Duration> refusal(const std::vector<SegmentTag>& segments, const TrialTurn& turn, TimePoint now);
+    std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, const TrialTurn& turn, TimePoint now);
     /// Whether a request with these segments may be sent to another engine after a crash.
-    bool mayRetry(const std::vector<SegmentTag>& segments) const;
-    bool isQuarantined(SegmentTag segment) const;
+    bool mayRetry(const std::vector<SuspectTag>& tags) const;
+    bool isQuarantined(SuspectTag tag) const;
     std::size_t quarantinedCount() const { return m_quarantinedCount; }
     /// Number of segments with observations and of remembered answers.
     std::size_t size() const { return m_suspects.size() + m_lastBegin.size(); }
@@ -156,22 +161,22 @@
     };
 
     std::size_t separateCrashes(const Suspect& suspect) const;
-    Suspect& suspect(SegmentTag segment, TimePoint now);
-    void addCrash(SegmentTag segment, const Crash& crash, TimePoint now);
+    Suspect& suspect(SuspectTag tag, TimePoint now);
+    void addCrash(SuspectTag tag, const Crash& crash, TimePoint now);
     /// @param since time of the first crash that counts against the segment
     /// @param lastEvidence time of the last crash or trial
-    void quarantine(SegmentTag segment, Suspect& suspect, TimePoint since, TimePoint lastEvidence);
+    void quarantine(SuspectTag tag, Suspect& suspect, TimePoint since, TimePoint lastEvidence);
     /// Ends the suspicion of a segment by an answer that began.
-    void clear(SegmentTag segment, TimePoint begunAt, TimePoint now);
+    void clear(SuspectTag tag, TimePoint begunAt, TimePoint now);
     /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
     Duration timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const;
     /// Time at which an answer to a segment began last; the earliest possible time if that is not remembered.
-    TimePoint lastBegin(SegmentTag segment, TimePoint now) const;
+    TimePoint lastBegin(SuspectTag tag, TimePoint now) const;
     void removeOld(TimePoint now);
 
     QuarantineTimes m_times;
-    std::unordered_map<SegmentTag, Suspect> m_suspects;
-    std::unordered_map<SegmentTag, Begin> m_lastBegin;
+    std::unordered_map<SuspectTag, Suspect> m_suspects;
+    std::unordered_map<SuspectTag, Begin> m_lastBegin;
     std::size_t m_quarantinedCount = 0;
     std::vector<QuarantineChange> m_changes;
 };
--- a/src/libwisteriayard/segment_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "wisteriayard/segment_quarantine.h"
+#include "wisteriayard/crash_quarantine.h"
 
 #include <algorithm>
 #include <utility>
@@ -19,29 +19,31 @@
     Observation* findOrAdd(std::vector<Observation>& observations, const Observation& observation)
     {
         auto known = std::find_if(observations.begin(), observations.end(),
-            [&observation](const Observation& each) { return each.segment == observation.segment; });
+            [&observation](const Observation& each) { return each.tag == observation.tag; });
         if (known != observations.end())
             return &*known;
-        if (observations.size() >= SegmentQuarantine::maxReported)
+        if (observations.size() >= CrashQuarantine::maxReported)
             return nullptr;
         return &observations.emplace_back(observation);
     }
 
 } // namespace
 
+SuspectTag segmentSuspect(std::uint64_t segment) { return SuspectTag(static_cast<std::uint32_t>(segmentTag(segment))); }
+
 void QuarantineReport::add(const QuarantineReport& other, Duration age)
 {
     for (const CrashObservation& each : other.crashes) {
-        if (crashes.size() < SegmentQuarantine::maxReported)
-            crashes.push_back({ each.segment, each.crash, each.age + age });
+        if (crashes.size() < CrashQuarantine::maxReported)
+            crashes.push_back({ each.tag, each.crash, each.age + age });
     }
     for (const BeginObservation& each : other.begins) {
-        BeginObservation aged { each.segment, each.age + age };
+        BeginObservation aged { each.tag, each.age + age };
         if (auto* kept = findOrAdd(begins, aged))
             kept->age = std::min(kept->age, aged.age);
     }
-    for (const QuarantinedSegment& each : other.quarantined) {
-        QuarantinedSegment aged { each.segment, each.age + age, each.quiet + age };
+    for (const QuarantinedSuspect& each : other.quarantined) {
+        QuarantinedSuspect aged { each.tag, each.age + age, each.quiet + age };
         if (auto* kept = findOrAdd(quarantined, aged)) {
             kept->age = std::min(kept->age, aged.age);
             kept->quiet = std::min(kept->quiet, aged.quiet);
@@ -49,14 +51,14 @@
     }
 }
 
-TimePoint SegmentQuarantine::lastBegin(SegmentTag segment, TimePoint now) const
+TimePoint CrashQuarantine::lastBegin(SuspectTag tag, TimePoint now) const
 {
-    auto known = m_lastBegin.find(segment);
+    auto known = m_lastBegin.find(tag);
     bool isRemembered = known != m_lastBegin.end() && now - known->second.at < m_times.memory;
     return isRemembered ? known->second.at : TimePoint();
 }
 
-void SegmentQuarantine::removeOld(TimePoint now)
+void CrashQuarantine::removeOld(TimePoint now)
 {
     if (m_lastBegin.size() >= maxRemembered)
         std::erase_if(m_lastBegin, [&](const auto& each) { return now - each.second.at >= m_times.memory; });
@@ -78,14 +80,14 @@
     }
 }
 
-SegmentQuarantine::Suspect& SegmentQuarantine::suspect(SegmentTag segment, TimePoint now)
+CrashQuarantine::Suspect& CrashQuarantine::suspect(SuspectTag tag, TimePoint now)
 {
-    if (m_suspects.count(segment) == 0)
+    if (m_suspects.count(tag) == 0)
         removeOld(now);
-    return m_suspects[segment];
+    return m_suspects[tag];
 }
 
-std::size_t SegmentQuarantine::separateCrashes(const Suspect& suspect) const
+std::size_t CrashQuarantine::separateCrashes(const Suspect& suspect) const
 {
     std::size_t count = 0;
     std::optional<TimePoint> last;
@@ -98,7 +100,7 @@
     return count;
 }
 
-void SegmentQuarantine::quarantine(SegmentTag segment, Suspect& suspect, TimePoint since, TimePoint lastEvidence)
+void CrashQuarantine::quarantine(SuspectTag tag, Suspect& suspect, TimePoint since, TimePoint lastEvidence)
 {
     suspect.quarantinedSince = since;
     suspect.lastEvidence = lastEvidence;
@@ -106,18 +108,18 @@
     suspect.nextTrial = lastEvidence + suspect.trialInterval;
     suspect.firstTrial = suspect.nextTrial;
     ++m_quarantinedCount;
-    m_changes.push_back({ segment, true, suspect.crashes.size() });
+    m_changes.push_back({ tag, true, suspect.crashes.size() });
 }
 
-void SegmentQuarantine::addCrash(SegmentTag segment, const Crash& crash, TimePoint now)
+void CrashQuarantine::addCrash(SuspectTag tag, const Crash& crash, TimePoint now)
 {
-    if (lastBegin(segment, now) >= crash.at) {
+    if (lastBegin(tag, now) >= crash.at) {
         // The answer that began later clears the segment for the entry that reports the crash, too.
         if (!crash.own)
-            suspect(segment, now).reportBeginUntil = now + m_times.reporting;
+            suspect(tag, now).reportBeginUntil = now + m_times.reporting;
         return;
     }
-    Suspect& suspect = this->suspect(segment, now);
+    Suspect& suspect = this->suspect(tag, now);
     std::erase_if(suspect.crashes, [&](const Crash& each) { return now - each.at >= m_times.memory; });
     auto known = std::find_if(
         suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash& each) { return each.tag == crash.tag; });
@@ -131,7 +133,7 @@
     suspect.crashes.insert(std::upper_bound(suspect.crashes.begin(), suspect.crashes.end(), crash.at, later), crash);
     if (!suspect.quarantinedSince) {
         if (separateCrashes(suspect) >= crashesToQuarantine)
-            quarantine(segment, suspect, suspect.crashes.front().at, crash.at);
+            quarantine(tag, suspect, suspect.crashes.front().at, crash.at);
         return;
     }
     // Requests sent before the quarantine may still crash engines; only a trial makes the next one later.
@@ -141,16 +143,15 @@
     suspect.nextTrial = std::max(suspect.nextTrial, crash.at + suspect.trialInterval);
 }
 
-void SegmentQuarantine::endpointCrashed(
-    CrashTag crash, const std::vector<SegmentTag>& segments, TimePoint at, TimePoint now)
+void CrashQuarantine::endpointCrashed(CrashTag crash, const std::vector<SuspectTag>& tags, TimePoint at, TimePoint now)
 {
-    for (SegmentTag segment : segments)
-        addCrash(segment, { crash, at, true }, now);
+    for (SuspectTag tag : tags)
+        addCrash(tag, { crash, at, true }, now);
 }
 
-void SegmentQuarantine::clear(SegmentTag segment, TimePoint begunAt, TimePoint now)
+void CrashQuarantine::clear(SuspectTag tag, TimePoint begunAt, TimePoint now)
 {
-    auto known = m_suspects.find(segment);
+    auto known = m_suspects.find(tag);
     if (known == m_suspects.end())
         return;
     Suspect& suspect = known->second;
@@ -160,44 +161,44 @@
         return;
     suspect.quarantinedSince.reset();
     --m_quarantinedCount;
-    m_changes.push_back({ segment, false, suspect.crashes.size() });
+    m_changes.push_back({ tag, false, suspect.crashes.size() });
 }
 
-void SegmentQuarantine::answerBegan(const std::vector<SegmentTag>& segments, TimePoint now)
+void CrashQuarantine::answerBegan(const std::vector<SuspectTag>& tags, TimePoint now)
 {
-    for (SegmentTag segment : segments) {
-        if (m_lastBegin.count(segment) == 0)
+    for (SuspectTag tag : tags) {
+        if (m_lastBegin.count(tag) == 0)
             removeOld(now);
-        m_lastBegin[segment] = { now, true };
-        clear(segment, now, now);
+        m_lastBegin[tag] = { now, true };
+        clear(tag, now, now);
     }
 }
 
-void SegmentQuarantine::restore(SegmentTag segment, TimePoint now)
+void CrashQuarantine::restore(SuspectTag tag, TimePoint now)
 {
-    Suspect& suspect = this->suspect(segment, now);
-    if (!suspect.quarantinedSince && lastBegin(segment, now) == TimePoint())
-        quarantine(segment, suspect, now, now);
+    Suspect& suspect = this->suspect(tag, now);
+    if (!suspect.quarantinedSince && lastBegin(tag, now) == TimePoint())
+        quarantine(tag, suspect, now, now);
 }
 
-Duration SegmentQuarantine::timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const
+Duration CrashQuarantine::timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const
 {
     return suspect.nextTrial + static_cast<Duration::rep>(turn) * m_times.trialTurn - now;
 }
 
-std::optional<Duration> SegmentQuarantine::refusal(
-    const std::vector<SegmentTag>& segments, const TrialTurn& turn, TimePoint now)
+std::optional<Duration> CrashQuarantine::refusal(
+    const std::vector<SuspectTag>& tags, const TrialTurn& turn, TimePoint now)
 {
     if (m_quarantinedCount == 0)
         return std::nullopt;
     std::vector<Suspect*> quarantined;
     std::optional<Duration> longest;
-    for (SegmentTag segment : segments) {
-        auto known = m_suspects.find(segment);
+    for (SuspectTag tag : tags) {
+        auto known = m_suspects.find(tag);
         if (known == m_suspects.end() || !known->second.quarantinedSince)
             continue;
         quarantined.push_back(&known->second);
-        Duration wait = timeToTrial(known->second, turn(segment), now);
+        Duration wait = timeToTrial(known->second, turn(tag), now);
         longest = std::max(longest.value_or(wait), wait);
     }
     if (!longest || *longest > Duration(0))
@@ -209,63 +210,63 @@
     return std::nullopt;
 }
 
-bool SegmentQuarantine::mayRetry(const std::vector<SegmentTag>& segments) const
+bool CrashQuarantine::mayRetry(const std::vector<SuspectTag>& tags) const
 {
-    return std::none_of(segments.begin(), segments.end(), [this](SegmentTag segment) {
-        auto known = m_suspects.find(segment);
+    return std::none_of(tags.begin(), tags.end(), [this](SuspectTag tag) {
+        auto known = m_suspects.find(tag);
         return known != m_suspects.end()
             && (known->second.quarantinedSince || separateCrashes(known->second) >= crashesToRetry);
     });
 }
 
-bool SegmentQuarantine::isQuarantined(SegmentTag segment) const
+bool CrashQuarantine::isQuarantined(SuspectTag tag) const
 {
     if (m_quarantinedCount == 0)
         return false;
-    auto known = m_suspects.find(segment);
+    auto known = m_suspects.find(tag);
     return known != m_suspects.end() && known->second.quarantinedSince;
 }
 
-QuarantineReport SegmentQuarantine::report(TimePoint now) const
+QuarantineReport CrashQuarantine::report(TimePoint now) const
 {
     QuarantineReport report;
-    for (const auto& [segment, suspect] : m_suspects) {
+    for (const auto& [tag, suspect] : m_suspects) {
         for (const Crash& crash : suspect.crashes) {
             if (crash.own && now - crash.at < m_times.reporting && report.crashes.size() < maxReported)
-                report.crashes.push_back({ segment, crash.tag, now - crash.at });
+                report.crashes.push_back({ tag, crash.tag, now - crash.at });
         }
         if (suspect.quarantinedSince && report.quarantined.size() < maxReported)
-            report.quarantined.push_back({ segment, now - *suspect.quarantinedSince, now - suspect.lastEvidence });
-        auto begin = m_lastBegin.find(segment);
+            report.quarantined.push_back({ tag, now - *suspect.quarantinedSince, now - suspect.lastEvidence });
+        auto begin = m_lastBegin.find(tag);
         bool isObserved = begin != m_lastBegin.end() && begin->second.own;
         if (now < suspect.reportBeginUntil && isObserved && report.begins.size() < maxReported)
-            report.begins.push_back({ segment, now - begin->second.at });
+            report.begins.push_back({ tag, now - begin->second.at });
     }
     return report;
 }
 
-void SegmentQuarantine::applyReport(const QuarantineReport& report, TimePoint now)
+void CrashQuarantine::applyReport(const QuarantineReport& report, TimePoint now)
 {
     for (const BeginObservation& begin : report.begins) {
-        auto known = m_suspects.find(begin.segment);
+        auto known = m_suspects.find(begin.tag);
         TimePoint at = now - begin.age;
-        if (known == m_suspects.end() || at <= lastBegin(begin.segment, now))
+        if (known == m_suspects.end() || at <= lastBegin(begin.tag, now))
             continue;
-        m_lastBegin[begin.segment] = { at, false };
-        clear(begin.segment, at, now);
+        m_lastBegin[begin.tag] = { at, false };
+        clear(begin.tag, at, now);
     }
     for (const CrashObservation& each : report.crashes)
-        addCrash(each.segment, { each.crash, now - each.age, false }, now);
-    for (const QuarantinedSegment& each : report.quarantined) {
-        Suspect& suspect = this->suspect(each.segment, now);
+        addCrash(each.tag, { each.crash, now - each.age, false }, now);
+    for (const QuarantinedSuspect& each : report.quarantined) {
+        Suspect& suspect = this->suspect(each.tag, now);
         TimePoint lastEvidence = now - each.quiet;
         if (suspect.quarantinedSince) {
             if (lastEvidence - suspect.lastEvidence < reportTolerance)
                 continue;
             suspect.lastEvidence = lastEvidence;
             suspect.nextTrial = std::max(suspect.nextTrial, lastEvidence + suspect.trialInterval);
-        } else if (lastBegin(each.segment, now) == TimePoint()) {
-            quarantine(each.segment, suspect, now - each.age, lastEvidence);
+        } else if (lastBegin(each.tag, now) == TimePoint()) {
+            quarantine(each.tag, suspect, now - each.age, lastEvidence);
         } else {
             // An entry that remembers an answer judges by the crashes after it, which are reported too.
             suspect.reportBeginUntil = now + m_times.reporting;
@@ -273,6 +274,6 @@
     }
 }
 
-std::vector<QuarantineChange> SegmentQuarantine::takeChanges() { return std::exchange(m_changes, {}); }
+std::vector<QuarantineChange> CrashQuarantine::takeChanges() { return std::exchange(m_changes, {}); }
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/segment_quarantine_test.cpp
+++ b/src/libwisteriayard/crash_quarantine_test.cpp
@@ -1,5 +1,5 @@
-#define BOOST_TEST_MODULE segment_quarantine
-#include "wisteriayard/segment_quarantine.h"
+#define BOOST_TEST_MODULE crash_quarantine
+#include "wisteriayard/crash_quarantine.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -14,12 +14,12 @@
 
 namespace {
 
-constexpr SegmentTag shared { 1 };
-constexpr SegmentTag deadly { 2 };
-constexpr SegmentTag other { 3 };
+constexpr SuspectTag shared { 1 };
+constexpr SuspectTag deadly { 2 };
+constexpr SuspectTag other { 3 };
 
 TimePoint at(int ms) { return TimePoint(seconds(1000) + milliseconds(ms)); }
-std::size_t firstTurn(SegmentTag) { return 0; }
+std::size_t firstTurn(SuspectTag) { return 0; }
 
 enum class Kind { Crash, Answer };
 struct Step {
@@ -66,7 +66,7 @@
 // engines because many of them failed for another reason.
 BOOST_DATA_TEST_CASE(segment_is_judged_by_separate_crashes_without_an_answer, data::make(verdictCases), each)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     for (const Step& step : each.steps) {
         if (step.kind == Kind::Answer)
             quarantine.answerBegan({ deadly, shared }, at(step.ms));
@@ -104,28 +104,28 @@
             for (const Doomed& each : m_doomed) {
                 if (each.crashAt > m_now - roundMs && each.crashAt <= m_now && !each.aborted) {
                     crashes.push_back(m_now);
-                    m_entries[each.entry].endpointCrashed(CrashTag(++m_nextCrash), each.segments, at(m_now), at(m_now));
+                    m_entries[each.entry].endpointCrashed(CrashTag(++m_nextCrash), each.tags, at(m_now), at(m_now));
                 }
             }
         }
     }
     /// A request arrives at an entry. @return whether it was sent to an engine
-    bool request(std::size_t entry, const std::vector<SegmentTag>& segments)
+    bool request(std::size_t entry, const std::vector<SuspectTag>& tags)
     {
-        auto turn = [entry](SegmentTag) { return entry; };
-        if (m_entries[entry].refusal(segments, turn, at(m_now)))
+        auto turn = [entry](SuspectTag) { return entry; };
+        if (m_entries[entry].refusal(tags, turn, at(m_now)))
             return false;
-        if (std::find(segments.begin(), segments.end(), deadly) != segments.end()) {
-            m_doomed.push_back({ entry, segments, m_now + crashDelayMs });
+        if (std::find(tags.begin(), tags.end(), deadly) != tags.end()) {
+            m_doomed.push_back({ entry, tags, m_now + crashDelayMs });
             sent.push_back(m_now);
         } else {
-            m_entries[entry].answerBegan(segments, at(m_now));
+            m_entries[entry].answerBegan(tags, at(m_now));
         }
         return true;
     }
-    SegmentQuarantine& entry(std::size_t index) { return m_entries[index]; }
+    CrashQuarantine& entry(std::size_t index) { return m_entries[index]; }
     /// The entry is restarted with empty memory.
-    void restart(std::size_t index) { m_entries[index] = SegmentQuarantine(); }
+    void restart(std::size_t index) { m_entries[index] = CrashQuarantine(); }
     /// Ends the requests that wait at engines when their segment is put in quarantine, as entries do.
     void abortWaiting()
     {
@@ -145,7 +145,7 @@
 private:
     struct Doomed {
         std::size_t entry;
-        std::vector<SegmentTag> segments;
+        std::vector<SuspectTag> tags;
         int crashAt;
         bool aborted = false;
     };
@@ -164,7 +164,7 @@
         }
     }
 
-    std::vector<SegmentQuarantine> m_entries;
+    std::vector<CrashQuarantine> m_entries;
     double m_loss;
     int m_latencyMs;
     std::vector<Doomed> m_doomed;
@@ -258,7 +258,7 @@
     std::size_t sent = 0;
     for (int ms = fleet.now(); ms < 300'000 && fleet.entry(1).isQuarantined(deadly); ms += 200) {
         std::size_t entry = static_cast<std::size_t>(ms / 200) % entries;
-        auto turn = [entry](SegmentTag) { return entry; };
+        auto turn = [entry](SuspectTag) { return entry; };
         if (!fleet.entry(entry).refusal({ deadly }, turn, at(ms))) {
             ++sent;
             if (each.crashes)
@@ -309,18 +309,18 @@
 // store.
 BOOST_AUTO_TEST_CASE(new_entry_learns_the_quarantine)
 {
-    SegmentQuarantine known;
+    CrashQuarantine known;
     for (std::uint32_t i = 0; i < 3; ++i)
         known.endpointCrashed(CrashTag(i), { deadly }, at(400 * static_cast<int>(i)), at(400 * static_cast<int>(i)));
-    SegmentQuarantine fromPeer;
+    CrashQuarantine fromPeer;
     fromPeer.applyReport(known.report(at(10'000)), at(10'000));
     BOOST_TEST(fromPeer.isQuarantined(deadly));
     BOOST_TEST(fromPeer.refusal({ deadly }, firstTurn, at(10'000)).has_value());
-    SegmentQuarantine fromStore;
+    CrashQuarantine fromStore;
     fromStore.restore(deadly, at(10'000));
     BOOST_TEST(fromStore.isQuarantined(deadly));
     // An answer here shows that the store's record is out of date.
-    SegmentQuarantine disproved;
+    CrashQuarantine disproved;
     disproved.answerBegan({ deadly }, at(9000));
     disproved.restore(deadly, at(10'000));
     BOOST_TEST(!disproved.isQuarantined(deadly));
@@ -329,17 +329,17 @@
 // Guards against memory that grows with the number of segments that callers send.
 BOOST_AUTO_TEST_CASE(memory_is_bounded)
 {
-    SegmentQuarantine quarantine;
+    CrashQuarantine quarantine;
     for (std::uint32_t i = 0; i < 3; ++i)
         quarantine.endpointCrashed(
             CrashTag(i), { deadly }, at(400 * static_cast<int>(i)), at(400 * static_cast<int>(i)));
     for (std::uint32_t i = 0; i < 50'000; ++i) {
         int ms = 2000 + static_cast<int>(i) / 100;
-        quarantine.endpointCrashed(CrashTag(100 + i), { SegmentTag(100 + i) }, at(ms), at(ms));
-        quarantine.answerBegan({ SegmentTag(1'000'000 + i) }, at(ms));
-        BOOST_REQUIRE(quarantine.size() <= SegmentQuarantine::maxSuspects + SegmentQuarantine::maxRemembered);
+        quarantine.endpointCrashed(CrashTag(100 + i), { SuspectTag(100 + i) }, at(ms), at(ms));
+        quarantine.answerBegan({ SuspectTag(1'000'000 + i) }, at(ms));
+        BOOST_REQUIRE(quarantine.size() <= CrashQuarantine::maxSuspects + CrashQuarantine::maxRemembered);
     }
     BOOST_TEST(quarantine.isQuarantined(deadly));
     QuarantineReport report = quarantine.report(at(2500));
-    BOOST_TEST(report.crashes.size() <= SegmentQuarantine::maxReported);
+    BOOST_TEST(report.crashes.size() <= CrashQuarantine::maxReported);
 }
