Log the tag of requests whose attempt broke

Two requests that are alike have the same tag whatever their ids; it is a hash of method, path, caller and body, computed only when an attempt breaks. No decision uses it.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -373,16 +373,29 @@
         now);
 }
 
+SuspectTag RequestHandler::requestTag()
+{
+    if (!m_requestTag) {
+        auto view = [](const auto& text) { return std::string_view(text.data(), text.size()); };
+        m_requestTag = requestSuspect(view(m_request.head.method_string()), view(m_request.head.target()), m_traits.key,
+            m_request.body ? *m_request.body : std::string_view());
+    }
+    return *m_requestTag;
+}
+
 void RequestHandler::logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, bool begun, TimePoint now)
 {
     if (std::holds_alternative<Delivered>(outcome))
         return;
-    if (std::holds_alternative<MayHaveExecuted>(outcome))
+    nlohmann::json tag;
+    if (std::holds_alternative<MayHaveExecuted>(outcome)) {
         m_state.metrics.attemptBroken(begun);
+        tag = static_cast<std::uint32_t>(requestTag());
+    }
     m_state.logRequest(Event::AttemptFailed,
         { { "request", m_traits.id.value() }, { "endpoint", endpoint.value() }, { "reason", outcomeName(outcome) },
             { "may_have_run", m_mayHaveExecuted }, { "last_event", m_lastEvent.value_or(0) }, { "begun", begun },
-            { "segments", begun ? nlohmann::json() : segmentsField(m_sharedSegments) } },
+            { "segments", begun ? nlohmann::json() : segmentsField(m_sharedSegments) }, { "tag", tag } },
         now);
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -119,6 +119,8 @@
     PlacementRequest placementRequest(TimePoint now) const;
     ForwardingHeaders forwardingHeaders(const EndpointRecord& record, TimePoint now) const;
     void logAdmitted(const Placement& placement, const EndpointId& endpoint, TimePoint now);
+    /// Tag of the request as a whole; computed when it is first needed, as bodies may be large.
+    SuspectTag requestTag();
     /// @param begun whether the endpoint had begun to answer in this attempt
     void logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, bool begun, TimePoint now);
     void logEnd(Event event, const std::string& outcome, const std::string& detail);
@@ -128,6 +130,7 @@
     CallerRequest m_request;
     RequestTraits m_traits;
     std::vector<SuspectTag> m_sharedSegments;
+    std::optional<SuspectTag> m_requestTag;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
     TargetId m_target;
--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -7,15 +7,21 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace wisteriayard {
 
-/// Short hash of what may make endpoints crash: a prompt segment.
+/// Short hash of what may make endpoints crash: a prompt segment, or a request as a whole.
 enum class SuspectTag : std::uint32_t {};
 /// @param segment id of a prompt segment
 SuspectTag segmentSuspect(std::uint64_t segment);
+/// Tag of a request by its content; a caller that repeats it gives it another id.
+/// @param target path and query
+/// @param caller key of the caller, so that callers can't make each other's requests suspect; empty for anonymous ones
+SuspectTag requestSuspect(
+    std::string_view method, std::string_view target, std::string_view caller, std::string_view body);
 
 /// Short hash of one incarnation of an endpoint that crashed.
 enum class CrashTag : std::uint32_t {};
--- a/src/libwisteriayard/crash_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -1,5 +1,8 @@
 #include "wisteriayard/crash_quarantine.h"
 
+#include "wisteriayard/hash.h"
+#include "wisteriayard/rendezvous.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,6 +34,18 @@
 
 SuspectTag segmentSuspect(std::uint64_t segment) { return SuspectTag(static_cast<std::uint32_t>(segmentTag(segment))); }
 
+SuspectTag requestSuspect(
+    std::string_view method, std::string_view target, std::string_view caller, std::string_view body)
+{
+    std::uint64_t hash = fnv1a("request");
+    for (std::string_view part : { method, target, caller, body }) {
+        // The length keeps the parts apart.
+        hash = fnv1a(std::to_string(part.size()) + ":", hash);
+        hash = fnv1a(part, hash);
+    }
+    return SuspectTag(static_cast<std::uint32_t>(mixHash(hash)));
+}
+
 void QuarantineReport::add(const QuarantineReport& other, Duration age)
 {
     for (const CrashObservation& each : other.crashes) {
