--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -337,6 +337,8 @@
         # Ids of prompt segments under which the endpoint crashes when it begins to answer, and the arrivals of requests
         # with one of them. `crashes` has the times at which it crashed.
         self.crashing_segments, self.crashing_arrivals, self.crashes = set(), [], []
+        # Bodies of requests under which the endpoint crashes, a stream after this many events.
+        self.crashing_bodies, self.events_before_crash = set(), 0
         self.connections, self.crash_lock = [], threading.Lock()
         self.restarted = lambda endpoint: None
         self.random = random.Random(name)
@@ -400,10 +402,12 @@
         if endpoint.endless:
             return self.send_endless(endpoint, request)
         segments = {part.split(":")[0] for part in headers.get("Prompt-Prefix", "").split(",")}
-        crashing = bool(segments & endpoint.crashing_segments)
+        crashing = bool(segments & endpoint.crashing_segments) or body in endpoint.crashing_bodies
         if crashing:
             endpoint.crashing_arrivals.append((time.monotonic(), request))
         time.sleep(endpoint.delay_s)
+        if crashing and endpoint.events and endpoint.events_before_crash:
+            self.stream(endpoint, request, int(headers.get("Last-Event-Id", 0)), endpoint.events_before_crash + 1)
         if crashing:
             self.close_connection = True
             return endpoint.crash()
@@ -450,7 +454,9 @@
         """The entry that sent the request, as stated by the caller; a restarted entry counts as another one."""
         return self.headers.get("X-Entry")
 
-    def stream(self, endpoint, request, last):
+    def stream(self, endpoint, request, last, break_after=None):
+        """Sends a stream that breaks before the event `break_after`, or that of the endpoint."""
+        break_after = break_after or endpoint.break_after
         unframed = endpoint.unframed
         self.close_connection = unframed
         self.send_response(200)
@@ -460,7 +466,7 @@
         self.end_headers()
         for number in range(last + 1, endpoint.events + 1):
             event = f"id: {number}\ndata: {request} {number}\n\n".encode()
-            if endpoint.break_after == number:
+            if break_after == number:
                 self.close_connection = True
                 if unframed:
                     self.wfile.write(event[:len(event) // 2])
