Keep requests away from endpoints that crash when they run them

Cause: a request that comes again has another id, and nothing tells that it is the same. Only shared segments of prompts were remembered; plain services have none, and at engines sound requests that share a segment clear it.

The request as a whole is a suspect now, by a hash of method, path, caller and body, in the quarantine that exists, with its reports, trials, store and bounds. Only a complete answer clears it. A crash that a request in quarantine was aboard at no longer counts against the segments that it shares with sound requests.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -25,6 +25,15 @@
     constexpr Duration probeLifetime = std::chrono::milliseconds(500);
     constexpr Duration probePollInterval = std::chrono::milliseconds(5);
 
+    const char* suspectField(SuspectTag tag) { return isRequest(tag) ? "tag" : "segment"; }
+
+    Event changeEvent(const QuarantineChange& change)
+    {
+        if (isRequest(change.tag))
+            return change.quarantined ? Event::RequestQuarantined : Event::RequestReleased;
+        return change.quarantined ? Event::SegmentQuarantined : Event::SegmentReleased;
+    }
+
     CrashTag crashTag(const EndpointRecord& endpoint)
     {
         std::uint64_t hash = fnv1a("#" + std::to_string(endpoint.incarnation.value()), fnv1a(endpoint.id.value()));
@@ -49,7 +58,8 @@
     }
     for (SuspectTag tag : tags) {
         if (m_quarantine.isQuarantined(tag))
-            m_log->write(Event::SegmentTried, { { "segment", static_cast<std::uint32_t>(tag) } });
+            m_log->write(isRequest(tag) ? Event::RequestTried : Event::SegmentTried,
+                { { suspectField(tag), static_cast<std::uint32_t>(tag) } });
     }
     return std::nullopt;
 }
@@ -121,25 +131,21 @@
 void CrashGuard::publishChanges(std::string_view source)
 {
     for (const QuarantineChange& change : m_quarantine.takeChanges()) {
-        m_log->write(change.quarantined ? Event::SegmentQuarantined : Event::SegmentReleased,
-            { { "segment", static_cast<std::uint32_t>(change.tag) }, { "crashes", change.crashes },
+        m_log->write(changeEvent(change),
+            { { suspectField(change.tag), static_cast<std::uint32_t>(change.tag) }, { "crashes", change.crashes },
                 { "source", source } });
         m_metrics.setQuarantinedSegments(m_quarantine.quarantinedCount());
         m_onChange(change);
         if (!change.quarantined)
             continue;
-        for (WaitingAttempt* attempt : m_waiting) {
-            if (std::find(attempt->m_tags.begin(), attempt->m_tags.end(), change.tag) != attempt->m_tags.end())
-                attempt->m_abort();
-        }
+        for (WaitingAttempt* attempt : m_waiting)
+            attempt->m_quarantined(change.tag);
     }
 }
 
-CrashGuard::WaitingAttempt::WaitingAttempt(
-    CrashGuard& guard, const std::vector<SuspectTag>& tags, std::function<void()> abort)
+CrashGuard::WaitingAttempt::WaitingAttempt(CrashGuard& guard, std::function<void(SuspectTag)> quarantined)
     : m_guard(guard)
-    , m_tags(tags)
-    , m_abort(std::move(abort))
+    , m_quarantined(std::move(quarantined))
     , m_position(guard.m_waiting.insert(guard.m_waiting.end(), this))
 {
 }
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -17,8 +17,8 @@
 
 namespace wisteriayard {
 
-/// Keeps requests away from engines if their shared prompt segments crash engines. Not thread-safe; used from the event
-/// loop's thread only.
+/// Keeps requests away from endpoints if they, or their shared prompt segments, crash endpoints. Not thread-safe; used
+/// from the event loop's thread only.
 class CrashGuard {
 public:
     CrashGuard(boost::asio::io_context& io, std::shared_ptr<EventLog> log, GatewayMetrics& metrics);
@@ -28,11 +28,17 @@
     /// @param onChange called when a segment is put in quarantine or released
     void setChangeHandler(std::function<void(const QuarantineChange&)> onChange) { m_onChange = std::move(onChange); }
 
-    /// @return time until a request with these segments can be tried again; none if it may be sent now
+    /// Whether tags of requests as a whole are needed: they are costly for large bodies.
+    bool hasSuspects() const { return m_quarantine.hasSuspects(); }
+    bool hasQuarantined() const { return m_quarantine.quarantinedCount() > 0; }
+    bool isQuarantined(SuspectTag tag) const { return m_quarantine.isQuarantined(tag); }
+    void expire(TimePoint now) { m_quarantine.expire(now); }
+    /// @return time until a request with these suspects can be tried again; none if it may be sent now
     std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, TimePoint now);
     bool mayRetry(const std::vector<SuspectTag>& tags) const { return m_quarantine.mayRetry(tags); }
     void answerBegan(const std::vector<SuspectTag>& tags, TimePoint now);
-    /// Finds out whether an endpoint crashed whose connection broke before it began to answer, and records it.
+    /// Finds out whether an endpoint crashed whose connection broke, and records it.
+    /// @param tags what may have made it crash; requests before segments, so that the narrower explanation wins
     /// @param at time at which the connection broke
     boost::asio::awaitable<void> connectionBroke(EndpointRecord endpoint, std::vector<SuspectTag> tags, TimePoint at);
 
@@ -46,8 +52,8 @@
     /// Registers an attempt that waits for the beginning of its answer, until destruction.
     class WaitingAttempt {
     public:
-        /// @param abort called if one of the segments is put in quarantine meanwhile
-        WaitingAttempt(CrashGuard& guard, const std::vector<SuspectTag>& tags, std::function<void()> abort);
+        /// @param quarantined called for each suspect that is put in quarantine meanwhile
+        WaitingAttempt(CrashGuard& guard, std::function<void(SuspectTag)> quarantined);
         WaitingAttempt(const WaitingAttempt&) = delete;
         WaitingAttempt& operator=(const WaitingAttempt&) = delete;
         ~WaitingAttempt();
@@ -55,8 +61,7 @@
     private:
         friend class CrashGuard;
         CrashGuard& m_guard;
-        const std::vector<SuspectTag>& m_tags;
-        std::function<void()> m_abort;
+        std::function<void(SuspectTag)> m_quarantined;
         std::list<WaitingAttempt*>::iterator m_position;
     };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -375,6 +375,7 @@
                 TimePoint now = bootTimeNow();
                 m_state.pool.expire(now);
                 m_state.directory.removeLapsed(now);
+                m_state.crashGuard.expire(now);
                 m_state.directory.logPrefillPools(now);
                 std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
                 std::uint64_t suppressed = m_state.requestLogBudget.takeSuppressedCount();
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -93,8 +93,7 @@
         outcome = co_await exchangeWithEndpoint(connection, record, placement);
     now = bootTimeNow();
     auto* broken = std::get_if<MayHaveExecuted>(&outcome);
-    bool mayHaveCrashed = broken && broken->connectionLost && !placement.firstEventSeen && !m_quarantined
-        && !interruption() && !m_sharedSegments.empty();
+    bool mayHaveCrashed = broken && broken->connectionLost && !m_quarantined && !interruption();
     if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
         outcome = *interrupted;
     m_endpoint.reset();
@@ -107,7 +106,7 @@
         m_state.log->write(Event::EndpointTakenBack, { { "endpoint", id.value() } });
     logAttempt(outcome, id, placement.firstEventSeen, now);
     if (mayHaveCrashed)
-        co_await m_state.crashGuard.connectionBroke(record, m_sharedSegments, now);
+        co_await m_state.crashGuard.connectionBroke(record, suspects(!placement.firstEventSeen), now);
     co_return outcome;
 }
 
@@ -169,8 +168,8 @@
     if (m_state.directory.placement(m_target).limit(placement))
         m_state.metrics.limitedRequestSent(m_requestsSent > 1);
     std::optional<CrashGuard::WaitingAttempt> waiting;
-    if (!m_sharedSegments.empty() && !m_headSent)
-        waiting.emplace(m_state.crashGuard, m_sharedSegments, [this] { abortIfWaiting(); });
+    if (!m_headSent)
+        waiting.emplace(m_state.crashGuard, [this](SuspectTag tag) { suspectQuarantined(tag); });
     exchange.send(endpointRequestHead(m_request.head, m_state.platform.codec(), headers, bodySize), m_request.body);
     ResponseTraits traits;
     Status read = co_await readMatchingHead(exchange, record, placement, traits);
@@ -293,7 +292,7 @@
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
-            co_return MayHaveExecuted { part.error().message };
+            co_return MayHaveExecuted { part.error().message, part.error().code == Errc::Unavailable };
         m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
         if (part.value().empty())
             break;
@@ -302,6 +301,7 @@
             co_return MayHaveExecuted { "the response exceeds the buffer limit" };
     }
     m_state.crashGuard.answerBegan(m_sharedSegments, bootTimeNow());
+    answerCompleted(bootTimeNow());
     if (!success)
         co_return EndpointFailure { exchange.head(), std::move(body) };
     bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
@@ -372,6 +372,7 @@
     }
     if (!events.pendingBytes().empty() || !m_headSent)
         co_return MayHaveExecuted { "the stream ended in the middle of an event or without any", true };
+    answerCompleted(bootTimeNow());
     if (m_request.acceptsChunked) {
         bool written = co_await write(std::string(lastChunk));
         if (!written)
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -161,10 +161,8 @@
     while (true) {
         TimePoint now = bootTimeNow();
         m_state.directory.removeLapsed(now);
-        if (!m_headSent) {
-            if (auto wait = m_state.crashGuard.refusal(m_sharedSegments, now))
-                co_return co_await refuseQuarantined(*wait);
-        }
+        if (auto wait = quarantineTime(now))
+            co_return co_await refuseQuarantined(*wait);
         auto& placement = m_state.directory.placement(m_target);
         auto decision = placement.choose(placementRequest(now), m_triedEndpoints, now);
         if (auto* refused = std::get_if<Refused>(&decision)) {
@@ -212,9 +210,10 @@
     } else {
         if (!m_route->isRetryable() || m_possibleExecutions >= m_route->maxAttempts)
             return false;
-        // Another engine may crash as well. A stream that has begun did not cause the crash.
-        bool mayHaveCrashed = m_quarantined || !m_state.crashGuard.mayRetry(m_sharedSegments);
-        if (!m_headSent && std::holds_alternative<MayHaveExecuted>(outcome) && mayHaveCrashed)
+        // Another endpoint may crash as well.
+        bool mayHaveCrashed = m_quarantined
+            || (m_state.crashGuard.hasSuspects() && !m_state.crashGuard.mayRetry(suspects(!m_headSent)));
+        if (std::holds_alternative<MayHaveExecuted>(outcome) && mayHaveCrashed)
             return false;
     }
     bool allowed = m_state.retryBudget(m_target).tryAcquireRetry(now);
@@ -257,10 +256,14 @@
 
 awaitable<bool> RequestHandler::refuseQuarantined(Duration wait)
 {
-    if (m_mayHaveExecuted)
+    if (m_mayHaveExecuted || m_headSent)
         co_return co_await respondToFailure(std::nullopt, nullptr);
-    logEnd(Event::RequestRefused, "refused", "prompt_quarantined, retry after " + millisecondsText(wait) + " ms");
     LocalResponse response { 503, "prompt_quarantined", "engines crash under a part of this prompt", wait };
+    if (m_state.crashGuard.isQuarantined(requestTag())) {
+        response.code = "request_quarantined";
+        response.message = "endpoints crash when they run this request";
+    }
+    logEnd(Event::RequestRefused, "refused", response.code + ", retry after " + millisecondsText(wait) + " ms");
     // Callers with less time left don't return: until then no engine takes the request.
     std::string text = localResponseText(
         response, m_state.platform.codec(), m_traits.id, m_request.keepAlive && !m_state.drainingSince);
@@ -341,9 +344,10 @@
     m_endpoint->socket.close(ignored);
 }
 
-void RequestHandler::abortIfWaiting()
+void RequestHandler::suspectQuarantined(SuspectTag tag)
 {
-    if (m_headSent)
+    std::vector<SuspectTag> own = suspects(true);
+    if (m_headSent || std::find(own.begin(), own.end(), tag) == own.end())
         return;
     m_quarantined = true;
     closeEndpoint();
@@ -373,6 +377,27 @@
         now);
 }
 
+std::vector<SuspectTag> RequestHandler::suspects(bool withSegments)
+{
+    std::vector<SuspectTag> tags { requestTag() };
+    if (withSegments)
+        tags.insert(tags.end(), m_sharedSegments.begin(), m_sharedSegments.end());
+    return tags;
+}
+
+std::optional<Duration> RequestHandler::quarantineTime(TimePoint now)
+{
+    if (!m_state.crashGuard.hasQuarantined())
+        return std::nullopt;
+    return m_state.crashGuard.refusal(suspects(!m_headSent), now);
+}
+
+void RequestHandler::answerCompleted(TimePoint now)
+{
+    if (m_state.crashGuard.hasSuspects())
+        m_state.crashGuard.answerBegan({ requestTag() }, now);
+}
+
 SuspectTag RequestHandler::requestTag()
 {
     if (!m_requestTag) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -94,7 +94,7 @@
     boost::asio::awaitable<Status> forwardEvents(EndpointExchange& exchange, EventStream& events, Placement& placement);
 
     boost::asio::awaitable<bool> respond(LocalResponse response);
-    /// Refuses a request whose prompt has a segment in quarantine.
+    /// Refuses a request that is in quarantine, or whose prompt has a segment in quarantine.
     /// @param wait time until such a request can be tried again
     boost::asio::awaitable<bool> refuseQuarantined(Duration wait);
     boost::asio::awaitable<bool> write(std::string text);
@@ -107,8 +107,17 @@
     void stopDisconnectWatch();
     void onExpired();
     void closeEndpoint();
-    /// Ends the attempt, because a segment of the prompt was put in quarantine, unless the answer has begun.
-    void abortIfWaiting();
+    /// Ends the attempt if the request or a segment of its prompt was put in quarantine, unless the answer has begun.
+    void suspectQuarantined(SuspectTag tag);
+    /// What may make an endpoint crash that runs the request: the request as a whole, and the shared segments of its
+    /// prompt.
+    /// @param withSegments false once an answer has begun, which clears the segments
+    std::vector<SuspectTag> suspects(bool withSegments);
+    /// Whether the request must not be sent now because of its suspects.
+    /// @return time until it can be tried again; none if it may be sent
+    std::optional<Duration> quarantineTime(TimePoint now);
+    /// Records a complete answer, which clears the request.
+    void answerCompleted(TimePoint now);
     /// Outcome of an interrupted attempt, if the caller disconnected or the deadline passed.
     std::optional<AttemptOutcome> interruption() const;
     bool mayRetry(const AttemptOutcome& outcome, TimePoint now);
@@ -145,7 +154,7 @@
     std::shared_ptr<bool> m_watchActive;
     bool m_callerDisconnected = false;
     bool m_timedOut = false;
-    /// The attempt was ended because a segment of the prompt was put in quarantine.
+    /// The attempt was ended because the request or a segment of its prompt was put in quarantine.
     bool m_quarantined = false;
     /// An endpoint may have executed the request.
     bool m_mayHaveExecuted = false;
--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -17,6 +17,8 @@
 enum class SuspectTag : std::uint32_t {};
 /// @param segment id of a prompt segment
 SuspectTag segmentSuspect(std::uint64_t segment);
+/// Whether a tag is that of a request as a whole.
+bool isRequest(SuspectTag tag);
 /// Tag of a request by its content; a caller that repeats it gives it another id.
 /// @param target path and query
 /// @param caller key of the caller, so that callers can't make each other's requests suspect; empty for anonymous ones
@@ -127,6 +129,10 @@
     bool mayRetry(const std::vector<SuspectTag>& tags) const;
     bool isQuarantined(SuspectTag tag) const;
     std::size_t quarantinedCount() const { return m_quarantinedCount; }
+    /// Whether anything is suspect. Tags of requests are needed only then.
+    bool hasSuspects() const { return !m_suspects.empty(); }
+    /// Forgets suspects without recent observations.
+    void expire(TimePoint now);
     /// Number of segments with observations and of remembered answers.
     std::size_t size() const { return m_suspects.size() + m_lastBegin.size(); }
 
@@ -164,6 +170,8 @@
         TimePoint nextTrial {};
         /// Other entries suspect the segment although an answer to it has begun here; it is reported until then.
         TimePoint reportBeginUntil {};
+
+        bool hasCrash(CrashTag crash) const;
     };
 
     std::size_t separateCrashes(const Suspect& suspect) const;
@@ -179,6 +187,9 @@
     /// Time at which an answer to a segment began last; the earliest possible time if that is not remembered.
     TimePoint lastBegin(SuspectTag tag, TimePoint now) const;
     void removeOld(TimePoint now);
+    bool isOld(const Suspect& suspect, TimePoint now) const;
+    /// Whether a request in quarantine was aboard at a crash, so that the crash says nothing about other suspects.
+    bool isExplained(SuspectTag tag, CrashTag crash) const;
 
     QuarantineTimes m_times;
     std::unordered_map<SuspectTag, Suspect> m_suspects;
--- a/src/libwisteriayard/crash_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-    /// Crashes kept for a segment; more than are needed for any decision.
+    /// Set in tags of requests and not in those of segments.
+    constexpr std::uint32_t requestBit = 0x80000000U;
+
+    /// Crashes kept for a suspect; more than are needed for any decision.
     constexpr std::size_t maxCrashes = 16;
 
     /// Times in reports seem later by the time that the report takes. Entries pass them on, so smaller differences are
@@ -32,7 +35,12 @@
 
 } // namespace
 
-SuspectTag segmentSuspect(std::uint64_t segment) { return SuspectTag(static_cast<std::uint32_t>(segmentTag(segment))); }
+SuspectTag segmentSuspect(std::uint64_t segment)
+{
+    return SuspectTag(static_cast<std::uint32_t>(segmentTag(segment)) & ~requestBit);
+}
+
+bool isRequest(SuspectTag tag) { return (static_cast<std::uint32_t>(tag) & requestBit) != 0; }
 
 SuspectTag requestSuspect(
     std::string_view method, std::string_view target, std::string_view caller, std::string_view body)
@@ -43,7 +51,7 @@
         hash = fnv1a(std::to_string(part.size()) + ":", hash);
         hash = fnv1a(part, hash);
     }
-    return SuspectTag(static_cast<std::uint32_t>(mixHash(hash)));
+    return SuspectTag(static_cast<std::uint32_t>(mixHash(hash)) | requestBit);
 }
 
 void QuarantineReport::add(const QuarantineReport& other, Duration age)
@@ -80,13 +88,8 @@
     // Above the limit all are forgotten: it takes thousands of segments within the lifetime of observations.
     if (m_lastBegin.size() >= maxRemembered)
         m_lastBegin.clear();
-    auto isOld = [&](const auto& each) {
-        const Suspect& suspect = each.second;
-        return !suspect.quarantinedSince && now >= suspect.reportBeginUntil
-            && (suspect.crashes.empty() || now - suspect.crashes.back().at >= m_times.memory);
-    };
     if (m_suspects.size() >= maxSuspects)
-        std::erase_if(m_suspects, isOld);
+        expire(now);
     if (m_suspects.size() >= maxSuspects)
         std::erase_if(m_suspects, [](const auto& each) { return !each.second.quarantinedSince; });
     if (m_suspects.size() >= maxSuspects) {
@@ -124,6 +127,36 @@
     suspect.firstTrial = suspect.nextTrial;
     ++m_quarantinedCount;
     m_changes.push_back({ tag, true, suspect.crashes.size() });
+    if (!isRequest(tag))
+        return;
+    for (auto& [otherTag, other] : m_suspects) {
+        if (!other.quarantinedSince)
+            std::erase_if(other.crashes, [&suspect](const Crash& crash) { return suspect.hasCrash(crash.tag); });
+    }
+}
+
+bool CrashQuarantine::isExplained(SuspectTag tag, CrashTag crash) const
+{
+    return m_quarantinedCount > 0 && std::any_of(m_suspects.begin(), m_suspects.end(), [tag, crash](const auto& each) {
+        return each.first != tag && isRequest(each.first) && each.second.quarantinedSince
+            && each.second.hasCrash(crash);
+    });
+}
+
+bool CrashQuarantine::Suspect::hasCrash(CrashTag crash) const
+{
+    return std::any_of(crashes.begin(), crashes.end(), [crash](const Crash& each) { return each.tag == crash; });
+}
+
+void CrashQuarantine::expire(TimePoint now)
+{
+    std::erase_if(m_suspects, [this, now](const auto& each) { return isOld(each.second, now); });
+}
+
+bool CrashQuarantine::isOld(const Suspect& suspect, TimePoint now) const
+{
+    return !suspect.quarantinedSince && now >= suspect.reportBeginUntil
+        && (suspect.crashes.empty() || now - suspect.crashes.back().at >= m_times.memory);
 }
 
 void CrashQuarantine::addCrash(SuspectTag tag, const Crash& crash, TimePoint now)
@@ -134,6 +167,8 @@
             suspect(tag, now).reportBeginUntil = now + m_times.reporting;
         return;
     }
+    if (isExplained(tag, crash.tag))
+        return;
     Suspect& suspect = this->suspect(tag, now);
     std::erase_if(suspect.crashes, [&](const Crash& each) { return now - each.at >= m_times.memory; });
     auto known = std::find_if(
--- a/src/libwisteriayard/crash_quarantine_test.cpp
+++ b/src/libwisteriayard/crash_quarantine_test.cpp
@@ -343,3 +343,68 @@
     QuarantineReport report = quarantine.report(at(2500));
     BOOST_TEST(report.crashes.size() <= CrashQuarantine::maxReported);
 }
+
+struct TagCase {
+    const char* name;
+    const char* method;
+    const char* target;
+    const char* caller;
+    const char* body;
+    bool same;
+};
+std::ostream& operator<<(std::ostream& out, const TagCase& each) { return out << each.name; }
+
+const TagCase tagCases[] = {
+    { "repeated", "POST", "/a/1", "key", "body", true },
+    { "other_method", "PUT", "/a/1", "key", "body", false },
+    { "other_path", "POST", "/a/2", "key", "body", false },
+    { "other_caller", "POST", "/a/1", "other", "body", false },
+    { "other_body", "POST", "/a/1", "key", "bodz", false },
+    { "shifted_boundary", "POST", "/a/1k", "ey", "body", false },
+};
+
+// Guards against requests that are taken for the same although their caller or content differs.
+BOOST_DATA_TEST_CASE(tag_of_a_request_covers_its_content, data::make(tagCases), each)
+{
+    SuspectTag known = requestSuspect("POST", "/a/1", "key", "body");
+    BOOST_TEST((requestSuspect(each.method, each.target, each.caller, each.body) == known) == each.same);
+    BOOST_TEST(isRequest(known));
+    BOOST_TEST(!isRequest(segmentSuspect(0xffffffffffffffffULL)));
+}
+
+// Guards against refusing sound requests because they share a segment with one request that crashes engines.
+BOOST_AUTO_TEST_CASE(crashes_of_a_request_in_quarantine_say_nothing_about_segments)
+{
+    SuspectTag guilty = requestSuspect("POST", "/a/1", "key", "body");
+    CrashQuarantine quarantine;
+    for (int i = 0; i < 5; ++i)
+        quarantine.endpointCrashed(
+            CrashTag(static_cast<std::uint32_t>(i + 1)), { guilty, shared }, at(400 * i), at(400 * i));
+    BOOST_TEST(quarantine.isQuarantined(guilty));
+    BOOST_TEST(!quarantine.isQuarantined(shared));
+    BOOST_TEST(quarantine.mayRetry({ shared }));
+}
+
+// Guards against a segment that stays unrecognised because no two requests with it are alike.
+BOOST_AUTO_TEST_CASE(segment_of_different_requests_is_recognised)
+{
+    CrashQuarantine quarantine;
+    for (int i = 0; i < 3; ++i) {
+        SuspectTag request = requestSuspect("POST", "/a/1", "key", std::to_string(i));
+        quarantine.endpointCrashed(
+            CrashTag(static_cast<std::uint32_t>(i + 1)), { request, deadly }, at(400 * i), at(400 * i));
+    }
+    BOOST_TEST(quarantine.isQuarantined(deadly));
+    BOOST_TEST(quarantine.quarantinedCount() == 1u);
+}
+
+// Guards against hashing each body forever after a single crash.
+BOOST_AUTO_TEST_CASE(suspects_expire)
+{
+    CrashQuarantine quarantine;
+    quarantine.endpointCrashed(CrashTag(1), { deadly }, at(0), at(0));
+    quarantine.expire(at(59'000));
+    BOOST_TEST(quarantine.hasSuspects());
+    quarantine.expire(at(60'000));
+    BOOST_TEST(!quarantine.hasSuspects());
+}
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -158,6 +158,12 @@
         return "segment_released";
     case Event::SegmentTried:
         return "segment_tried";
+    case Event::RequestQuarantined:
+        return "request_quarantined";
+    case Event::RequestReleased:
+        return "request_released";
+    case Event::RequestTried:
+        return "request_tried";
     case Event::QuarantineStoreFailed:
         return "quarantine_store_failed";
     }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -92,6 +92,9 @@
     SegmentReleased = 722,
     SegmentTried = 723,
     QuarantineStoreFailed = 724,
+    RequestQuarantined = 725,
+    RequestReleased = 726,
+    RequestTried = 727,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
--- a/testsuite/crashing_requests/run.py
+++ b/testsuite/crashing_requests/run.py
@@ -128,7 +128,7 @@
         wait_until(gateway.ready, f"{gateway.name} to be ready")
     since = time.monotonic()
     callers = Callers(deployment, "/charge/1")
-    time.sleep(5)
+    time.sleep(3 * CONTACT_S)
     callers.stop()
     check(deployment, callers, since, 0.9)
     after = len(crash_times(deployment)) - crashes
@@ -164,7 +164,7 @@
     callers.stop()
     share = callers.served_share(since)
     assert share >= 0.95, f"{share:.2f} of the requests served after the crashes"
-    quarantined = [event for gateway in deployment.gateways for event in gateway.events("segment_quarantined")]
+    quarantined = [event for gateway in deployment.gateways for event in gateway.events("request_quarantined")]
     assert not quarantined, quarantined
 
 
