Release suspects in quarantine that nobody sends any more

While anything is suspect, the tag of each request is computed from its body. A suspect in quarantine whose requests never come again stayed for ever, and entries kept reporting it to each other. It is released 10 minutes, the longest interval between trials, after the last crash or trial.

Test: unused_quarantine_expires (crash_quarantine_test).

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -122,6 +122,12 @@
     publishChanges("peer");
 }
 
+void CrashGuard::expire(TimePoint now)
+{
+    m_quarantine.expire(now);
+    publishChanges("age");
+}
+
 void CrashGuard::restore(SuspectTag tag, TimePoint now)
 {
     m_quarantine.restore(tag, now);
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -32,7 +32,7 @@
     bool hasSuspects() const { return m_quarantine.hasSuspects(); }
     bool hasQuarantined() const { return m_quarantine.quarantinedCount() > 0; }
     bool isQuarantined(SuspectTag tag) const { return m_quarantine.isQuarantined(tag); }
-    void expire(TimePoint now) { m_quarantine.expire(now); }
+    void expire(TimePoint now);
     /// @return time until a request with these suspects can be tried again; none if it may be sent now
     std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, TimePoint now);
     bool mayRetry(const std::vector<SuspectTag>& tags) const { return m_quarantine.mayRetry(tags); }
--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -131,7 +131,8 @@
     std::size_t quarantinedCount() const { return m_quarantinedCount; }
     /// Whether anything is suspect. Tags of requests are needed only then.
     bool hasSuspects() const { return !m_suspects.empty(); }
-    /// Forgets suspects without recent observations.
+    /// Forgets suspects without recent observations, and releases those in quarantine that nobody has tried to send for
+    /// the longest interval between trials.
     void expire(TimePoint now);
     /// Number of segments with observations and of remembered answers.
     std::size_t size() const { return m_suspects.size() + m_lastBegin.size(); }
@@ -180,6 +181,7 @@
     /// @param since time of the first crash that counts against the segment
     /// @param lastEvidence time of the last crash or trial
     void quarantine(SuspectTag tag, Suspect& suspect, TimePoint since, TimePoint lastEvidence);
+    void release(SuspectTag tag, Suspect& suspect);
     /// Ends the suspicion of a segment by an answer that began.
     void clear(SuspectTag tag, TimePoint begunAt, TimePoint now);
     /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
--- a/src/libwisteriayard/crash_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -150,9 +150,20 @@
 
 void CrashQuarantine::expire(TimePoint now)
 {
+    for (auto& [tag, suspect] : m_suspects) {
+        if (suspect.quarantinedSince && now - suspect.lastEvidence >= m_times.longestTrialInterval)
+            release(tag, suspect);
+    }
     std::erase_if(m_suspects, [this, now](const auto& each) { return isOld(each.second, now); });
 }
 
+void CrashQuarantine::release(SuspectTag tag, Suspect& suspect)
+{
+    suspect.quarantinedSince.reset();
+    --m_quarantinedCount;
+    m_changes.push_back({ tag, false, suspect.crashes.size() });
+}
+
 bool CrashQuarantine::isOld(const Suspect& suspect, TimePoint now) const
 {
     return !suspect.quarantinedSince && now >= suspect.reportBeginUntil
@@ -209,9 +220,7 @@
     suspect.reportBeginUntil = now + m_times.reporting;
     if (!suspect.quarantinedSince || begunAt < *suspect.quarantinedSince)
         return;
-    suspect.quarantinedSince.reset();
-    --m_quarantinedCount;
-    m_changes.push_back({ tag, false, suspect.crashes.size() });
+    release(tag, suspect);
 }
 
 void CrashQuarantine::answerBegan(const std::vector<SuspectTag>& tags, TimePoint now)
@@ -308,6 +317,8 @@
     for (const CrashObservation& each : report.crashes)
         addCrash(each.tag, { each.crash, now - each.age, false }, now);
     for (const QuarantinedSuspect& each : report.quarantined) {
+        if (each.quiet >= m_times.longestTrialInterval)
+            continue;
         Suspect& suspect = this->suspect(each.tag, now);
         TimePoint lastEvidence = now - each.quiet;
         if (suspect.quarantinedSince) {
--- a/src/libwisteriayard/crash_quarantine_test.cpp
+++ b/src/libwisteriayard/crash_quarantine_test.cpp
@@ -398,6 +398,22 @@
     BOOST_TEST(quarantine.quarantinedCount() == 1u);
 }
 
+// Guards against remembering a suspect forever that nobody sends any more, at entries that report it to each other.
+BOOST_AUTO_TEST_CASE(unused_quarantine_expires)
+{
+    constexpr int longest = 600'000;
+    CrashQuarantine quarantine;
+    for (int i = 0; i < 3; ++i)
+        quarantine.endpointCrashed(CrashTag(static_cast<std::uint32_t>(i + 1)), { deadly }, at(400 * i), at(400 * i));
+    QuarantineReport report = quarantine.report(at(800 + longest));
+    quarantine.expire(at(799 + longest));
+    BOOST_TEST(quarantine.isQuarantined(deadly));
+    quarantine.expire(at(800 + longest));
+    BOOST_TEST(!quarantine.hasSuspects());
+    quarantine.applyReport(report, at(800 + longest));
+    BOOST_TEST(!quarantine.isQuarantined(deadly));
+}
+
 // Guards against hashing each body forever after a single crash.
 BOOST_AUTO_TEST_CASE(suspects_expire)
 {
