Count crashes again when the request that explained them is released

Cause, by reading: crashes of a request in quarantine were erased from the suspects that were aboard with it.

The crashes are kept, and left out of the count only while such a request is in quarantine. crashes_count_again_when_the_request_is_released (crash_quarantine_test) is new.

--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -175,7 +175,8 @@
         bool hasCrash(CrashTag crash) const;
     };
 
-    std::size_t separateCrashes(const Suspect& suspect) const;
+    /// Number of separate crashes that no request in quarantine explains.
+    std::size_t separateCrashes(SuspectTag tag, const Suspect& suspect) const;
     Suspect& suspect(SuspectTag tag, TimePoint now);
     void addCrash(SuspectTag tag, const Crash& crash, TimePoint now);
     /// @param since time of the first crash that counts against the segment
--- a/src/libwisteriayard/crash_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -105,12 +105,13 @@
     return m_suspects[tag];
 }
 
-std::size_t CrashQuarantine::separateCrashes(const Suspect& suspect) const
+std::size_t CrashQuarantine::separateCrashes(SuspectTag tag, const Suspect& suspect) const
 {
     std::size_t count = 0;
     std::optional<TimePoint> last;
     for (const Crash& crash : suspect.crashes) {
-        if (last && crash.at - *last < m_times.separation)
+        bool isSameMoment = last && crash.at - *last < m_times.separation;
+        if (isSameMoment || isExplained(tag, crash.tag))
             continue;
         last = crash.at;
         ++count;
@@ -127,12 +128,6 @@
     suspect.firstTrial = suspect.nextTrial;
     ++m_quarantinedCount;
     m_changes.push_back({ tag, true, suspect.crashes.size() });
-    if (!isRequest(tag))
-        return;
-    for (auto& [otherTag, other] : m_suspects) {
-        if (!other.quarantinedSince)
-            std::erase_if(other.crashes, [&suspect](const Crash& crash) { return suspect.hasCrash(crash.tag); });
-    }
 }
 
 bool CrashQuarantine::isExplained(SuspectTag tag, CrashTag crash) const
@@ -178,8 +173,6 @@
             suspect(tag, now).reportBeginUntil = now + m_times.reporting;
         return;
     }
-    if (isExplained(tag, crash.tag))
-        return;
     Suspect& suspect = this->suspect(tag, now);
     std::erase_if(suspect.crashes, [&](const Crash& each) { return now - each.at >= m_times.memory; });
     auto known = std::find_if(
@@ -193,7 +186,7 @@
     auto later = [](TimePoint at, const Crash& each) { return at < each.at; };
     suspect.crashes.insert(std::upper_bound(suspect.crashes.begin(), suspect.crashes.end(), crash.at, later), crash);
     if (!suspect.quarantinedSince) {
-        if (separateCrashes(suspect) >= crashesToQuarantine)
+        if (separateCrashes(tag, suspect) >= crashesToQuarantine)
             quarantine(tag, suspect, suspect.crashes.front().at, crash.at);
         return;
     }
@@ -274,7 +267,7 @@
     return std::none_of(tags.begin(), tags.end(), [this](SuspectTag tag) {
         auto known = m_suspects.find(tag);
         return known != m_suspects.end()
-            && (known->second.quarantinedSince || separateCrashes(known->second) >= crashesToRetry);
+            && (known->second.quarantinedSince || separateCrashes(tag, known->second) >= crashesToRetry);
     });
 }
 
--- a/src/libwisteriayard/crash_quarantine_test.cpp
+++ b/src/libwisteriayard/crash_quarantine_test.cpp
@@ -385,6 +385,20 @@
     BOOST_TEST(quarantine.mayRetry({ shared }));
 }
 
+// Guards against losing the evidence against a segment to a request that was in quarantine for a moment only.
+BOOST_AUTO_TEST_CASE(crashes_count_again_when_the_request_is_released)
+{
+    SuspectTag sound = requestSuspect("POST", "/a/1", "key", "body");
+    CrashQuarantine quarantine;
+    for (int i = 0; i < 3; ++i)
+        quarantine.endpointCrashed(
+            CrashTag(static_cast<std::uint32_t>(i + 1)), { sound, deadly }, at(400 * i), at(400 * i));
+    BOOST_TEST(!quarantine.isQuarantined(deadly));
+    quarantine.answerBegan({ sound }, at(1000));
+    quarantine.endpointCrashed(CrashTag(4), { deadly }, at(1200), at(1200));
+    BOOST_TEST(quarantine.isQuarantined(deadly));
+}
+
 // Guards against a segment that stays unrecognised because no two requests with it are alike.
 BOOST_AUTO_TEST_CASE(segment_of_different_requests_is_recognised)
 {
