--- a/src/include/wisteriayard/relayed_view.h
+++ b/src/include/wisteriayard/relayed_view.h
@@ -46,8 +46,8 @@
 /// the store.
 ///
 /// Hundreds of entries follow the same changes. If each of them watches the store, every change costs one call per
-/// entry; with observers that relay changes, it costs one call per observer. A copy of another era of the store is always
-/// read anew.
+/// entry; with observers that relay changes, it costs one call per observer. A copy of another era of the store is
+/// always read anew.
 class RelayedView {
 public:
     explicit RelayedView(RelayTimes times = {})
