--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -131,8 +131,8 @@
     std::size_t quarantinedCount() const { return m_quarantinedCount; }
     /// Whether anything is suspect. Tags of requests are needed only then.
     bool hasSuspects() const { return !m_suspects.empty(); }
-    /// Forgets suspects without recent observations, and releases those in quarantine that nobody has tried to send for
-    /// the longest interval between trials.
+    /// Forgets suspects without recent observations, and releases those in quarantine without a crash or trial for the
+    /// longest interval between trials.
     void expire(TimePoint now);
     /// Number of segments with observations and of remembered answers.
     std::size_t size() const { return m_suspects.size() + m_lastBegin.size(); }
--- a/src/libwisteriayard/crash_quarantine_test.cpp
+++ b/src/libwisteriayard/crash_quarantine_test.cpp
@@ -412,7 +412,7 @@
     BOOST_TEST(quarantine.quarantinedCount() == 1u);
 }
 
-// Guards against remembering a suspect forever that nobody sends any more, at entries that report it to each other.
+// Guards against a quarantine without an end when no requests with the suspect arrive and entries keep reporting it.
 BOOST_AUTO_TEST_CASE(unused_quarantine_expires)
 {
     constexpr int longest = 600'000;
--- a/src/wisteriayardd/usage_closer.h
+++ b/src/wisteriayardd/usage_closer.h
@@ -40,8 +40,8 @@
 /// Each step starts from the state in the store, so it recovers from unanswered requests and a new lease holder
 /// continues where the former one stopped. If the store comes back from an older copy, that state is completed by what
 /// processes know: which windows were closed, and the final usage records of those that they closed or reported
-/// themselves. A window that may have been reported and whose record nobody knows is not reported again, because
-/// another record of it would bill usage twice.
+/// themselves. A window that may have been reported and whose record is lost is not reported again, because another
+/// record of it would bill usage twice.
 class UsageCloser {
 public:
     UsageCloser(boost::asio::io_context& io, UsageTimes times, StoreClient& store, LeaseKeeper& keeper,
