Start killed holders again in case_usage_windows

Cause: the test pauses two holders. The first pause comes at any step, so the kernel may kill that holder, as the test allows; the second one always ends with a killed holder. If both are killed, one of the three entries is left, and after its shutdown nobody can take the lease over. No fault of the daemon.

A killed holder is started again, so each step has the same number of entries whatever the pauses did, and the checks on reports also cover a restarted holder. No check is dropped.

--- a/testsuite/usage_windows/run.py
+++ b/testsuite/usage_windows/run.py
@@ -30,14 +30,19 @@
     deployment.start_agent("engine-0", "amman-a", "amman", "scent", "engine", address)
     deployment.settings = SETTINGS
     deployment.pauses = {}
-    for name in (f"entry-{index}" for index in range(entries)):
-        with PauseBeforeSend(deployment, name, "POST /v1/usage-reports") as deployment.pauses[name]:
-            deployment.start_entry(name, "amman-a", "amman")
+    for index in range(entries):
+        start_entry(deployment, f"entry-{index}")
     deployment.wait_ready()
     deployment.ctl("contract", "put", os.path.join(ROOT, "examples", "nadira", "jordan.json"))
     return deployment.issue_key("jordan")
 
 
+def start_entry(deployment, name):
+    """Starts an entry that can be stopped right before it sends a report."""
+    with PauseBeforeSend(deployment, name, "POST /v1/usage-reports") as deployment.pauses[name]:
+        deployment.start_entry(name, "amman-a", "amman")
+
+
 def serve(deployment, key, entry, count):
     """Runs complete chats through an entry in sequence; returns the number of output tokens received."""
     for index in range(count):
@@ -156,11 +161,14 @@
     deployment.stop(old, signal.SIGCONT)
     killed = deployment.processes[old].poll() == -signal.SIGKILL
     assert killed or not inside, "a holder paused right before a report was not killed"
-    if not killed:
+    if killed:
+        # Each pause may end with a killed holder; the next steps need another entry that takes over.
+        start_entry(deployment, old)
+    else:
         wait_until(lambda: deployment.status(old)["usage"]["lease"] == "free",
                    "the old holder to detect the loss of its lease")
-        # After the pause its view is stale, and it refuses requests until it has reached the store again.
-        wait_until(lambda: deployment.ready(old), "the old holder to be ready")
+    # After the pause its view is stale, and it refuses requests until it has reached the store again.
+    wait_until(lambda: deployment.ready(old), "the old holder to be ready")
     wait_reported(deployment, tokens)
     print(f"holder {old} paused {'right before a report' if inside else 'at any step'}: {new} took over, "
           f"{'the kernel killed' if killed else 'no report came from'} the old holder")
@@ -208,10 +216,8 @@
         store_does_not_grow(deployment)
         tokens = store_outage(deployment, key, names, tokens)
         tokens = pause_holder(deployment, key, names, tokens, inside=False)
-        alive = [name for name in names if deployment.processes[name].poll() is None]
-        tokens = pause_holder(deployment, key, alive, tokens, inside=True)
-        alive = [name for name in names if deployment.processes[name].poll() is None]
-        graceful_shutdown(deployment, key, wait_holder(deployment, alive), alive, tokens)
+        tokens = pause_holder(deployment, key, names, tokens, inside=True)
+        graceful_shutdown(deployment, key, wait_holder(deployment, names), names, tokens)
     killed_entry(bin_dir)
     print("usage windows: all checks passed")
 
