Failing test: the restarted holder of the usage lease closes no due window

new_holder_awaits_records failed only now and then, because any entry could become the next holder. The stand-in of the store now gives the lease to the entry that was restarted, so the window that was due at its start is always the one that is skipped.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -53,7 +53,7 @@
 
     While `down` is set, it refuses all calls. `response_loss_rate` is the share of POST calls that take effect but get
     no response. restore() brings back what copy() returned earlier; later revisions and lease numbers are then given out
-    again.
+    again. `usage_holder` is the name of the only gateway that may take the usage lease; None lets each one.
     """
 
     def __init__(self):
@@ -67,6 +67,7 @@
         # Wider than revisions, as on the platform.
         self.last_lease = 10**15
         self.down = False
+        self.usage_holder = None
         self.response_loss_rate = 0.0
         self.random = random.Random(1)
         super().__init__(StoreHandler)
@@ -116,11 +117,17 @@
             item = self.items.get(key)
             return item and base64.b64decode(item["value"]).decode()
 
+    def is_refused_holder(self, put):
+        if put["key"] != "lease/usage" or self.usage_holder is None:
+            return False
+        return not base64.b64decode(put["value"]).decode().startswith(self.usage_holder + ".")
+
     def transact(self, request):
         with self.lock:
             rows = request["expected_rev"]
             current = [self.items.get(row["key"]) for row in rows]
-            if any((item["rev"] if item else 0) != row["rev"] for item, row in zip(current, rows)):
+            differs = any((item["rev"] if item else 0) != row["rev"] for item, row in zip(current, rows))
+            if differs or any(self.is_refused_holder(put) for put in request["puts"]):
                 return 412, {"items": [item for item in current if item]}
             if any(put["lease"] and put["lease"] not in self.leases for put in request["puts"]):
                 return 404, None
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -111,7 +111,9 @@
 
 
 def new_holder_awaits_records(deployment):
-    """The holder of the usage lease starts anew, and a window is due before the others have written their records."""
+    """The holder of the usage lease starts anew when a window is due that has not been closed. It counts the records that
+    the others write again after the restoration, and does not take the window for one that was reported.
+    """
     while reported(deployment) < 2:
         call_all(deployment)
     copy = deployment.store.copy()
@@ -123,6 +125,7 @@
     lock = deployment.store.value("lease/usage")
     holder = next(gateway for gateway in deployment.gateways if lock and lock.startswith(gateway.name + "."))
     holder.stop()
+    deployment.store.usage_holder = holder.name
     restore(deployment, copy)
     holder.start()
     wait_until(lambda: window in deployment.reports.windows, "the report of the window")
