Wait for the first registration in registration_is_written_again

An entry is ready when it has the configuration; registrations follow. The case now waits for the record that it removes. Its checks are the same.

--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -157,6 +157,8 @@
     """The lease number of a lost registration is given out again, and its renewals succeed."""
     late = deployment.gateways[-1]
     key = "member/" + late.name
+    # An entry is ready before it is registered.
+    wait_until(lambda: deployment.store.value(key), "the first registration of " + late.name)
     with deployment.store.lock:
         items, revision, leases, last_lease = deployment.store.copy()
         lease = items[key]["lease"]
