Check the keys of a copy after changes that were found by a comparison

A copy could keep a key that the store had removed, for good, and claim to be complete: for an endpoint that means requests to one that has left.

Cause: an observer that has lost the history, or reads the present state after a failure, relays the differences to its own copy as the complete changes since then. A key that was created and removed in between is not among them. A follower that has received it from the other observer stays with it. The same holds for the observer's next progress report, which names too old a last change, and for a part of several datagrams.

Now such changes carry a hash of all keys and are relayed in one datagram or not at all; a copy that has other keys afterwards reads the store. The reading observer reports the read's revision as its last change. Differences between eras are not relayed: no copy could apply them.

Cost: an observer that reads the state relays that also if nothing has changed, one datagram an entry; a lost one costs its receiver a read.

--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -169,6 +169,8 @@
                 encoded.set_value(item.value);
                 encoded.set_revision(item.modRevision.value());
             }
+            if (changes.keysHash)
+                message.set_keys_hash(*changes.keysHash);
         }
 
         void operator()(const ViewDelta& change) const
@@ -181,6 +183,8 @@
             message.set_revision(change.revision.value());
             message.set_base(change.base.value());
             message.set_checksum(change.delta.checksum);
+            if (change.keysHash)
+                message.set_keys_hash(*change.keysHash);
             for (const DeltaPart& part : change.delta.parts)
                 std::visit(DeltaPartEncoder { *message.add_parts() }, part);
         }
@@ -313,6 +317,8 @@
         delta.revision = Revision(message.revision());
         delta.base = Revision(message.base());
         delta.delta.checksum = message.checksum();
+        if (message.has_keys_hash())
+            delta.keysHash = message.keys_hash();
         for (const peer::DeltaPart& part : message.parts()) {
             if (part.inserted().empty())
                 delta.delta.parts.emplace_back(CopiedBytes { part.offset(), part.size() });
@@ -328,6 +334,8 @@
         BOOST_OUTCOME_TRY(changes.view, decodeView(message.view()));
         changes.from = Revision(message.from());
         changes.to = Revision(message.to());
+        if (message.has_keys_hash())
+            changes.keysHash = message.keys_hash();
         if (message.from() < 0 || message.to() < message.from())
             return fail(Errc::Protocol, "peer datagram: changes end before they start");
         for (const peer::ChangedItem& encoded : message.items()) {
@@ -477,7 +485,14 @@
         else
             splitter.omit(item);
     }
-    return splitter.finish(batch.revision);
+    std::vector<RelayedChange> messages = splitter.finish(batch.revision);
+    if (!batch.keysHash)
+        return messages;
+    // After a part of them a copy would be at a revision between the compared ones, at which it may have removed keys.
+    if (messages.size() > 1)
+        messages = { ViewChanges { view, batch.revision, batch.revision, {} } };
+    std::visit([&batch](auto& message) { message.keysHash = batch.keysHash; }, messages.front());
+    return messages;
 }
 
 EndpointTag endpointTag(const EndpointId& id)
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -101,6 +101,8 @@
     Revision to;
     /// An empty value means that the key was removed.
     std::vector<StoreItem> items;
+    /// As in WatchBatch.
+    std::optional<std::uint64_t> keysHash {};
 };
 
 /// The only change of a part of the store after `from` up to `to`, of a value that is too large for a datagram.
@@ -114,6 +116,8 @@
     /// Revision of the former value of the key, from which the difference was made.
     Revision base;
     ValueDelta delta;
+    /// As in WatchBatch.
+    std::optional<std::uint64_t> keysHash {};
 };
 
 using RelayedChange = std::variant<ViewChanges, ViewDelta>;
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "clock.h"
+#include "wisteriayard/hash.h"
 #include "wisteriayard/store_numbers.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -63,9 +64,22 @@
     std::erase_if(batch.items, [&newest](const StoreItem& item) { return item.modRevision < newest[item.key]; });
 }
 
+std::uint64_t hashOfKeys(const std::set<std::string>& keys)
+{
+    std::uint64_t hash = fnv1a(std::string_view());
+    // No key holds a null character.
+    for (const std::string& key : keys)
+        hash = fnv1a(std::string_view(key.c_str(), key.size() + 1), hash);
+    return hash;
+}
+
 WatchBatch changesSince(const std::set<std::string>& keys, Revision from, const StoreRange& range)
 {
     WatchBatch batch { range.revision, {} };
+    std::set<std::string> present;
+    for (const StoreItem& item : range.items)
+        present.insert(item.key);
+    batch.keysHash = hashOfKeys(present);
     std::set<std::string> removed = keys;
     for (const StoreItem& item : range.items) {
         removed.erase(item.key);
@@ -231,8 +245,11 @@
     // A part of the history says nothing about the present.
     if (batch.mayBePartial || m_mayHaveMissedChanges)
         confirmedAt = m_view.confirmedAt();
-    m_view.advanceFromStore(batch.revision, lastChange(batch), confirmedAt);
-    if (!batch.items.empty() && m_handlers.role() == ViewRole::Observer)
+    // Changes that a comparison does not show may be as new as the read.
+    m_view.advanceFromStore(batch.revision, batch.keysHash ? batch.revision : lastChange(batch), confirmedAt);
+    // A copy of another era is not completed by changes.
+    bool isRelayed = batch.keysHash ? eraOf(known) == eraOf(batch.revision) : !batch.items.empty();
+    if (isRelayed && m_handlers.role() == ViewRole::Observer)
         m_handlers.relayChanges(known, batch, m_values);
     updateKeys(batch.items);
     m_handlers.changes(batch, from, confirmedAt);
@@ -255,7 +272,7 @@
 
 void StoreFollower::applyRelayed(const ViewDelta& delta, TimePoint now)
 {
-    ViewChanges changes { delta.view, delta.from, delta.to, {} };
+    ViewChanges changes { delta.view, delta.from, delta.to, {}, delta.keysHash };
     if (delta.revision > m_view.revision()) {
         auto value = resolve(delta);
         if (!value) {
@@ -267,12 +284,29 @@
     applyRelayed(changes, now);
 }
 
+bool StoreFollower::hasKeysAfter(const ViewChanges& changes) const
+{
+    std::set<std::string> keys = m_keys;
+    for (const StoreItem& item : changes.items) {
+        if (item.value.empty())
+            keys.erase(item.key);
+        else
+            keys.insert(item.key);
+    }
+    return hashOfKeys(keys) == *changes.keysHash;
+}
+
 void StoreFollower::applyRelayed(const ViewChanges& changes, TimePoint now)
 {
     Revision known = m_view.revision();
     WatchBatch batch { changes.to, changes.items };
     ChangeOrigin from = origin(ChangeSource::Observer, now);
-    if (!m_view.advanceFromObserver(changes.from, changes.to, lastChange(batch), now))
+    if (changes.keysHash && !hasKeysAfter(changes)) {
+        m_view.announce(changes.to, now);
+        return;
+    }
+    std::optional<Revision> last = changes.keysHash ? changes.to : lastChange(batch);
+    if (!m_view.advanceFromObserver(changes.from, changes.to, last, now))
         return;
     dropKnownChanges(batch, known);
     reportChanges(batch, from);
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -15,6 +15,9 @@
 
 namespace wisteriayard {
 
+/// Hash of the keys of a copy.
+std::uint64_t hashOfKeys(const std::set<std::string>& keys);
+
 /// Computes the changes between a copy of a part of the store and a newer complete read of it.
 /// @param keys keys of the copy
 /// @param from revision up to which the copy is complete
@@ -98,6 +101,8 @@
     void applyBatch(WatchBatch batch, ChangeSource source, TimePoint confirmedAt);
     void updateKeys(const std::vector<StoreItem>& items);
     void updateValues(const StoreItem& item);
+    /// Whether the copy has the keys that the sender of changes found by a comparison has, once they are applied.
+    bool hasKeysAfter(const ViewChanges& changes) const;
     /// @return the value that a difference makes; none if its former value is not known
     std::optional<std::string> resolve(const ViewDelta& delta) const;
     /// Drops changes that the copy already contains: an older version of a key must not replace a newer one.
--- a/src/libstore/store_types.h
+++ b/src/libstore/store_types.h
@@ -2,6 +2,7 @@
 
 #include "wisteriayard/units.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -116,6 +117,9 @@
     std::vector<StoreItem> items;
     /// The response may have reached its size limit, so that there may be further changes already.
     bool mayBePartial = false;
+    /// Hash of all keys at this revision, if the changes were found by comparing a copy with a read. Keys that were
+    /// created and removed in between are not among them, and other copies may have them.
+    std::optional<std::uint64_t> keysHash {};
 };
 
 } // namespace wisteriayard
