Stand-in endpoints refuse connections before a crash ends the open ones

Seen again in logs without a failure: crashes at 1.86, 2.67, 3.12 and 3.87 s after the start were counted by no entry.

Cause: the stand-in's handler closes its connection at once, and the listening socket is closed up to 50 ms later. The entry asks the endpoint within a millisecond whether it still accepts connections, and rightly finds that it does.

Now the listening socket is shut down first.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -362,6 +362,8 @@
             if self.crashes and time.monotonic() - self.crashes[-1] < down_s:
                 return
             self.crashes.append(time.monotonic())
+            # Connections are refused from now on, before any of the open ones ends, as when a process ends.
+            self.socket.shutdown(socket.SHUT_RDWR)
         threading.Thread(target=self._restart, args=(down_s,), daemon=True).start()
 
     def _restart(self, down_s):
