--- a/testsuite/crashing_requests/run.py
+++ b/testsuite/crashing_requests/run.py
@@ -22,6 +22,7 @@
 CONTACT_S = 3
 CRASHES = 3
 ALLOWED = 3
+BURSTS = 3
 REFUSED = 503
 DEADLY = b"deadly"
 PROMPT = {"Prompt-Prefix": "a1:80,b2:40,c3:60", "Token-Count": "200,20"}
@@ -113,6 +114,26 @@
     run(deployment, "/match/1", PROMPT, events_before_crash=2)
 
 
+def copies_at_the_same_moment_are_stopped(deployment):
+    """Copies of the request come at all entries at once, again and again after a pause: crashes at the same moment."""
+    make_deadly(deployment)
+    since = time.monotonic()
+    answers = []
+    for _ in range(BURSTS):
+        threads = [threading.Thread(target=lambda each=gateway: answers.append(each.call("/charge/1", body=DEADLY)))
+                   for gateway in deployment.gateways]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(CONTACT_S + 1.5)
+    callers = Callers(deployment, "/charge/1", pause_s=60)
+    time.sleep(2)
+    callers.stop()
+    callers.answers += [(since, True, answer) for answer in answers]
+    check(deployment, callers, since, 0.9)
+
+
 def restarted_entries_know_the_request(deployment):
     """All entries are killed at once after the request was found, and start with empty memory."""
     make_deadly(deployment)
@@ -175,7 +196,8 @@
     options = parser.parse_args()
     failed = []
     for case in (repeatable_requests_are_stopped, requests_that_run_once_are_stopped, streams_are_stopped,
-                 streams_that_have_begun_are_stopped, restarted_entries_know_the_request,
+                 streams_that_have_begun_are_stopped, copies_at_the_same_moment_are_stopped,
+                 restarted_entries_know_the_request,
                  other_callers_are_not_refused, requests_that_look_alike_survive_crashes):
         if options.case not in (None, case.__name__):
             continue
