Put suspects on probation after crashes at the same moment

Cause: crashes less than 300 ms apart count as one, because a rack that fails says nothing about the requests there. Copies of a request that come at the same moment, or its immediate repeats, crash one server each and are one piece of evidence; the next copies are all sent. A second cause, found while reading: once the turns for a trial had passed, each entry was allowed to send one, so copies at all entries at the same moment were all sent.

Now three crashes however close together (five for a prompt segment), without an answer that clears the suspect within 500 ms, put it on probation: entries take turns of 1 s, one request is sent at a time, the next crash is the verdict, an answer ends it. Trials in quarantine use the same turns, and a turn ends when the next one begins.

Ruled out: that the verdict comes too late on the wire; all entries had the crashes within 200 ms. Judging each of the crashes at the same moment as separate evidence would keep a sound request that is read often from endpoints for 20 s after a rack failed.

Cost: a sound suspect that nobody has answered since such crashes is sent to one endpoint at a time until an answer comes.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -29,9 +29,16 @@
 
     Event changeEvent(const QuarantineChange& change)
     {
-        if (isRequest(change.tag))
-            return change.quarantined ? Event::RequestQuarantined : Event::RequestReleased;
-        return change.quarantined ? Event::SegmentQuarantined : Event::SegmentReleased;
+        bool request = isRequest(change.tag);
+        switch (change.state) {
+        case SuspectState::Quarantined:
+            return request ? Event::RequestQuarantined : Event::SegmentQuarantined;
+        case SuspectState::OnProbation:
+            return request ? Event::RequestOnProbation : Event::SegmentOnProbation;
+        case SuspectState::Free:
+            break;
+        }
+        return request ? Event::RequestReleased : Event::SegmentReleased;
     }
 
     CrashTag crashTag(const EndpointRecord& endpoint)
@@ -51,13 +58,14 @@
 
 std::optional<Duration> CrashGuard::refusal(const std::vector<SuspectTag>& tags, TimePoint now)
 {
-    auto wait = m_quarantine.refusal(tags, m_trialTurn, now);
+    auto wait = m_quarantine.refusal(tags, m_trialOrder, now);
+    publishChanges("request");
     if (wait) {
         m_metrics.quarantineRefused();
         return wait;
     }
     for (SuspectTag tag : tags) {
-        if (m_quarantine.isQuarantined(tag))
+        if (m_quarantine.state(tag, now) != SuspectState::Free)
             m_log->write(isRequest(tag) ? Event::RequestTried : Event::SegmentTried,
                 { { suspectField(tag), static_cast<std::uint32_t>(tag) } });
     }
@@ -142,7 +150,7 @@
                 { "source", source } });
         m_metrics.setQuarantinedSegments(m_quarantine.quarantinedCount());
         m_onChange(change);
-        if (!change.quarantined)
+        if (change.state != SuspectState::Quarantined)
             continue;
         for (WaitingAttempt* attempt : m_waiting)
             attempt->m_quarantined(change.tag);
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -24,14 +24,14 @@
     CrashGuard(boost::asio::io_context& io, std::shared_ptr<EventLog> log, GatewayMetrics& metrics);
 
     /// Sets the order in which entries may send a request with a quarantined segment on trial.
-    void setTrialTurn(CrashQuarantine::TrialTurn turn) { m_trialTurn = std::move(turn); }
+    void setTrialOrder(CrashQuarantine::TrialOrder order) { m_trialOrder = std::move(order); }
     /// @param onChange called when a segment is put in quarantine or released
     void setChangeHandler(std::function<void(const QuarantineChange&)> onChange) { m_onChange = std::move(onChange); }
 
     /// Whether tags of requests as a whole are needed: they are costly for large bodies.
     bool hasSuspects() const { return m_quarantine.hasSuspects(); }
-    bool hasQuarantined() const { return m_quarantine.quarantinedCount() > 0; }
-    bool isQuarantined(SuspectTag tag) const { return m_quarantine.isQuarantined(tag); }
+    bool mayRefuse() const { return m_quarantine.mayRefuse(); }
+    SuspectState state(SuspectTag tag, TimePoint now) const { return m_quarantine.state(tag, now); }
     void expire(TimePoint now);
     /// @return time until a request with these suspects can be tried again; none if it may be sent now
     std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, TimePoint now);
@@ -81,7 +81,7 @@
     std::shared_ptr<EventLog> m_log;
     GatewayMetrics& m_metrics;
     CrashQuarantine m_quarantine;
-    CrashQuarantine::TrialTurn m_trialTurn = [](SuspectTag) { return 0; };
+    CrashQuarantine::TrialOrder m_trialOrder = [](SuspectTag) { return TrialTurn(); };
     std::function<void(const QuarantineChange&)> m_onChange = [](const QuarantineChange&) {};
     std::map<EndpointId, std::shared_ptr<Probe>> m_probes;
     std::list<WaitingAttempt*> m_waiting;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -102,7 +102,7 @@
             }
             BOOST_OUTCOME_TRY(m_peers.open());
             m_peers.setViews(peerViews());
-            m_state.crashGuard.setTrialTurn([this](SuspectTag suspect) { return m_peers.trialTurn(suspect); });
+            m_state.crashGuard.setTrialOrder([this](SuspectTag suspect) { return m_peers.trialTurn(suspect); });
             m_state.crashGuard.setChangeHandler([this](const QuarantineChange& change) { storeQuarantine(change); });
             if (m_state.settings.reportsUsage)
                 startUsage();
@@ -192,7 +192,8 @@
         /// Writes a change to the store, if it is this entry's turn.
         void storeQuarantine(const QuarantineChange& change)
         {
-            if (m_peers.trialTurn(change.tag) == 0)
+            bool isStored = change.former == SuspectState::Quarantined || change.state == SuspectState::Quarantined;
+            if (isStored && m_peers.trialTurn(change.tag).position == 0)
                 m_quarantine.changed(change);
         }
 
@@ -208,7 +209,7 @@
             if (m_state.usage)
                 m_state.usage->storeRestored(now);
             for (const QuarantinedSuspect& each : m_state.crashGuard.report(now).quarantined)
-                storeQuarantine({ each.tag, true });
+                storeQuarantine({ each.tag, SuspectState::Free, SuspectState::Quarantined });
         }
 
         /// Connects a copy of a part of the store to the exchange with other entries.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -218,13 +218,19 @@
     return std::find(candidates.begin(), candidates.end(), m_state.settings.instance) != candidates.end();
 }
 
-std::size_t PeerExchange::trialTurn(SuspectTag suspect) const
+TrialTurn PeerExchange::trialTurn(SuspectTag suspect) const
 {
     TimePoint now = bootTimeNow();
     std::string key = "trial/" + std::to_string(static_cast<std::uint32_t>(suspect));
     std::uint64_t own = rendezvousWeight(key, m_state.settings.instance);
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(),
-        [&](const auto& each) { return isLive(each.second, now) && rendezvousWeight(key, each.first) > own; }));
+    TrialTurn turn;
+    for (const auto& [instance, peer] : m_peers) {
+        if (!isLive(peer, now))
+            continue;
+        ++turn.entries;
+        turn.position += rendezvousWeight(key, instance) > own ? 1 : 0;
+    }
+    return turn;
 }
 
 void PeerExchange::updateRole(TimePoint now)
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -56,8 +56,8 @@
     void announceWindowClosed(const FinalUsageRecord& final);
     /// Whether this entry is one of the few that try to acquire a free lease.
     bool isLeaseCandidate() const;
-    /// Position of this entry among all live ones in the order in which they try a suspect in quarantine.
-    std::size_t trialTurn(SuspectTag suspect) const;
+    /// This entry's turn among all live ones to send a request with a suspect on trial.
+    TrialTurn trialTurn(SuspectTag suspect) const;
     /// This entry's role in following the store, as of the last round of sending.
     ViewRole role() const { return m_role; }
     /// Relays changes of the store to the entries of this region.
--- a/src/gateway/quarantine_store.cpp
+++ b/src/gateway/quarantine_store.cpp
@@ -49,7 +49,7 @@
 void QuarantineStore::changed(const QuarantineChange& change)
 {
     if (m_pending.size() < maxPending || m_pending.count(change.tag) > 0)
-        m_pending[change.tag] = change.quarantined;
+        m_pending[change.tag] = change.state == SuspectState::Quarantined;
 }
 
 awaitable<void> QuarantineStore::run()
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -259,7 +259,7 @@
     if (m_mayHaveExecuted || m_headSent)
         co_return co_await respondToFailure(std::nullopt, nullptr);
     LocalResponse response { 503, "prompt_quarantined", "engines crash under a part of this prompt", wait };
-    if (m_state.crashGuard.isQuarantined(requestTag())) {
+    if (m_state.crashGuard.state(requestTag(), bootTimeNow()) != SuspectState::Free) {
         response.code = "request_quarantined";
         response.message = "endpoints crash when they run this request";
     }
@@ -387,7 +387,7 @@
 
 std::optional<Duration> RequestHandler::quarantineTime(TimePoint now)
 {
-    if (!m_state.crashGuard.hasQuarantined())
+    if (!m_state.crashGuard.mayRefuse())
         return std::nullopt;
     return m_state.crashGuard.refusal(suspects(!m_headSent), now);
 }
--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -64,15 +65,33 @@
     bool empty() const { return crashes.empty() && begins.empty() && quarantined.empty(); }
 };
 
+/// How requests with a suspect are treated.
+enum class SuspectState {
+    /// They are sent.
+    Free,
+    /// Many endpoints crashed at the same moment: requests are sent one after another until one of them shows whether
+    /// they are the cause.
+    OnProbation,
+    /// They are refused, but for rare trials.
+    Quarantined,
+};
+
 /// A change that is to be logged.
 struct QuarantineChange {
     SuspectTag tag {};
-    /// Whether the segment is now in quarantine or was released.
-    bool quarantined = false;
-    /// Number of crashes that count against the segment.
+    SuspectState former = SuspectState::Free;
+    SuspectState state = SuspectState::Free;
+    /// Number of crashes that count against the suspect.
     std::size_t crashes = 0;
 };
 
+/// Position of an entry in the order in which entries may send a request on trial.
+struct TrialTurn {
+    std::size_t position = 0;
+    /// Number of entries that take turns, at least 1.
+    std::size_t entries = 1;
+};
+
 /// Timing of the quarantine of prompt segments.
 struct QuarantineTimes {
     /// Crashes closer together count as one: the failure of many endpoints at the same moment has another cause.
@@ -85,8 +104,13 @@
     /// engines. Doubles with each further crash.
     Duration firstTrial = std::chrono::seconds(20);
     Duration longestTrialInterval = std::chrono::minutes(10);
-    /// Entries take turns in sending the request, until one of them has a request with the segment.
+    /// Entries take turns in sending the request, until one of them has a request with the segment. Copies of a request
+    /// may come at the same moment at many entries, so a turn ends when the next one begins.
     Duration trialTurn = std::chrono::seconds(4);
+    /// Time after crashes at the same moment within which answers clear the suspects that are in regular use.
+    Duration probationDelay = std::chrono::milliseconds(500);
+    /// Length of a turn on probation: an engine's restart takes seconds, its answer begins within one.
+    Duration probationTurn = std::chrono::seconds(1);
 };
 
 /// Decides which shared prompt segments are not sent to engines because engines crash when they begin to answer
@@ -96,10 +120,20 @@
 /// waited for its first event, unless an engine has begun to answer a request with it since. Segments that are also
 /// part of sound requests are cleared by these. One request at a time may be sent on trial, ever more rarely; if its
 /// answer begins, the quarantine ends.
+///
+/// Crashes at the same moment may have a common cause outside of the requests. A suspect that was aboard at several of
+/// them is put on probation: one request at a time is sent, and the next crash puts it in quarantine.
 class CrashQuarantine {
 public:
     /// Crashes after which a segment is in quarantine.
     static constexpr std::size_t crashesToQuarantine = 3;
+    /// Crashes at the same moment after which a request as a whole, or a segment, is on probation. Sound requests share
+    /// segments much more often than they are alike.
+    static constexpr std::size_t crashesToProbationOfRequest = 3;
+    static constexpr std::size_t crashesToProbationOfSegment = 5;
+    /// Limit on the entries that take turns; in larger fleets several share a turn, since a request with a rare suspect
+    /// comes at few entries.
+    static constexpr std::size_t maxTurns = 6;
     /// Crashes since the last answer after which a request with the segment is not sent to another engine.
     static constexpr std::size_t crashesToRetry = 2;
     /// Limits on the number of segments with observations, and of segments whose last answer is remembered.
@@ -120,14 +154,17 @@
     /// Puts a segment in quarantine that was found earlier, by an entry that is gone.
     void restore(SuspectTag tag, TimePoint now);
 
-    /// Position of this entry in the order in which entries may send a request with a segment on trial.
-    using TrialTurn = std::function<std::size_t(SuspectTag)>;
-    /// Whether a request with these segments must not be sent. A request that may be sent on trial counts as sent.
-    /// @return time until the segments can be tried again; none if the request may be sent
-    std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, const TrialTurn& turn, TimePoint now);
+    /// @return this entry's turn to send a request with a suspect on trial
+    using TrialOrder = std::function<TrialTurn(SuspectTag)>;
+    /// Whether a request with these suspects must not be sent. A request that may be sent on trial counts as sent.
+    /// @return time until the request can be tried again; none if it may be sent
+    std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, const TrialOrder& order, TimePoint now);
     /// Whether a request with these segments may be sent to another engine after a crash.
     bool mayRetry(const std::vector<SuspectTag>& tags) const;
     bool isQuarantined(SuspectTag tag) const;
+    SuspectState state(SuspectTag tag, TimePoint now) const;
+    /// Whether any requests may be refused.
+    bool mayRefuse() const;
     std::size_t quarantinedCount() const { return m_quarantinedCount; }
     /// Whether anything is suspect. Tags of requests are needed only then.
     bool hasSuspects() const { return !m_suspects.empty(); }
@@ -169,14 +206,25 @@
         /// Time before which no trial was allowed, so that crashes before it come from requests sent earlier.
         TimePoint firstTrial {};
         TimePoint nextTrial {};
+        /// Reported as on probation.
+        bool onProbation = false;
         /// Other entries suspect the segment although an answer to it has begun here; it is reported until then.
         TimePoint reportBeginUntil {};
 
         bool hasCrash(CrashTag crash) const;
     };
 
-    /// Number of separate crashes that no request in quarantine explains.
-    std::size_t separateCrashes(SuspectTag tag, const Suspect& suspect) const;
+    /// Times of the crashes that no request in quarantine explains, in order.
+    std::vector<TimePoint> unexplainedCrashes(SuspectTag tag, const Suspect& suspect) const;
+    /// Number of these crashes, counting those at the same moment once.
+    std::size_t separateCrashes(const std::vector<TimePoint>& crashes) const;
+    /// Whether these crashes show that requests with the suspect are their cause.
+    bool areConclusive(SuspectTag tag, const std::vector<TimePoint>& crashes) const;
+    /// Start of the probation after these crashes; none if they are too few.
+    std::optional<TimePoint> probationStart(SuspectTag tag, std::span<const TimePoint> crashes) const;
+    bool isOnProbation(SuspectTag tag, const Suspect& suspect, TimePoint now) const;
+    /// Records a change of the state of a suspect that is not in quarantine.
+    void setProbation(SuspectTag tag, Suspect& suspect, bool onProbation);
     Suspect& suspect(SuspectTag tag, TimePoint now);
     void addCrash(SuspectTag tag, const Crash& crash, TimePoint now);
     /// @param since time of the first crash that counts against the segment
@@ -185,8 +233,9 @@
     void release(SuspectTag tag, Suspect& suspect);
     /// Ends the suspicion of a segment by an answer that began.
     void clear(SuspectTag tag, TimePoint begunAt, TimePoint now);
-    /// Time until a request with a quarantined segment may be sent on trial; negative if it may be sent now.
-    Duration timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const;
+    /// Time until this entry may send a request with a quarantined suspect, or one on probation, on trial; 0 if it may
+    /// send it now.
+    Duration timeToTrial(SuspectTag tag, const Suspect& suspect, const TrialTurn& turn, TimePoint now) const;
     /// Time at which an answer to a segment began last; the earliest possible time if that is not remembered.
     TimePoint lastBegin(SuspectTag tag, TimePoint now) const;
     void removeOld(TimePoint now);
--- a/src/libwisteriayard/crash_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -105,20 +105,70 @@
     return m_suspects[tag];
 }
 
-std::size_t CrashQuarantine::separateCrashes(SuspectTag tag, const Suspect& suspect) const
+std::vector<TimePoint> CrashQuarantine::unexplainedCrashes(SuspectTag tag, const Suspect& suspect) const
+{
+    std::vector<TimePoint> times;
+    for (const Crash& crash : suspect.crashes) {
+        if (!isExplained(tag, crash.tag))
+            times.push_back(crash.at);
+    }
+    return times;
+}
+
+std::size_t CrashQuarantine::separateCrashes(const std::vector<TimePoint>& crashes) const
 {
     std::size_t count = 0;
     std::optional<TimePoint> last;
-    for (const Crash& crash : suspect.crashes) {
-        bool isSameMoment = last && crash.at - *last < m_times.separation;
-        if (isSameMoment || isExplained(tag, crash.tag))
+    for (TimePoint at : crashes) {
+        if (last && at - *last < m_times.separation)
             continue;
-        last = crash.at;
+        last = at;
         ++count;
     }
     return count;
 }
 
+bool CrashQuarantine::areConclusive(SuspectTag tag, const std::vector<TimePoint>& crashes) const
+{
+    if (separateCrashes(crashes) >= crashesToQuarantine)
+        return true;
+    // One of the crashes has come during a probation.
+    for (std::size_t count = 1; count < crashes.size(); ++count) {
+        auto start = probationStart(tag, std::span(crashes).first(count));
+        if (start && crashes[count] >= *start)
+            return true;
+    }
+    return false;
+}
+
+std::optional<TimePoint> CrashQuarantine::probationStart(SuspectTag tag, std::span<const TimePoint> crashes) const
+{
+    std::size_t needed = isRequest(tag) ? crashesToProbationOfRequest : crashesToProbationOfSegment;
+    if (crashes.size() < needed)
+        return std::nullopt;
+    return crashes.back() + m_times.probationDelay;
+}
+
+bool CrashQuarantine::isOnProbation(SuspectTag tag, const Suspect& suspect, TimePoint now) const
+{
+    if (suspect.quarantinedSince)
+        return false;
+    auto start = probationStart(tag, unexplainedCrashes(tag, suspect));
+    return start && now >= *start;
+}
+
+void CrashQuarantine::setProbation(SuspectTag tag, Suspect& suspect, bool onProbation)
+{
+    if (suspect.onProbation == onProbation)
+        return;
+    suspect.onProbation = onProbation;
+    SuspectState probation = SuspectState::OnProbation;
+    if (onProbation)
+        m_changes.push_back({ tag, SuspectState::Free, probation, suspect.crashes.size() });
+    else
+        m_changes.push_back({ tag, probation, SuspectState::Free, suspect.crashes.size() });
+}
+
 void CrashQuarantine::quarantine(SuspectTag tag, Suspect& suspect, TimePoint since, TimePoint lastEvidence)
 {
     suspect.quarantinedSince = since;
@@ -127,7 +177,9 @@
     suspect.nextTrial = lastEvidence + suspect.trialInterval;
     suspect.firstTrial = suspect.nextTrial;
     ++m_quarantinedCount;
-    m_changes.push_back({ tag, true, suspect.crashes.size() });
+    bool wasOnProbation = std::exchange(suspect.onProbation, false);
+    m_changes.push_back({ tag, wasOnProbation ? SuspectState::OnProbation : SuspectState::Free,
+        SuspectState::Quarantined, suspect.crashes.size() });
 }
 
 bool CrashQuarantine::isExplained(SuspectTag tag, CrashTag crash) const
@@ -148,6 +200,8 @@
     for (auto& [tag, suspect] : m_suspects) {
         if (suspect.quarantinedSince && now - suspect.lastEvidence >= m_times.longestTrialInterval)
             release(tag, suspect);
+        else if (isOld(suspect, now))
+            setProbation(tag, suspect, false);
     }
     std::erase_if(m_suspects, [this, now](const auto& each) { return isOld(each.second, now); });
 }
@@ -156,7 +210,7 @@
 {
     suspect.quarantinedSince.reset();
     --m_quarantinedCount;
-    m_changes.push_back({ tag, false, suspect.crashes.size() });
+    m_changes.push_back({ tag, SuspectState::Quarantined, SuspectState::Free, suspect.crashes.size() });
 }
 
 bool CrashQuarantine::isOld(const Suspect& suspect, TimePoint now) const
@@ -186,7 +240,7 @@
     auto later = [](TimePoint at, const Crash& each) { return at < each.at; };
     suspect.crashes.insert(std::upper_bound(suspect.crashes.begin(), suspect.crashes.end(), crash.at, later), crash);
     if (!suspect.quarantinedSince) {
-        if (separateCrashes(tag, suspect) >= crashesToQuarantine)
+        if (areConclusive(tag, unexplainedCrashes(tag, suspect)))
             quarantine(tag, suspect, suspect.crashes.front().at, crash.at);
         return;
     }
@@ -211,9 +265,10 @@
     Suspect& suspect = known->second;
     std::erase_if(suspect.crashes, [begunAt](const Crash& crash) { return crash.at <= begunAt; });
     suspect.reportBeginUntil = now + m_times.reporting;
-    if (!suspect.quarantinedSince || begunAt < *suspect.quarantinedSince)
-        return;
-    release(tag, suspect);
+    if (suspect.quarantinedSince && begunAt >= *suspect.quarantinedSince)
+        release(tag, suspect);
+    else if (suspect.onProbation)
+        setProbation(tag, suspect, isOnProbation(tag, suspect, now));
 }
 
 void CrashQuarantine::answerBegan(const std::vector<SuspectTag>& tags, TimePoint now)
@@ -233,31 +288,48 @@
         quarantine(tag, suspect, now, now);
 }
 
-Duration CrashQuarantine::timeToTrial(const Suspect& suspect, std::size_t turn, TimePoint now) const
+Duration CrashQuarantine::timeToTrial(
+    SuspectTag tag, const Suspect& suspect, const TrialTurn& turn, TimePoint now) const
 {
-    return suspect.nextTrial + static_cast<Duration::rep>(turn) * m_times.trialTurn - now;
+    TimePoint from = suspect.nextTrial;
+    Duration length = m_times.trialTurn;
+    if (!suspect.quarantinedSince) {
+        from = std::max(from, probationStart(tag, unexplainedCrashes(tag, suspect)).value_or(now));
+        length = m_times.probationTurn;
+    }
+    auto turns = static_cast<Duration::rep>(std::min(turn.entries, maxTurns));
+    auto own = static_cast<Duration::rep>(turn.position) % turns;
+    if (now < from)
+        return from + own * length - now;
+    Duration::rep current = (now - from) / length % turns;
+    if (current == own)
+        return Duration(0);
+    return (own - current + turns) % turns * length - (now - from) % length;
 }
 
 std::optional<Duration> CrashQuarantine::refusal(
-    const std::vector<SuspectTag>& tags, const TrialTurn& turn, TimePoint now)
+    const std::vector<SuspectTag>& tags, const TrialOrder& order, TimePoint now)
 {
-    if (m_quarantinedCount == 0)
-        return std::nullopt;
-    std::vector<Suspect*> quarantined;
+    std::vector<Suspect*> refused;
     std::optional<Duration> longest;
     for (SuspectTag tag : tags) {
         auto known = m_suspects.find(tag);
-        if (known == m_suspects.end() || !known->second.quarantinedSince)
+        if (known == m_suspects.end())
+            continue;
+        Suspect& suspect = known->second;
+        if (isOnProbation(tag, suspect, now))
+            setProbation(tag, suspect, true);
+        else if (!suspect.quarantinedSince)
             continue;
-        quarantined.push_back(&known->second);
-        Duration wait = timeToTrial(known->second, turn(tag), now);
+        refused.push_back(&suspect);
+        Duration wait = timeToTrial(tag, suspect, order(tag), now);
         longest = std::max(longest.value_or(wait), wait);
     }
     if (!longest || *longest > Duration(0))
         return longest;
-    for (Suspect* suspect : quarantined) {
+    for (Suspect* suspect : refused) {
         suspect->lastEvidence = now;
-        suspect->nextTrial = now + suspect->trialInterval;
+        suspect->nextTrial = now + (suspect->quarantinedSince ? suspect->trialInterval : m_times.probationTurn);
     }
     return std::nullopt;
 }
@@ -267,7 +339,25 @@
     return std::none_of(tags.begin(), tags.end(), [this](SuspectTag tag) {
         auto known = m_suspects.find(tag);
         return known != m_suspects.end()
-            && (known->second.quarantinedSince || separateCrashes(tag, known->second) >= crashesToRetry);
+            && (known->second.quarantinedSince
+                || separateCrashes(unexplainedCrashes(tag, known->second)) >= crashesToRetry);
+    });
+}
+
+SuspectState CrashQuarantine::state(SuspectTag tag, TimePoint now) const
+{
+    auto known = m_suspects.find(tag);
+    if (known == m_suspects.end())
+        return SuspectState::Free;
+    if (known->second.quarantinedSince)
+        return SuspectState::Quarantined;
+    return isOnProbation(tag, known->second, now) ? SuspectState::OnProbation : SuspectState::Free;
+}
+
+bool CrashQuarantine::mayRefuse() const
+{
+    return m_quarantinedCount > 0 || std::any_of(m_suspects.begin(), m_suspects.end(), [](const auto& each) {
+        return each.second.crashes.size() >= crashesToProbationOfRequest;
     });
 }
 
--- a/src/libwisteriayard/crash_quarantine_test.cpp
+++ b/src/libwisteriayard/crash_quarantine_test.cpp
@@ -19,7 +19,7 @@
 constexpr SuspectTag other { 3 };
 
 TimePoint at(int ms) { return TimePoint(seconds(1000) + milliseconds(ms)); }
-std::size_t firstTurn(SuspectTag) { return 0; }
+TrialTurn firstTurn(SuspectTag) { return {}; }
 
 enum class Kind { Crash, Answer };
 struct Step {
@@ -112,7 +112,7 @@
     /// A request arrives at an entry. @return whether it was sent to an engine
     bool request(std::size_t entry, const std::vector<SuspectTag>& tags)
     {
-        auto turn = [entry](SuspectTag) { return entry; };
+        auto turn = [entry, this](SuspectTag) { return TrialTurn { entry, m_entries.size() }; };
         if (m_entries[entry].refusal(tags, turn, at(m_now)))
             return false;
         if (std::find(tags.begin(), tags.end(), deadly) != tags.end()) {
@@ -132,7 +132,8 @@
         for (std::size_t i = 0; i < m_entries.size(); ++i) {
             for (const QuarantineChange& change : m_entries[i].takeChanges()) {
                 for (Doomed& each : m_doomed)
-                    each.aborted = each.aborted || (change.quarantined && each.entry == i && each.crashAt > m_now);
+                    each.aborted = each.aborted
+                        || (change.state == SuspectState::Quarantined && each.entry == i && each.crashAt > m_now);
             }
         }
     }
@@ -200,6 +201,125 @@
 
 } // namespace
 
+namespace {
+
+struct BurstCase {
+    const char* name;
+    SuspectTag tag;
+    int crashes;
+    /// Time of an answer after the burst; 0 for none.
+    int answerMs;
+    SuspectState state;
+};
+std::ostream& operator<<(std::ostream& out, const BurstCase& each) { return out << each.name; }
+
+const SuspectTag deadlyRequest = requestSuspect("POST", "/a/1", "key", "body");
+constexpr int burstEndMs = 200;
+/// Later than answers would have cleared a suspect that is in regular use.
+constexpr int afterBurstMs = 1000;
+
+const BurstCase burstCases[] = {
+    { "request_aboard_two", deadlyRequest, 2, 0, SuspectState::Free },
+    { "request_aboard_three", deadlyRequest, 3, 0, SuspectState::OnProbation },
+    { "request_that_is_answered", deadlyRequest, 3, 300, SuspectState::Free },
+    { "segment_aboard_four", deadly, 4, 0, SuspectState::Free },
+    { "segment_aboard_five", deadly, 5, 0, SuspectState::OnProbation },
+    { "segment_that_is_answered", deadly, 8, 300, SuspectState::Free },
+};
+
+CrashQuarantine afterBurst(SuspectTag tag, int crashes)
+{
+    CrashQuarantine quarantine;
+    for (int i = 0; i < crashes; ++i) {
+        int ms = burstEndMs * i / crashes;
+        quarantine.endpointCrashed(CrashTag(static_cast<std::uint32_t>(i + 1)), { tag }, at(ms), at(ms));
+    }
+    return quarantine;
+}
+
+} // namespace
+
+// Guards against copies of a request that come at the same moment and crash one endpoint each: as one piece of evidence
+// they would all be sent once more. A suspect that is in regular use must be free again before it is refused.
+BOOST_DATA_TEST_CASE(crashes_at_the_same_moment_lead_to_probation, data::make(burstCases), each)
+{
+    CrashQuarantine quarantine = afterBurst(each.tag, each.crashes);
+    if (each.answerMs > 0)
+        quarantine.answerBegan({ each.tag }, at(each.answerMs));
+    BOOST_TEST((quarantine.state(each.tag, at(burstEndMs)) == SuspectState::Free));
+    BOOST_TEST(!quarantine.refusal({ each.tag }, firstTurn, at(burstEndMs)));
+    BOOST_TEST((quarantine.state(each.tag, at(afterBurstMs)) == each.state));
+    // One request is sent; the next one waits for its outcome.
+    BOOST_TEST(!quarantine.refusal({ each.tag }, firstTurn, at(afterBurstMs)));
+    bool onProbation = each.state == SuspectState::OnProbation;
+    BOOST_TEST(quarantine.refusal({ each.tag }, firstTurn, at(afterBurstMs + 10)).has_value() == onProbation);
+}
+
+namespace {
+
+struct OutcomeCase {
+    const char* name;
+    Kind outcome;
+    SuspectState state;
+};
+std::ostream& operator<<(std::ostream& out, const OutcomeCase& each) { return out << each.name; }
+
+const OutcomeCase outcomeCases[] = {
+    { "crash", Kind::Crash, SuspectState::Quarantined },
+    { "answer", Kind::Answer, SuspectState::Free },
+};
+
+} // namespace
+
+// Guards against a probation that never ends.
+BOOST_DATA_TEST_CASE(probation_ends_with_its_first_outcome, data::make(outcomeCases), each)
+{
+    CrashQuarantine quarantine = afterBurst(deadlyRequest, 4);
+    BOOST_TEST(!quarantine.refusal({ deadlyRequest }, firstTurn, at(afterBurstMs)));
+    int ms = afterBurstMs + 50;
+    if (each.outcome == Kind::Answer)
+        quarantine.answerBegan({ deadlyRequest }, at(ms));
+    else
+        quarantine.endpointCrashed(CrashTag(9), { deadlyRequest }, at(ms), at(ms));
+    BOOST_TEST((quarantine.state(deadlyRequest, at(ms)) == each.state));
+    std::vector<QuarantineChange> changes = quarantine.takeChanges();
+    BOOST_REQUIRE(changes.size() == 2u);
+    BOOST_TEST((changes[0].state == SuspectState::OnProbation));
+    BOOST_TEST((changes[1].former == SuspectState::OnProbation));
+    BOOST_TEST((changes[1].state == each.state));
+}
+
+namespace {
+
+struct TurnCase {
+    std::size_t entries;
+    /// Largest number of entries that may send the request at the same moment.
+    std::size_t atOnce;
+};
+std::ostream& operator<<(std::ostream& out, const TurnCase& each) { return out << each.entries << " entries"; }
+
+const TurnCase turnCases[] = { { 1, 1 }, { 2, 1 }, { 6, 1 }, { 30, 5 } };
+
+} // namespace
+
+// Guards against copies of a request that come at all entries at the same moment, long after a trial has become
+// possible, and are all sent on trial.
+BOOST_DATA_TEST_CASE(entries_take_turns_with_trials, data::make(turnCases) * data::make({ 3, 8 }), each, crashes)
+{
+    for (int ms = afterBurstMs; ms < 60'000; ms += 700) {
+        std::size_t sent = 0;
+        for (std::size_t entry = 0; entry < each.entries; ++entry) {
+            CrashQuarantine quarantine = afterBurst(deadlyRequest, crashes);
+            auto turn = [&](SuspectTag) { return TrialTurn { entry, each.entries }; };
+            auto wait = quarantine.refusal({ deadlyRequest }, turn, at(ms));
+            sent += wait ? 0 : 1;
+            // The caller that comes back after the time that it was named is served.
+            BOOST_TEST((!wait || !quarantine.refusal({ deadlyRequest }, turn, at(ms) + *wait)));
+        }
+        BOOST_TEST(sent <= each.atOnce);
+    }
+}
+
 // Guards against entries that know only of the crashes that they have seen themselves: with many entries none
 // sees three. Later than 3 s after the fifth crash at most three requests may reach engines in a day of 48 s, also if
 // entries are restarted and datagrams are lost; sound requests with the same first segment go on.
@@ -258,7 +378,7 @@
     std::size_t sent = 0;
     for (int ms = fleet.now(); ms < 300'000 && fleet.entry(1).isQuarantined(deadly); ms += 200) {
         std::size_t entry = static_cast<std::size_t>(ms / 200) % entries;
-        auto turn = [entry](SuspectTag) { return entry; };
+        auto turn = [entry](SuspectTag) { return TrialTurn { entry, entries }; };
         if (!fleet.entry(entry).refusal({ deadly }, turn, at(ms))) {
             ++sent;
             if (each.crashes)
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -164,6 +164,10 @@
         return "request_released";
     case Event::RequestTried:
         return "request_tried";
+    case Event::SegmentOnProbation:
+        return "segment_on_probation";
+    case Event::RequestOnProbation:
+        return "request_on_probation";
     case Event::QuarantineStoreFailed:
         return "quarantine_store_failed";
     }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -95,6 +95,8 @@
     RequestQuarantined = 725,
     RequestReleased = 726,
     RequestTried = 727,
+    SegmentOnProbation = 728,
+    RequestOnProbation = 729,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
