Soak: requests that crash endpoints; crashes reset connections

The soak sent no requests that crash the endpoints that run them, and its links accepted connections for endpoints that are down, so that no entry saw a crash as one. Now a share of 1% of the requests has a body that crashes each endpoint that runs it, while faults are injected, and a link refuses connections while its endpoint is down.

A crash ended connections by a FIN, which is how such a stream ends; on the platform it is a reset. The stand-in now resets them, and a link passes a reset on to the caller.

An endpoint that is down can no longer crash a second time, which closed a socket twice.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -4,6 +4,7 @@
 import collections
 import http.server
 import json
+import os
 import random
 import select
 import socket
@@ -13,6 +14,16 @@
 import urllib.parse
 
 
+def reset(connection):
+    """Ends a connection by a reset, as a crash does on the platform; other threads may use it."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RD)  # wakes up a thread that reads, which keeps the connection open
+        os.close(connection.detach())
+    except OSError:
+        pass  # already closed
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     timeout = 30
@@ -347,7 +358,8 @@
         # Bodies of requests under which the endpoint crashes, a stream after this many events.
         self.crashing_bodies, self.events_before_crash = set(), 0
         self.connections, self.crash_lock = [], threading.Lock()
-        self.restarted = lambda endpoint: None
+        self.is_down = False
+        self.crashed, self.restarted = lambda endpoint: None, lambda endpoint: None
         self.random = random.Random(name)
         super().__init__(EndpointHandler)
 
@@ -357,23 +369,22 @@
         return connection, address
 
     def crash(self, down_s=0.7):
-        """Ends all connections and refuses new ones for a while. Then calls `restarted`."""
+        """Ends all connections and refuses new ones for a while. Calls `crashed` before it and `restarted` after it."""
         with self.crash_lock:
-            if self.crashes and time.monotonic() - self.crashes[-1] < down_s:
+            if self.is_down:
                 return
+            self.is_down = True
             self.crashes.append(time.monotonic())
             # Connections are refused from now on, before any of the open ones ends, as when a process ends.
             self.socket.shutdown(socket.SHUT_RDWR)
+            self.crashed(self)
         threading.Thread(target=self._restart, args=(down_s,), daemon=True).start()
 
     def _restart(self, down_s):
         self.shutdown()
         self.server_close()
         for connection in self.connections:
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # already closed
+            reset(connection)
         time.sleep(down_s)
         self.started_ms += 1
         self.socket = socket.socket(self.address_family, self.socket_type)
@@ -381,6 +392,7 @@
         self.server_activate()
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
         self.restarted(self)
+        self.is_down = False
 
     def entry(self, address=None, state="ready"):
         return json.dumps({"service": self.service, "address": address or self.address, "zone": self.zone,
@@ -492,20 +504,34 @@
 class Link:
     """A loopback proxy that injects faults.
 
-    Modes: pass, delay, reset, silent (forwards nothing), one_way (drops responses).
+    Modes: pass, delay, reset, silent (forwards nothing), one_way (drops responses). Between refuse() and listen() it
+    accepts no connections, like a target that is down.
     """
 
     def __init__(self, target):
         host, port = target.rsplit(":", 1)
         self.target = (host, int(port))
         self.mode = "pass"
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listener = None
+        self.port = 0
+        self.listen()
+        self.address = "127.0.0.1:%d" % self.port
+
+    def listen(self):
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=128)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
 
-    def _accept(self):
+    def refuse(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def _accept(self, listener):
         while True:
-            caller, _ = self.listener.accept()
+            try:
+                caller, _ = listener.accept()
+            except OSError:
+                return  # refuse() was called
             threading.Thread(target=self._serve, args=(caller,), daemon=True).start()
 
     def _serve(self, caller):
@@ -525,7 +551,11 @@
                     time.sleep(0.02)
                     continue
                 for source in readable:
-                    data = source.recv(65536)
+                    try:
+                        data = source.recv(65536)
+                    except ConnectionResetError:
+                        reset(open_pairs[source])
+                        return
                     if not data:
                         return
                     if self.mode == "delay":
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -3,8 +3,8 @@
 Injects overlapping faults: links to the store and to endpoints are delayed, reset, blocked in one direction or in both;
 gateways are terminated, paused, killed and restarted; the store refuses calls, loses responses or comes back from an
 older copy; endpoints fail,
-interrupt streams, drain, name rate limits and return; engines crash and send streams without framing; the configuration
-changes. Afterwards a last change must be in force at every entry, and the responses, executions and reports that
+interrupt streams, drain, name rate limits and return; engines crash and send streams without framing; some requests crash
+each endpoint that runs them and come again; the configuration changes. Afterwards a last change must be in force at every entry, and the responses, executions and reports that
 callers, endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
 """
 
@@ -33,6 +33,9 @@
 # Restorations per step, and steps that the oldest copy may be back.
 RESTORATION_RATE = 0.15
 COPIES = 8
+# Share of the requests whose body crashes endpoints, while faults are injected.
+DEADLY_RATE = 0.01
+DEADLY = "deadly"
 PATHS = (("/lookup/", "idempotent"), ("/charge/", "once"), ("/chat/", "once"), ("/match/", "resumable"))
 
 
@@ -42,6 +45,7 @@
     def __init__(self, deployment, count, seed):
         self.deployment, self.stopping = deployment, threading.Event()
         self.answers = []
+        self.deadly_rate = DEADLY_RATE
         self.threads = [threading.Thread(target=self._run, args=(random.Random(seed * 1000 + number),))
                         for number in range(count)]
         for thread in self.threads:
@@ -55,8 +59,10 @@
             connection = connections.get(gateway.name)
             if connection is None:
                 connection = http.client.HTTPConnection(gateway.ip, gateway.ports[0], timeout=4)
-            answer = gateway.call_on(connection, path + "1", body=os.urandom(generator.choice((1, 100, 40000))).hex(),
-                                     timeout=4)
+            body = os.urandom(generator.choice((1, 100, 40000))).hex()
+            if generator.random() < self.deadly_rate:
+                body = DEADLY
+            answer = gateway.call_on(connection, path + "1", body=body, timeout=4)
             self.answers.append((kind, answer))
             closed = answer.status is None or answer.headers.get("Connection") == "close"
             connections[gateway.name] = None if closed else connection
@@ -270,6 +276,10 @@
 
 def run_seed(bin_folder, seed, seconds, gateways):
     with Deployment(bin_folder, linked=True).start(gateways) as deployment:
+        for endpoint, link in zip(deployment.endpoints, deployment.links):
+            endpoint.crashing_bodies = {DEADLY.encode()}
+            endpoint.crashed = lambda _, each=link: each.refuse()
+            endpoint.restarted = lambda _, each=link: each.listen()
         callers, faults = Callers(deployment, 3 * gateways, seed), Faults(deployment, seed)
         try:
             ends = time.monotonic() + seconds
@@ -278,6 +288,7 @@
                 faults.engine_step()
                 faults.store_step()
                 time.sleep(faults.random.uniform(0.1, 0.8))
+            callers.deadly_rate = 0
             while faults.pending_repairs:
                 faults.heal(time.monotonic() + 60)
                 time.sleep(0.1)
@@ -296,8 +307,9 @@
             violations.append(f"after all faults {served} of {len(late)} requests were served")
         statuses = collections.Counter(answer.status for _, answer in callers.answers)
         restorations = sum(what == "restore" for _, what, *_ in faults.log)
+        crashes = sum(len(endpoint.crashes) for endpoint in deployment.endpoints)
         print(f"seed {seed}: {len(callers.answers)} requests, {len(faults.log)} faults, {restorations} restorations, "
-              f"{dict(statuses)}", flush=True)
+              f"{crashes} crashes, {dict(statuses)}", flush=True)
         if violations:
             print("\n".join(violations[:20]), *faults.log, sep="\n")
         assert not violations, f"seed {seed}: {len(violations)} violated guarantees"
