--- a/testsuite/crashing_prompts/run.py
+++ b/testsuite/crashing_prompts/run.py
@@ -6,7 +6,6 @@
 may reach engines.
 """
 
-import argparse
 import os
 import sys
 import threading
@@ -14,7 +13,7 @@
 import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from platform_deployment import Deployment, wait_until  # noqa: E402
+from platform_deployment import Deployment, run_cases, wait_until  # noqa: E402
 from platform_standins import Endpoint  # noqa: E402
 
 GATEWAYS = 6
@@ -149,26 +148,15 @@
     assert not quarantined, quarantined
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--bin", required=True)
-    bin_folder = parser.parse_args().bin
-    failed = []
-    for case in (tainted_requests_are_stopped, restarted_entries_know_the_segment,
-                 crashes_without_a_cause_stop_nothing):
-        deployment = Deployment(bin_folder)
-        deployment.endpoints = deployment.endpoints[:2] + [
-            Endpoint(f"m{number}", "model", "ab"[number % 2], delay_s=0.05, events=6) for number in range(ENGINES)]
-        for engine in engines(deployment):
-            engine.restarted = lambda each, store=deployment.store: store.put("servers/" + each.name, each.entry())
-        try:
-            with deployment.start(GATEWAYS):
-                case(deployment)
-            print("passed:", case.__name__, flush=True)
-        except AssertionError as error:
-            failed.append(case.__name__)
-            print("failed:", case.__name__, error, flush=True)
-    sys.exit(1 if failed else 0)
-
-
-main()
+def make_deployment(bin_folder):
+    deployment = Deployment(bin_folder)
+    deployment.endpoints = deployment.endpoints[:2] + [
+        Endpoint(f"m{number}", "model", "ab"[number % 2], delay_s=0.05, events=6) for number in range(ENGINES)]
+    for engine in engines(deployment):
+        engine.restarted = lambda each, store=deployment.store: store.put("servers/" + each.name, each.entry())
+    return deployment
+
+
+run_cases((tainted_requests_are_stopped, restarted_entries_know_the_segment,
+           crashes_without_a_cause_stop_nothing),
+          make_deployment, GATEWAYS)
--- a/testsuite/crashing_requests/run.py
+++ b/testsuite/crashing_requests/run.py
@@ -6,14 +6,13 @@
 on.
 """
 
-import argparse
 import os
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from platform_deployment import SECOND_KEY, Deployment, wait_until  # noqa: E402
+from platform_deployment import SECOND_KEY, Deployment, run_cases, wait_until  # noqa: E402
 from platform_standins import Endpoint  # noqa: E402
 
 GATEWAYS = 6
@@ -189,33 +188,19 @@
     assert not quarantined, quarantined
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--bin", required=True)
-    parser.add_argument("--case")
-    options = parser.parse_args()
-    failed = []
-    for case in (repeatable_requests_are_stopped, requests_that_run_once_are_stopped, streams_are_stopped,
-                 streams_that_have_begun_are_stopped, copies_at_the_same_moment_are_stopped,
-                 restarted_entries_know_the_request,
-                 other_callers_are_not_refused, requests_that_look_alike_survive_crashes):
-        if options.case not in (None, case.__name__):
-            continue
-        deployment = Deployment(options.bin)
-        deployment.endpoints = [Endpoint(f"p{number}", "plain", "ab"[number % 2], delay_s=0.05)
-                                for number in range(ENDPOINTS)]
-        deployment.endpoints += [Endpoint(f"m{number}", "model", "ab"[number % 2], delay_s=0.05, events=6)
-                                 for number in range(ENDPOINTS)]
-        for endpoint in deployment.endpoints:
-            endpoint.restarted = lambda each, store=deployment.store: store.put("servers/" + each.name, each.entry())
-        try:
-            with deployment.start(GATEWAYS):
-                case(deployment)
-            print("passed:", case.__name__, flush=True)
-        except AssertionError as error:
-            failed.append(case.__name__)
-            print("failed:", case.__name__, error, flush=True)
-    sys.exit(1 if failed else 0)
-
-
-main()
+def make_deployment(bin_folder):
+    deployment = Deployment(bin_folder)
+    deployment.endpoints = [Endpoint(f"p{number}", "plain", "ab"[number % 2], delay_s=0.05)
+                            for number in range(ENDPOINTS)]
+    deployment.endpoints += [Endpoint(f"m{number}", "model", "ab"[number % 2], delay_s=0.05, events=6)
+                             for number in range(ENDPOINTS)]
+    for endpoint in deployment.endpoints:
+        endpoint.restarted = lambda each, store=deployment.store: store.put("servers/" + each.name, each.entry())
+    return deployment
+
+
+run_cases((repeatable_requests_are_stopped, requests_that_run_once_are_stopped, streams_are_stopped,
+           streams_that_have_begun_are_stopped, copies_at_the_same_moment_are_stopped,
+           restarted_entries_know_the_request, other_callers_are_not_refused,
+           requests_that_look_alike_survive_crashes),
+          make_deployment, GATEWAYS)
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -1,5 +1,6 @@
 """Runs gateways as separate processes against the stand-ins of the users' platform."""
 
+import argparse
 import http.client
 import itertools
 import json
@@ -8,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import uuid
@@ -206,3 +208,26 @@
                 with open(gateway.log) as log:
                     print(f"--- {gateway.name}\n" + "".join(log.readlines()[-40:]))
         self.temporary.cleanup()
+
+
+def run_cases(cases, make_deployment, gateways):
+    """Runs the cases, or the one that --case names, each on a new deployment. Exits with 1 if one fails.
+
+    `make_deployment` gets the folder of the programs and returns a Deployment that is not started.
+    """
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--case")
+    options = parser.parse_args()
+    failed = []
+    for case in cases:
+        if options.case not in (None, case.__name__):
+            continue
+        try:
+            with make_deployment(options.bin).start(gateways) as deployment:
+                case(deployment)
+            print("passed:", case.__name__, flush=True)
+        except AssertionError as error:
+            failed.append(case.__name__)
+            print("failed:", case.__name__, error, flush=True)
+    sys.exit(1 if failed else 0)
--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -4,13 +4,12 @@
 they know.
 """
 
-import argparse
 import os
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from platform_deployment import WINDOW_S, Deployment, wait_until  # noqa: E402
+from platform_deployment import WINDOW_S, Deployment, run_cases, wait_until  # noqa: E402
 from platform_standins import Endpoint  # noqa: E402
 
 GATEWAYS = 6
@@ -223,28 +222,14 @@
     wait_until(lambda: deployment.store.value(QUARANTINE_KEY), "the record of the quarantine")
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--bin", required=True)
-    parser.add_argument("--case")
-    options = parser.parse_args()
-    failed = []
-    for case in (windows_are_reported_once, windows_are_reported_once_by_restarted_entries,
-                 usage_of_open_windows_is_kept, former_lease_is_given_up, new_holder_awaits_records,
-                 changes_take_effect, registration_is_written_again, departed_endpoint_stays_out,
-                 joined_endpoint_stays_in, quarantine_is_written_again):
-        if options.case not in (None, case.__name__):
-            continue
-        deployment = Deployment(options.bin)
-        deployment.store.put(QUARANTINE_KEY, "1")
-        try:
-            with deployment.start(GATEWAYS):
-                case(deployment)
-            print("passed:", case.__name__, flush=True)
-        except AssertionError as error:
-            failed.append(case.__name__)
-            print("failed:", case.__name__, error, flush=True)
-    sys.exit(1 if failed else 0)
-
-
-main()
+def make_deployment(bin_folder):
+    deployment = Deployment(bin_folder)
+    deployment.store.put(QUARANTINE_KEY, "1")
+    return deployment
+
+
+run_cases((windows_are_reported_once, windows_are_reported_once_by_restarted_entries,
+           usage_of_open_windows_is_kept, former_lease_is_given_up, new_holder_awaits_records,
+           changes_take_effect, registration_is_written_again, departed_endpoint_stays_out,
+           joined_endpoint_stays_in, quarantine_is_written_again),
+          make_deployment, GATEWAYS)
