Crash quarantine: one way to report a change of probation

Read-through of the change: setProbation had the same call twice, and two comments named segments where any suspect is meant. No change of behaviour; crash_quarantine_test passes (60 cases).

--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -23,9 +23,9 @@
 public:
     CrashGuard(boost::asio::io_context& io, std::shared_ptr<EventLog> log, GatewayMetrics& metrics);
 
-    /// Sets the order in which entries may send a request with a quarantined segment on trial.
+    /// Sets the order in which entries may send a request with a suspect on trial.
     void setTrialOrder(CrashQuarantine::TrialOrder order) { m_trialOrder = std::move(order); }
-    /// @param onChange called when a segment is put in quarantine or released
+    /// @param onChange called when the state of a suspect changes
     void setChangeHandler(std::function<void(const QuarantineChange&)> onChange) { m_onChange = std::move(onChange); }
 
     /// Whether tags of requests as a whole are needed: they are costly for large bodies.
--- a/src/libwisteriayard/crash_quarantine.cpp
+++ b/src/libwisteriayard/crash_quarantine.cpp
@@ -161,12 +161,9 @@
 {
     if (suspect.onProbation == onProbation)
         return;
+    auto stateOf = [](bool probation) { return probation ? SuspectState::OnProbation : SuspectState::Free; };
+    m_changes.push_back({ tag, stateOf(suspect.onProbation), stateOf(onProbation), suspect.crashes.size() });
     suspect.onProbation = onProbation;
-    SuspectState probation = SuspectState::OnProbation;
-    if (onProbation)
-        m_changes.push_back({ tag, SuspectState::Free, probation, suspect.crashes.size() });
-    else
-        m_changes.push_back({ tag, probation, SuspectState::Free, suspect.crashes.size() });
 }
 
 void CrashQuarantine::quarantine(SuspectTag tag, Suspect& suspect, TimePoint since, TimePoint lastEvidence)
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -18,7 +18,7 @@
     """Ends a connection by a reset, as a crash does on the platform; other threads may use it."""
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        connection.shutdown(socket.SHUT_RD)  # wakes up a thread that reads, which keeps the connection open
+        connection.shutdown(socket.SHUT_RD)  # ends a blocked read, which would keep the connection open
         os.close(connection.detach())
     except OSError:
         pass  # already closed
