--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -1,11 +1,11 @@
 """Randomized fault soak of gateway processes under load over persistent connections.
 
-Injects overlapping faults: links to the store and to endpoints are delayed, reset, blocked in one direction or in both;
-gateways are terminated, paused, killed and restarted; the store refuses calls, loses responses or comes back from an
-older copy; endpoints fail,
-interrupt streams, drain, name rate limits and return; engines crash and send streams without framing; some requests crash
-each endpoint that runs them and come again; the configuration changes. Afterwards a last change must be in force at every entry, and the responses, executions and reports that
-callers, endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
+Injects overlapping faults: links to the store and to endpoints are delayed, reset, blocked in one direction or in
+both; gateways are terminated, paused, killed and restarted; the store refuses calls, loses responses or comes back
+from an older copy; endpoints fail, interrupt streams, drain, name rate limits and return; engines crash and send
+streams without framing; some requests crash each endpoint that runs them and come again; the configuration changes.
+Afterwards a last change must be in force at every entry, and the responses, executions and reports that callers,
+endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
 """
 
 import argparse
