--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -92,7 +92,7 @@
     std::size_t entries = 1;
 };
 
-/// Timing of the quarantine of prompt segments.
+/// Timing of the quarantine.
 struct QuarantineTimes {
     /// Crashes closer together count as one: the failure of many endpoints at the same moment has another cause.
     Duration separation = std::chrono::milliseconds(300);
@@ -100,11 +100,11 @@
     Duration memory = std::chrono::seconds(60);
     /// Time for which an own observation is reported to other entries; several rounds of reports in a large fleet.
     Duration reporting = std::chrono::seconds(4);
-    /// Time after which one request with a quarantined segment may be sent, to find out whether it still crashes
-    /// engines. Doubles with each further crash.
+    /// Time after which one request with a suspect in quarantine may be sent, to find out whether it still crashes
+    /// endpoints. Doubles with each further crash.
     Duration firstTrial = std::chrono::seconds(20);
     Duration longestTrialInterval = std::chrono::minutes(10);
-    /// Entries take turns in sending the request, until one of them has a request with the segment. Copies of a request
+    /// Entries take turns in sending the request, until one of them has a request with the suspect. Copies of a request
     /// may come at the same moment at many entries, so a turn ends when the next one begins.
     Duration trialTurn = std::chrono::seconds(4);
     /// Time after crashes at the same moment within which answers clear the suspects that are in regular use.
@@ -113,8 +113,9 @@
     Duration probationTurn = std::chrono::seconds(1);
 };
 
-/// Decides which shared prompt segments are not sent to engines because engines crash when they begin to answer
-/// requests with them.
+/// Decides which requests are not sent because endpoints crash when they run them. What may be the cause, a suspect, is
+/// a shared segment of the prompt, or the request as a whole. The rules are told for segments; a request as a whole is
+/// cleared by a complete answer only, since an endpoint may crash after the first events.
 ///
 /// A segment is in quarantine after a number of separate crashes, seen by any entries, at which a request with it
 /// waited for its first event, unless an engine has begun to answer a request with it since. Segments that are also
@@ -125,7 +126,7 @@
 /// them is put on probation: one request at a time is sent, and the next crash puts it in quarantine.
 class CrashQuarantine {
 public:
-    /// Crashes after which a segment is in quarantine.
+    /// Crashes after which a suspect is in quarantine.
     static constexpr std::size_t crashesToQuarantine = 3;
     /// Crashes at the same moment after which a request as a whole, or a segment, is on probation. Sound requests share
     /// segments much more often than they are alike.
@@ -134,9 +135,9 @@
     /// Limit on the entries that take turns; in larger fleets several share a turn, since a request with a rare suspect
     /// comes at few entries.
     static constexpr std::size_t maxTurns = 6;
-    /// Crashes since the last answer after which a request with the segment is not sent to another engine.
+    /// Crashes since the last answer after which a request with the suspect is not sent to another endpoint.
     static constexpr std::size_t crashesToRetry = 2;
-    /// Limits on the number of segments with observations, and of segments whose last answer is remembered.
+    /// Limits on the number of suspects, and of segments and requests whose last answer is remembered.
     static constexpr std::size_t maxSuspects = 512;
     static constexpr std::size_t maxRemembered = 8192;
     /// Limit on the observations of each kind in a report.
@@ -147,11 +148,11 @@
     {
     }
 
-    /// Records that an endpoint began to answer a request with these segments.
+    /// Records that an endpoint began to answer a request with these segments, or answered this request completely.
     void answerBegan(const std::vector<SuspectTag>& tags, TimePoint now);
-    /// Records that an endpoint crashed before it began to answer a request with these segments.
+    /// Records that an endpoint crashed while it ran a request with these suspects.
     void endpointCrashed(CrashTag crash, const std::vector<SuspectTag>& tags, TimePoint at, TimePoint now);
-    /// Puts a segment in quarantine that was found earlier, by an entry that is gone.
+    /// Puts a suspect in quarantine that was found earlier, by an entry that is gone.
     void restore(SuspectTag tag, TimePoint now);
 
     /// @return this entry's turn to send a request with a suspect on trial
@@ -159,7 +160,7 @@
     /// Whether a request with these suspects must not be sent. A request that may be sent on trial counts as sent.
     /// @return time until the request can be tried again; none if it may be sent
     std::optional<Duration> refusal(const std::vector<SuspectTag>& tags, const TrialOrder& order, TimePoint now);
-    /// Whether a request with these segments may be sent to another engine after a crash.
+    /// Whether a request with these suspects may be sent to another endpoint after a crash.
     bool mayRetry(const std::vector<SuspectTag>& tags) const;
     bool isQuarantined(SuspectTag tag) const;
     SuspectState state(SuspectTag tag, TimePoint now) const;
@@ -171,7 +172,7 @@
     /// Forgets suspects without recent observations, and releases those in quarantine without a crash or trial for the
     /// longest interval between trials.
     void expire(TimePoint now);
-    /// Number of segments with observations and of remembered answers.
+    /// Number of suspects and of remembered answers.
     std::size_t size() const { return m_suspects.size() + m_lastBegin.size(); }
 
     /// @name Exchange with other entries
