--- a/src/include/wisteriayard/crash_quarantine.h
+++ b/src/include/wisteriayard/crash_quarantine.h
@@ -114,8 +114,8 @@
 };
 
 /// Decides which requests are not sent because endpoints crash when they run them. What may be the cause, a suspect, is
-/// a shared segment of the prompt, or the request as a whole. The rules are told for segments; a request as a whole is
-/// cleared by a complete answer only, since an endpoint may crash after the first events.
+/// a shared segment of the prompt, or the request as a whole. The rules below are given for segments; a request as a
+/// whole is cleared by a complete answer only, since an endpoint may crash after the first events.
 ///
 /// A segment is in quarantine after a number of separate crashes, seen by any entries, at which a request with it
 /// waited for its first event, unless an engine has begun to answer a request with it since. Segments that are also
