--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
 PIECES = 40
 # Seconds after SIGTERM: when callers open their channels and begin to send, and when the last bytes are sent.
 BEGIN_S, BEGIN_SPREAD_S = 0.6, 1.2
-END_S, END_SPREAD_S = 3.3, 1.6
+END_S, END_SPREAD_S = 3.45, 1.45
 TIME_LIMIT_MS = 6000
 SERVER_WORK_S = 0.3
 SILENT_BEFORE_S, SILENT_FOR_S = 0.5, 4.5
