--- a/review/4/case.py
+++ b/review/4/case.py
@@ -49,6 +49,7 @@
     for _ in range(REQUESTS_OF_CALLER):
         channel = channel or Channel(gateway.ip, gateway.ports[0], timeout=TIME_LIMIT_MS / 1000 + 1)
         request = uuid.uuid4().hex[:16]
+        record("sent", request, gateway.name)
         channel.request("POST", "/charge/1", b"x", {
             "Host": HOST, "Request-Id": request, "Deadline-Ms": str(TIME_LIMIT_MS), "Authorization": "Bearer " + KEY})
         answer = channel.response_class(channel.sock, method="POST")
@@ -84,7 +85,7 @@
         for caller in callers:
             caller.join()
         for endpoint in deployment.endpoints:
-            record("server", endpoint.name, "answers", endpoint.answers, "spoilt", endpoint.spoilt)
+            record("server", endpoint.name, "run", sum(endpoint.runs.values()), "answers", endpoint.answers, "spoilt", endpoint.spoilt)
         spoilt = sum(len(endpoint.spoilt) for endpoint in deployment.endpoints)
         print(f"{len(broken)} answers to callers are no HTTP responses, such as {broken[:1]}; "
               f"servers spoilt {spoilt} of {sum(endpoint.answers for endpoint in deployment.endpoints)} answers")
--- a/review/stand.py
+++ b/review/stand.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import sys
 import time
 import traceback
@@ -95,11 +96,13 @@
 def run(case):
     """Runs a case, which returns HELD or BROKEN, and exits with its result; with NOT_RUN if it fails otherwise."""
     result = NOT_RUN
+    # A script that is stopped ends its gateways, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         if not os.path.exists(os.path.join(BINARIES, "wisteriayard-gateway")):
             raise FileNotFoundError("the gateway isn't built")
         result = case()
-    except Exception:
+    except BaseException:
         traceback.print_exc()
     sys.stdout.flush()
     os._exit(result)
