Forward only responses whose head is sound

Cause: the parser accepts each status of three digits and ignores unknown transfer codings, and nothing between parser and forwarding checked them. Classes were taken from the library's enumeration, which has one value for all unregistered codes: 103 ended a request, 299 counted as a failure.

Ruled out: only the writing (600 and 999 were forwarded as well), and a check that only streams or later attempts lack (all behave alike).

Fix: checkResponseHead() is the one definition of a sound head. Each response passes it when its head is read, also those that agents and the store's clients read. An unsound response is no answer: 502 without a seal, or another attempt where the request may be repeated; its connection is closed; attempt_failed names the defect and a counter counts them.

Test: testsuite/response_heads. On the code before, three of four cases failed: "HTTP/1.1 99 OK" and "HTTP/1.1 0 OK" reached callers, a stream began with 99, and 103 ended a request.

--- a/src/gateway/endpoint_exchange.cpp
+++ b/src/gateway/endpoint_exchange.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_exchange.h"
 
+#include "response_head.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -58,7 +60,7 @@
         if (error == http::error::need_more)
             break;
         if (error)
-            return fail(Errc::Protocol, "the answer can't be parsed: " + error.message());
+            return fail(Errc::Protocol, "the response can't be parsed: " + error.message());
         if (used == 0)
             break;
     }
@@ -101,8 +103,9 @@
             if (!read)
                 co_return read;
         }
-        if (http::to_status_class(m_parser->get().result()) != http::status_class::informational)
-            co_return boost::outcome_v2::success();
+        Status sound = checkResponseHead(head());
+        if (!sound || !isInformational(head()))
+            co_return sound;
     }
     co_return fail(Errc::Protocol, "too many informational responses");
 }
--- a/src/gateway/endpoint_exchange.h
+++ b/src/gateway/endpoint_exchange.h
@@ -28,7 +28,7 @@
     /// Starts writing a request asynchronously. An endpoint may respond before it has read the whole request.
     void send(std::string head, std::shared_ptr<const std::string> body);
     /// Reads the header of the next final response; informational (1xx) responses are skipped.
-    /// @return Protocol if the bytes are not a valid response, Unavailable if the connection was lost
+    /// @return Protocol if the bytes are not a response that can be forwarded, Unavailable if the connection was lost
     boost::asio::awaitable<Status> readHead();
     const boost::beast::http::response_header<>& head() const { return m_parser->get().base(); }
     /// Reads the next part of the body.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -46,6 +46,8 @@
     , m_attempts(counter(*m_registry, "wisteriayard_gateway_attempts_total", "Attempts at endpoints, by outcome"))
     , m_brokenAttempts(counter(*m_registry, "wisteriayard_gateway_broken_attempts_total",
           "Attempts without a complete answer, by whether it had begun"))
+    , m_invalidResponses(counter(*m_registry, "wisteriayard_gateway_invalid_responses_total",
+          "Attempts in which an endpoint sent bytes that are not a response which can be forwarded"))
     , m_retries(counter(*m_registry, "wisteriayard_gateway_retries_total",
           "Attempts after the first, by whether the budget allowed them"))
     , m_pauses(counter(*m_registry, "wisteriayard_gateway_endpoint_pauses_total",
@@ -109,6 +111,8 @@
     m_brokenAttempts.Add({ { "begun", begun ? "yes" : "no" } }).Increment();
 }
 
+void GatewayMetrics::invalidResponseReceived() { m_invalidResponses.Add({}).Increment(); }
+
 void GatewayMetrics::retryRequested(bool allowed)
 {
     m_retries.Add({ { "allowed", allowed ? "yes" : "no" } }).Increment();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -30,6 +30,8 @@
     void attemptEnded(const std::string& outcome);
     /// @param begun whether the endpoint had begun to answer
     void attemptBroken(bool begun);
+    /// An endpoint sent bytes that are not a response which can be forwarded.
+    void invalidResponseReceived();
     void retryRequested(bool allowed);
     void endpointPaused();
     /// An endpoint crashed before it began to answer a request.
@@ -67,6 +69,7 @@
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_brokenAttempts;
+    prometheus::Family<prometheus::Counter>& m_invalidResponses;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_pauses;
     prometheus::Family<prometheus::Counter>& m_crashes;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -21,6 +21,7 @@
     metrics.requestRefused(PlacementRefusal::Overloaded);
     metrics.attemptEnded("delivered");
     metrics.attemptBroken(false);
+    metrics.invalidResponseReceived();
     metrics.retryRequested(true);
     metrics.endpointPaused();
     metrics.endpointCrashed();
@@ -68,6 +69,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 24u);
+    BOOST_TEST(code.size() == 25u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -1,6 +1,7 @@
 // RequestHandler: a single attempt at an endpoint, from the connection to forwarding the response.
 #include "clock.h"
 #include "request_handler.h"
+#include "response_head.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -65,11 +66,16 @@
         std::size_t m_bytes = 0;
     };
 
-    bool isSuccess(const ResponseHead& head)
+    /// @param error the error that ended the exchange with the endpoint
+    MayHaveExecuted brokenExchange(const Error& error)
     {
-        return http::to_status_class(head.result()) == http::status_class::successful;
+        if (error.code == Errc::Unavailable)
+            return { error.message, MayHaveExecuted::Cause::ConnectionLost };
+        return { "invalid response: " + error.message, MayHaveExecuted::Cause::InvalidResponse };
     }
 
+    bool isSuccess(const ResponseHead& head) { return statusClass(head) == http::status_class::successful; }
+
 } // namespace
 
 awaitable<AttemptOutcome> RequestHandler::runAttempt(Placement placement)
@@ -93,7 +99,8 @@
         outcome = co_await exchangeWithEndpoint(connection, record, placement);
     now = bootTimeNow();
     auto* broken = std::get_if<MayHaveExecuted>(&outcome);
-    bool mayHaveCrashed = broken && broken->connectionLost && !m_quarantined && !interruption();
+    bool mayHaveCrashed
+        = broken && broken->cause == MayHaveExecuted::Cause::ConnectionLost && !m_quarantined && !interruption();
     if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
         outcome = *interrupted;
     m_endpoint.reset();
@@ -184,7 +191,7 @@
             || (!interruption() && !m_quarantined && placement.hasProbablyBegun(bootTimeNow()));
         if (mayHaveStarted)
             recordUsage();
-        co_return MayHaveExecuted { read.error().message, read.error().code == Errc::Unavailable };
+        co_return brokenExchange(read.error());
     }
     connection->idleLimit = traits.idleTimeout.value_or(defaultIdleLimit);
     bool statedNotExecuted
@@ -292,7 +299,7 @@
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
-            co_return MayHaveExecuted { part.error().message, part.error().code == Errc::Unavailable };
+            co_return brokenExchange(part.error());
         m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
         if (part.value().empty())
             break;
@@ -360,7 +367,7 @@
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
-            co_return MayHaveExecuted { part.error().message, part.error().code == Errc::Unavailable };
+            co_return brokenExchange(part.error());
         if (part.value().empty())
             break;
         events.feed(part.value());
@@ -371,7 +378,8 @@
             co_return MayHaveExecuted { "the stream has an unterminated event beyond the size limit" };
     }
     if (!events.pendingBytes().empty() || !m_headSent)
-        co_return MayHaveExecuted { "the stream ended in the middle of an event or without any", true };
+        co_return MayHaveExecuted { "the stream ended in the middle of an event or without any",
+            MayHaveExecuted::Cause::ConnectionLost };
     answerCompleted(bootTimeNow());
     if (m_request.acceptsChunked) {
         bool written = co_await write(std::string(lastChunk));
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -413,8 +413,10 @@
     if (std::holds_alternative<Delivered>(outcome))
         return;
     nlohmann::json tag;
-    if (std::holds_alternative<MayHaveExecuted>(outcome)) {
+    if (auto* broken = std::get_if<MayHaveExecuted>(&outcome)) {
         m_state.metrics.attemptBroken(begun);
+        if (broken->cause == MayHaveExecuted::Cause::InvalidResponse)
+            m_state.metrics.invalidResponseReceived();
         tag = static_cast<std::uint32_t>(requestTag());
     }
     m_state.logRequest(Event::AttemptFailed,
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -39,9 +39,16 @@
 };
 /// The endpoint may have executed the request, and there is no usable response.
 struct MayHaveExecuted {
+    enum class Cause {
+        /// The endpoint closed the connection, so it may have crashed.
+        ConnectionLost,
+        /// The endpoint sent bytes that are no response.
+        InvalidResponse,
+        Other,
+    };
+
     std::string reason;
-    /// The endpoint closed the connection, so it may have crashed.
-    bool connectionLost = false;
+    Cause cause = Cause::Other;
 };
 /// The endpoint executed the request and responded with an error.
 struct EndpointFailure {
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "clock.h"
+#include "response_head.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,6 +30,14 @@
         return Error { code, std::string(what) + ": " + error.message() };
     }
 
+    /// @return Protocol unless the header is that of a sound final response
+    Status checkFinalHead(const http::response_header<>& head)
+    {
+        if (isInformational(head))
+            return fail(Errc::Protocol, "informational response, which no request asks for");
+        return checkResponseHead(head);
+    }
+
 } // namespace
 
 HttpConnection::HttpConnection(
@@ -90,6 +99,11 @@
         close();
         co_return exchangeError(error, "cannot read response");
     }
+    auto sound = checkFinalHead(parser.get().base());
+    if (!sound) {
+        close();
+        co_return sound.error();
+    }
     if (!parser.get().keep_alive())
         close();
     co_return parser.release();
@@ -108,6 +122,11 @@
         close();
         co_return exchangeError(error, "cannot read response head");
     }
+    auto sound = checkFinalHead(m_parser->get().base());
+    if (!sound) {
+        close();
+        co_return sound.error();
+    }
     HttpResponse head;
     head.base() = m_parser->get().base();
     co_return head;
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -137,3 +137,47 @@
     if (each.complete)
         BOOST_TEST(response->value().body().size() == 4u * static_cast<std::size_t>(each.parts));
 }
+
+namespace {
+
+struct RawResponseCase {
+    const char* text;
+    bool accepted;
+};
+std::ostream& operator<<(std::ostream& out, const RawResponseCase& each) { return out << each.text; }
+
+const RawResponseCase rawResponseCases[] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true },
+    { "HTTP/1.1 299 Odd\r\nContent-Length: 0\r\n\r\n", true },
+    { "HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n", false },
+    { "HTTP/1.1 103 Early Hints\r\n\r\n", false },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", false },
+};
+
+} // namespace
+
+// Guards against unsound responses of a service that an agent hands on as its answer.
+BOOST_DATA_TEST_CASE(client_rejects_unsound_responses, boost::unit_test::data::make(rawResponseCases), each)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, parseAddress("127.0.0.1:0").value());
+    boost::asio::ip::tcp::socket socket(io);
+    auto respond = [&]() -> boost::asio::awaitable<void> {
+        socket = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        co_await boost::asio::async_write(
+            socket, boost::asio::buffer(std::string_view(each.text)), boost::asio::use_awaitable);
+    };
+    boost::asio::co_spawn(io, respond, boost::asio::detached);
+    HttpConnection connection(io.get_executor(), acceptor.local_endpoint(), Bytes(100));
+    std::optional<Result<HttpResponse>> response;
+    auto run = [&]() -> boost::asio::awaitable<void> {
+        response = co_await connection.exchange(makeHttpRequest(http::verb::get, "/"), responseTimeout);
+        io.stop();
+    };
+    boost::asio::co_spawn(io, run, boost::asio::detached);
+    io.run();
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->has_value() == each.accepted);
+    BOOST_TEST(connection.isOpen() == each.accepted);
+}
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -346,6 +346,9 @@
         # event.
         self.fail, self.break_after, self.unframed = 0.0, None, False
         self.endless, self.endless_bytes, self.endless_pause_s = None, [], 0
+        # raw_response is sent as it is, with {id} replaced by the request's id; None sends a sound response. With
+        # raw_closes the connection ends after it. raw_followers are the requests that arrived on a connection after it.
+        self.raw_response, self.raw_closes, self.raw_followers = None, False, []
         self.arrivals_after_leave = 0
         self.left_at = None
         # announces_shutdown adds Server-Leaving to responses to executed requests. retry_after refuses requests
@@ -401,10 +404,14 @@
 
 
 class EndpointHandler(Handler):
+    sent_raw = False
+
     def handle_request(self):
         endpoint, headers = self.server, self.headers
         body = self.body()
         request = headers.get("Request-Id")
+        if self.sent_raw:
+            endpoint.raw_followers.append(request)
         if endpoint.left_at and time.monotonic() > endpoint.left_at:
             endpoint.arrivals_after_leave += 1
         if headers.get("Target-Instance", endpoint.name) != endpoint.name:
@@ -422,6 +429,9 @@
         endpoint.tenants[request] = headers.get("Tenant")
         if endpoint.endless:
             return self.send_endless(endpoint, request)
+        if endpoint.raw_response is not None:
+            self.sent_raw, self.close_connection = True, endpoint.raw_closes
+            return self.wfile.write(endpoint.raw_response.replace(b"{id}", request.encode()))
         segments = {part.split(":")[0] for part in headers.get("Prompt-Prefix", "").split(",")}
         crashing = bool(segments & endpoint.crashing_segments) or body in endpoint.crashing_bodies
         if crashing:
@@ -498,7 +508,7 @@
         if not unframed:
             self.wfile.write(b"0\r\n\r\n")
 
-    do_GET = do_POST = handle_request
+    do_GET = do_HEAD = do_POST = handle_request
 
 
 class Link:
