Keep the length that a bodyless response states

Callers got Content-Length: 0 for each response without a body: for HEAD in place of the length that the endpoint stated, and for 204, which must not have one.

Cause: the head was always written with the size of the body received. Found while looking for what reading and writing a head anew changes.

Ruled out: the parser; it reads such responses without a body and keeps their fields.

Fix: BodyFraming::Bodyless keeps what the endpoint stated. Complete responses are written at one place, forwardResponse().

Test: rows "HEAD" and "status without a body" of testsuite/response_heads.

--- a/src/gateway/http_head.cpp
+++ b/src/gateway/http_head.cpp
@@ -82,6 +82,11 @@
     return text.append("\r\n");
 }
 
+bool isBodyless(const ResponseHead& head, bool isHeadRequest)
+{
+    return isHeadRequest || head.result() == http::status::no_content || head.result() == http::status::not_modified;
+}
+
 std::string callerResponseHead(const ResponseHead& head, BodyFraming framing, std::size_t bodySize, bool keepAlive)
 {
     std::string text = statusLine(head.result_int(), stdView(head.reason()));
@@ -91,6 +96,10 @@
         if (!isHopByHopHeader(name, connection))
             appendHeader(text, name, stdView(field.value()));
     }
+    // The length that a bodyless response states is that of the body which it leaves out.
+    auto stated = head.find(http::field::content_length);
+    if (framing == BodyFraming::Bodyless && stated != head.end())
+        appendHeader(text, "Content-Length", stdView(stated->value()));
     if (framing == BodyFraming::Length)
         appendHeader(text, "Content-Length", std::to_string(bodySize));
     if (framing == BodyFraming::Chunked)
--- a/src/gateway/http_head.h
+++ b/src/gateway/http_head.h
@@ -28,10 +28,16 @@
 /// How the end of a response body is marked for the caller.
 enum class BodyFraming {
     Length,
+    /// The response never has a body: its status or the request's method excludes one.
+    Bodyless,
     Chunked,
     UntilClose,
 };
 
+/// Whether a response has no body regardless of its header.
+/// @param isHeadRequest the request's method is HEAD
+bool isBodyless(const ResponseHead& head, bool isHeadRequest);
+
 /// Formats the header of an endpoint's response as it is forwarded to the caller.
 /// @param keepAlive the connection stays open for further requests
 std::string callerResponseHead(const ResponseHead& head, BodyFraming framing, std::size_t bodySize, bool keepAlive);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -311,12 +311,9 @@
     answerCompleted(bootTimeNow());
     if (!success)
         co_return EndpointFailure { exchange.head(), std::move(body) };
-    bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
-    std::string text = callerResponseHead(exchange.head(), BodyFraming::Length, body.size(), keepAlive);
-    text += body;
     m_headSent = true;
-    bool written = co_await write(std::move(text));
-    if (!written)
+    co_await forwardResponse(exchange.head(), body);
+    if (m_callerDisconnected)
         co_return CallerDisconnected {};
     co_return Delivered {};
 }
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -236,11 +236,7 @@
     }
     if (failure) {
         logEnd(Event::RequestFailed, "endpoint_failure", std::to_string(failure->head.result_int()));
-        bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
-        std::string text = callerResponseHead(failure->head, BodyFraming::Length, failure->body.size(), keepAlive);
-        text += failure->body;
-        bool written = co_await write(std::move(text));
-        co_return written&& keepAlive;
+        co_return co_await forwardResponse(failure->head, failure->body);
     }
     if (!m_mayHaveExecuted) {
         std::string reason = notExecuted ? notExecuted->reason : "not_run";
@@ -254,6 +250,16 @@
     co_return co_await respond(std::move(response));
 }
 
+awaitable<bool> RequestHandler::forwardResponse(const ResponseHead& head, const std::string& body)
+{
+    bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
+    bool bodyless = isBodyless(head, m_request.head.method() == http::verb::head);
+    BodyFraming framing = bodyless ? BodyFraming::Bodyless : BodyFraming::Length;
+    std::string text = callerResponseHead(head, framing, body.size(), keepAlive);
+    bool written = co_await write(std::move(text.append(body)));
+    co_return written&& keepAlive;
+}
+
 awaitable<bool> RequestHandler::refuseQuarantined(Duration wait)
 {
     if (m_mayHaveExecuted || m_headSent)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -100,6 +100,8 @@
     /// Forwards the complete events that are buffered.
     boost::asio::awaitable<Status> forwardEvents(EndpointExchange& exchange, EventStream& events, Placement& placement);
 
+    /// Sends a complete response of an endpoint.
+    boost::asio::awaitable<bool> forwardResponse(const ResponseHead& head, const std::string& body);
     boost::asio::awaitable<bool> respond(LocalResponse response);
     /// Refuses a request that is in quarantine, or whose prompt has a segment in quarantine.
     /// @param wait time until such a request can be tried again
--- a/testsuite/response_heads/run.py
+++ b/testsuite/response_heads/run.py
@@ -31,6 +31,8 @@
 
 SOUND = [
     Row("plain", response(), 200),
+    Row("without a reason", response(b"HTTP/1.1 202 "), 202),
+    Row("reason with spaces", response(b"HTTP/1.1 201 Made  to order "), 201),
     Row("unknown status of a class", response(b"HTTP/1.1 299 Odd"), 299),
     Row("least error status", response(b"HTTP/1.1 400 Bad"), 400),
     Row("greatest status", response(b"HTTP/1.1 599 Odd"), 599),
@@ -40,6 +42,8 @@
     Row("repeated field", response(fields=b"X-A: 1\r\nX-A: 2\r\nContent-Length: 5\r\n"), 200),
     Row("empty field", response(fields=b"X-A:\r\nContent-Length: 5\r\n"), 200),
     Row("after an informational response", b"HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n" + response(), 200),
+    Row("status without a body", response(b"HTTP/1.1 204 No Content", b"", b""), 204, b""),
+    Row("HEAD", response(fields=b"Content-Length: 600\r\n", body=b""), 200, b"", method="HEAD"),
 ]
 
 UNSOUND = [
@@ -100,9 +104,11 @@
     assert body == row.body, (row.name, body)
     sent_line, forwarded_line = row.response.split(b"\r\n")[0], head.split(b"\r\n")[0]
     if row.name != "after an informational response":
-        assert forwarded_line[9:] == sent_line[9:], (row.name, forwarded_line)
+        # An empty reason, which has no meaning for callers, is replaced by the usual one of the status.
+        assert forwarded_line[9:] == (sent_line[9:] if sent_line[13:] else b"202 Accepted"), (row.name, forwarded_line)
     lengths = re.findall(rb"\r\nContent-Length: (\d+)", head)
-    assert lengths == [b"5"], (row.name, head)
+    expected = {"HEAD": [b"600"], "status without a body": []}.get(row.name, [b"5"])
+    assert lengths == expected, (row.name, head)
     sent_fields = re.findall(rb"\r\nX-A:[^\r]*", row.response.split(b"\r\n\r\n")[-2 if row.body else 0])
     assert [each.replace(b" ", b"") for each in re.findall(rb"\r\nX-A:[^\r]*", head)] == [
         each.replace(b" ", b"") for each in sent_fields], (row.name, head)
