Wait for requests that are being read when a process stops

The process ended 3.9 s after SIGTERM, with 4.1 s left.

Cause: the wait for requests ended as soon as none was being served. A connection on which a request was being read counted as idle, and went on to read and forward it while the process made its last store calls one after another, each with a timeout of 0.7 s.

Ruled out: the end of the wait at 6.8 s (the process ended at 3.9 s), and loss before the process reads (the requests were executed).

Fix: ShutdownPlan holds the schedule of a stop as one state machine; its wait counts connections from the first byte of a request until the response is written. After it no request is sent to an endpoint. The lease is released at the signal, beside the wait; registration and usage are written last, beside each other, within 0.8 s. requests_ended and shutdown_incomplete log both ends.

Test: testsuite/planned_stop.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -21,29 +21,58 @@
     constexpr std::size_t maxUnparsedBytes = 32 * 1024;
     /// Time allowed for receiving the body after the header.
     constexpr Duration bodyTimeout = std::chrono::seconds(10);
+    /// Idle time after which a connection is closed at shutdown: a caller that has just connected sends its request
+    /// within a round trip between regions.
+    constexpr Duration minIdleTimeToClose = std::chrono::milliseconds(200);
 
 } // namespace
 
-CallerSession::CallerSession(GatewayState& state, boost::asio::ip::tcp::socket socket)
+CallerSession::CallerSession(GatewayState& state, boost::asio::ip::tcp::socket socket, TimePoint now)
     : m_state(state)
     , m_socket(std::move(socket))
     , m_expiry(state.watchdog, [this] { onExpired(); })
+    , m_idleSince(now)
 {
 }
 
+CallerSession::~CallerSession()
+{
+    if (!m_idleSince)
+        --m_state.busyConnections;
+}
+
 CallerLimits CallerSession::limits() const { return m_state.routes ? m_state.routes->config().limits : CallerLimits(); }
 
 void CallerSession::onExpired()
 {
-    m_readTimedOut = !m_idle;
+    m_readTimedOut = !m_idleSince;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void CallerSession::setIdle(bool idle, TimePoint now)
+{
+    if (idle == m_idleSince.has_value())
+        return;
+    idle ? --m_state.busyConnections : ++m_state.busyConnections;
+    m_idleSince = idle ? std::optional(now) : std::nullopt;
+}
+
+void CallerSession::closeIfIdle(TimePoint now)
+{
+    if (!m_idleSince || now - *m_idleSince < minIdleTimeToClose)
+        return;
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
 }
 
-void CallerSession::closeIfIdle()
+void CallerSession::end()
 {
-    if (!m_idle)
+    m_ending = true;
+    if (m_handler) {
+        m_handler->expire();
         return;
+    }
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
 }
@@ -52,7 +81,7 @@
 {
     auto self = shared_from_this();
     setTcpOptions(m_socket);
-    while (true) {
+    while (!m_ending) {
         Parser parser;
         parser.header_limit(limits().maxHeaderBytes);
         parser.body_limit(static_cast<std::uint64_t>(limits().maxBody.value()));
@@ -72,7 +101,9 @@
         request.body = std::make_shared<const std::string>(std::move(parser.get().body()));
         request.head = std::move(parser.get().base());
         RequestHandler handler(m_state, m_socket, std::move(request));
+        m_handler = &handler;
         bool keepAlive = co_await handler.serve();
+        m_handler = nullptr;
         if (!keepAlive)
             break;
     }
@@ -80,6 +111,7 @@
     boost::system::error_code ignored;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
+    setIdle(true, bootTimeNow());
 }
 
 CallerSession::ReadResult CallerSession::parseBuffered(Parser& parser)
@@ -110,9 +142,11 @@
     boost::system::error_code error;
     std::size_t received = co_await m_socket.async_read_some(space, redirect_error(use_awaitable, error));
     m_buffer.commit(received);
-    if (error)
-        co_return m_readTimedOut ? ReadResult::TooSlow : ReadResult::Closed;
-    co_return parseBuffered(parser);
+    if (!error)
+        co_return parseBuffered(parser);
+    if (m_ending && !m_idleSince)
+        co_return ReadResult::Stopping;
+    co_return m_readTimedOut ? ReadResult::TooSlow : ReadResult::Closed;
 }
 
 awaitable<CallerSession::ReadResult> CallerSession::readRequest(Parser& parser)
@@ -121,13 +155,13 @@
     m_readTimedOut = false;
     // A pipelined request may already be in the buffer.
     ReadResult result = parseBuffered(parser);
-    m_idle = m_buffer.size() == 0 && !parser.got_some();
-    m_expiry.set(bootTimeNow() + (m_idle ? limits().idleTimeout : limits().headerTimeout));
+    setIdle(m_buffer.size() == 0 && !parser.got_some(), bootTimeNow());
+    m_expiry.set(bootTimeNow() + (m_idleSince ? limits().idleTimeout : limits().headerTimeout));
     while (result == ReadResult::Complete && !parser.is_done()) {
         bool hadHeader = parser.is_header_done();
         result = co_await readMore(parser);
-        if (m_idle && result == ReadResult::Complete) {
-            m_idle = false;
+        if (m_idleSince && result == ReadResult::Complete) {
+            setIdle(false, bootTimeNow());
             m_expiry.set(bootTimeNow() + limits().headerTimeout);
         }
         if (result != ReadResult::Complete || !parser.is_header_done() || hadHeader)
@@ -139,7 +173,6 @@
             co_await writeContinue();
         }
     }
-    m_idle = false;
     m_expiry.clear();
     co_return result;
 }
@@ -160,6 +193,9 @@
         response = LocalResponse { 413, "body_too_large", "the request's body is too large", std::nullopt };
     else if (result == ReadResult::TooSlow)
         response = LocalResponse { 408, "too_slow", "the request did not arrive in time", std::nullopt };
+    else if (result == ReadResult::Stopping)
+        response
+            = LocalResponse { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
     m_state.logRequest(Event::RequestRefused, { { "outcome", "refused" }, { "detail", response.code } }, bootTimeNow());
     std::string text = localResponseText(response, m_state.platform.codec(), RequestId(), false);
     boost::system::error_code ignored; // the connection is closed after this response in any case
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -8,17 +8,25 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace wisteriayard {
 
 /// A caller's connection: reads its requests and serves them in sequence.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
-    CallerSession(GatewayState& state, boost::asio::ip::tcp::socket socket);
+    CallerSession(GatewayState& state, boost::asio::ip::tcp::socket socket, TimePoint now);
+    CallerSession(const CallerSession&) = delete;
+    CallerSession& operator=(const CallerSession&) = delete;
+    ~CallerSession();
 
     boost::asio::awaitable<void> run();
-    /// Closes the connection if no request is in progress, for shutdown.
-    void closeIfIdle();
+    /// Closes the connection if no request has been in progress for a while, for shutdown. A connection that was just
+    /// accepted or used may already carry the next request.
+    void closeIfIdle(TimePoint now);
+    /// Ends the session, for shutdown: an idle connection is closed, a request that is being read is refused, and one
+    /// that is being served ends as if its deadline had passed.
+    void end();
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -31,6 +39,7 @@
         HeadTooLarge,
         BodyTooLarge,
         TooSlow,
+        Stopping,
     };
 
     boost::asio::awaitable<ReadResult> readRequest(Parser& parser);
@@ -39,14 +48,20 @@
     boost::asio::awaitable<void> sendErrorResponse(ReadResult end);
     boost::asio::awaitable<void> writeContinue();
     void onExpired();
+    /// Records whether a request is in progress on the connection.
+    void setIdle(bool idle, TimePoint now);
     CallerLimits limits() const;
 
     GatewayState& m_state;
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     Deadline m_expiry;
-    bool m_idle = false;
+    /// Time since which no request is in progress; absent while one is being read or served.
+    std::optional<TimePoint> m_idleSince;
+    /// The request that is being served, or null.
+    RequestHandler* m_handler = nullptr;
     bool m_readTimedOut = false;
+    bool m_ending = false;
 };
 
 } // namespace wisteriayard
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,16 +45,11 @@
     constexpr Duration unfencedActivationDelay = std::chrono::milliseconds(500);
     /// Interval at which the settings file is compared with the settings in force, for changes without a SIGHUP.
     constexpr Duration settingsCheckInterval = std::chrono::seconds(2);
-    /// Minimum time for which connections are accepted after SIGTERM. The load balancer probes readiness once a second
-    /// and stops sending connections after the second failed probe.
-    constexpr Duration minDrainTime = std::chrono::milliseconds(3200);
-    /// Time after SIGTERM from which idle connections of callers are closed.
-    constexpr Duration idleCloseDelay = std::chrono::milliseconds(2200);
-    /// Fraction of the time between SIGTERM and SIGKILL that active requests may take.
-    constexpr double drainGraceFraction = 0.85;
-    /// Time limit for writing the last usage records; further retries could exceed the grace period.
+    /// Time for which the last usage records are written again if that fails.
     constexpr Duration flushTimeLimit = std::chrono::milliseconds(200);
     constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
+    /// Polling interval while the last store calls are made.
+    constexpr Duration finishPollInterval = std::chrono::milliseconds(10);
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
     /// Interval at which an entry writes its partial usage records. A killed process loses the usage of up to one
     /// interval.
@@ -349,7 +344,7 @@
                     co_await timer.async_wait(redirect_error(use_awaitable, error));
                     continue;
                 }
-                auto session = std::make_shared<CallerSession>(m_state, std::move(socket));
+                auto session = std::make_shared<CallerSession>(m_state, std::move(socket), bootTimeNow());
                 m_sessions.push_back(session);
                 spawn([session] { return session->run(); });
             }
@@ -446,40 +441,79 @@
                     continue;
                 }
                 m_state.log->write(Event::ProcessStopping, { { "signal", signal } });
-                m_state.drainingSince = bootTimeNow();
+                m_state.shutdown.emplace(bootTimeNow(), m_state.settings.shutdownGrace);
                 m_peers.announceShutdown();
-                co_await shutDown();
+                co_await shutDown(*m_state.shutdown);
                 m_io.stop();
                 co_return;
             }
         }
 
-        awaitable<void> shutDown()
+        awaitable<void> shutDown(const ShutdownPlan& plan)
         {
-            TimePoint start = bootTimeNow();
-            TimePoint end = start + scaled(m_state.settings.shutdownGrace, drainGraceFraction);
+            // Another entry may close windows from now on. Callers don't wait for this call.
+            if (m_state.usage)
+                spawn([usage = m_state.usage] { return usage->releaseLease(); });
             boost::asio::steady_timer timer(m_io);
-            while (bootTimeNow() < end) {
+            TimePoint now = bootTimeNow();
+            for (ShutdownPhase phase {}; phase != ShutdownPhase::Finishing;) {
                 timer.expires_after(drainPollInterval);
                 co_await timer.async_wait(use_awaitable);
-                TimePoint now = bootTimeNow();
-                if (now - start >= idleCloseDelay)
-                    closeIdleSessions();
-                if (now - start >= minDrainTime && m_state.activeRequests == 0)
-                    break;
+                now = bootTimeNow();
+                phase = plan.phase(m_state.busyConnections, now);
+                if (phase == ShutdownPhase::ClosingIdle)
+                    forEachSession([now](CallerSession& session) { session.closeIfIdle(now); });
             }
+            endRequests(now - plan.signalledAt());
+            co_await makeLastStoreCalls(plan.storeCallsEnd(now));
+        }
+
+        void endRequests(Duration afterSignal)
+        {
+            m_state.log->write(Event::RequestsEnded,
+                { { "busy_connections", m_state.busyConnections }, { "active_requests", m_state.activeRequests },
+                    { "after_ms", afterSignal.count() / 1000 } });
             boost::system::error_code ignored;
             m_acceptor.close(ignored);
-            if (m_state.usage)
-                co_await m_state.usage->flush(flushTimeLimit);
-            co_await m_peers.unregister();
+            forEachSession([](CallerSession& session) { session.end(); });
+        }
+
+        /// Writes the last usage and ends the registration, beside each other. Callers' connections that have not ended
+        /// yet get their answers meanwhile.
+        awaitable<void> makeLastStoreCalls(TimePoint end)
+        {
+            auto pending = std::make_shared<int>(1);
+            spawn([this, pending]() -> awaitable<void> {
+                co_await m_peers.unregister();
+                --*pending;
+            });
+            if (m_state.usage) {
+                ++*pending;
+                spawn([usage = m_state.usage, pending]() -> awaitable<void> {
+                    co_await usage->flush(flushTimeLimit);
+                    --*pending;
+                });
+            }
+            boost::asio::steady_timer timer(m_io);
+            do {
+                timer.expires_after(finishPollInterval);
+                co_await timer.async_wait(use_awaitable);
+            } while ((*pending > 0 || m_state.busyConnections > 0) && bootTimeNow() < end);
+            if (*pending > 0 || m_state.busyConnections > 0)
+                logIncomplete(*pending);
+        }
+
+        void logIncomplete(int storeCalls)
+        {
+            m_state.log->write(Event::ShutdownIncomplete,
+                { { "store_calls", storeCalls }, { "busy_connections", m_state.busyConnections } });
         }
 
-        void closeIdleSessions()
+        template <typename Action> void forEachSession(Action action)
         {
             for (const auto& weak : m_sessions) {
                 if (auto session = weak.lock())
-                    session->closeIfIdle();
+                    action(*session);
             }
         }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -54,8 +54,10 @@
 
 bool GatewayState::hasTimeFor(RequestKind kind, TimePoint now) const
 {
+    if (!shutdown)
+        return true;
     Duration last = kind == RequestKind::Stream ? lastStreamStart : lastRequestStart;
-    return !drainingSince || now - *drainingSince < last;
+    return now - shutdown->signalledAt() < last && now < shutdown->requestsEnd();
 }
 
 RetryBudget& GatewayState::retryBudget(const TargetId& target)
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 #include "wisteriayard/clock_guard.h"
 #include "wisteriayard/log_rate_limiter.h"
 #include "wisteriayard/retry_budget.h"
+#include "wisteriayard/shutdown_plan.h"
 
 #include <memory>
 #include <optional>
@@ -52,9 +53,13 @@
     TimePoint endpointsConfirmedAt {};
     /// Number of live gateway processes, including this one; 0 before their registrations were read.
     std::size_t liveEntries = 0;
-    /// Time at which SIGTERM started the shutdown; absent before.
-    std::optional<TimePoint> drainingSince;
+    /// Schedule of the stop; absent before SIGTERM.
+    std::optional<ShutdownPlan> shutdown;
+    /// Requests that are being served. Those that are being read don't count: see busyConnections.
     int activeRequests = 0;
+    /// Connections of callers on which a request is being read, served or refused. The process must not end before
+    /// they are idle.
+    std::size_t busyConnections = 0;
     /// Total size of buffered responses, which are forwarded only when complete.
     std::size_t bufferedResponseBytes = 0;
 
@@ -66,7 +71,8 @@
     void logRequest(Event event, nlohmann::json fields, TimePoint now);
     /// Whether a new request can complete before the process stops; always true unless it is shutting down.
     bool hasTimeFor(RequestKind kind, TimePoint now) const;
-    bool isReady() const { return routes && directory.isLoaded() && !drainingSince; }
+    bool isStopping() const { return shutdown.has_value(); }
+    bool isReady() const { return routes && directory.isLoaded() && !isStopping(); }
 };
 
 } // namespace wisteriayard
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -347,7 +347,7 @@
         m_state.directory.placement(m_target).firstEvent(placement, now);
         m_headSent = true;
         BodyFraming framing = m_request.acceptsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose;
-        output = callerResponseHead(exchange.head(), framing, 0, m_request.keepAlive && !m_state.drainingSince);
+        output = callerResponseHead(exchange.head(), framing, 0, m_request.keepAlive && !m_state.isStopping());
     } else {
         m_state.directory.placement(m_target).firstEvent(placement, now);
     }
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -183,7 +183,7 @@
         m_state.metrics.attemptEnded(outcomeMetricLabel(outcome));
         if (std::holds_alternative<Delivered>(outcome)) {
             logEnd(Event::RequestFinished, "delivered", {});
-            co_return m_request.keepAlive && !m_state.drainingSince;
+            co_return m_request.keepAlive && !m_state.isStopping();
         }
         if (std::holds_alternative<CallerDisconnected>(outcome)) {
             logEnd(Event::RequestFailed, "caller_left", {});
@@ -252,7 +252,7 @@
 
 awaitable<bool> RequestHandler::forwardResponse(const ResponseHead& head, const std::string& body)
 {
-    bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
+    bool keepAlive = m_request.keepAlive && !m_state.isStopping();
     bool bodyless = isBodyless(head, m_request.head.method() == http::verb::head);
     BodyFraming framing = bodyless ? BodyFraming::Bodyless : BodyFraming::Length;
     std::string text = callerResponseHead(head, framing, body.size(), keepAlive);
@@ -272,9 +272,9 @@
     logEnd(Event::RequestRefused, "refused", response.code + ", retry after " + millisecondsText(wait) + " ms");
     // Callers with less time left don't return: until then no engine takes the request.
     std::string text = localResponseText(
-        response, m_state.platform.codec(), m_traits.id, m_request.keepAlive && !m_state.drainingSince);
+        response, m_state.platform.codec(), m_traits.id, m_request.keepAlive && !m_state.isStopping());
     bool written = co_await write(std::move(text));
-    co_return written&& m_request.keepAlive && !m_state.drainingSince;
+    co_return written&& m_request.keepAlive && !m_state.isStopping();
 }
 
 awaitable<bool> RequestHandler::respondToTimeout()
@@ -305,7 +305,7 @@
         Duration most = scaled(timeLeft(bootTimeNow()), retryAfterShare);
         response.retryAfter = std::clamp(*response.retryAfter, Duration(0), std::max(Duration(0), most));
     }
-    bool keepAlive = m_request.keepAlive && !m_state.drainingSince;
+    bool keepAlive = m_request.keepAlive && !m_state.isStopping();
     std::string text = localResponseText(response, m_state.platform.codec(), m_traits.id, keepAlive);
     bool written = co_await write(std::move(text));
     co_return written&& keepAlive;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -74,6 +74,8 @@
 
     /// @return whether the caller's connection can serve another request
     boost::asio::awaitable<bool> serve();
+    /// Ends the request as if its deadline had passed.
+    void expire() { onExpired(); }
 
 private:
     /// Determines the route, account, priority, target and deadline.
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -24,6 +24,10 @@
         return "process_stopping";
     case Event::ProcessStopped:
         return "process_stopped";
+    case Event::RequestsEnded:
+        return "requests_ended";
+    case Event::ShutdownIncomplete:
+        return "shutdown_incomplete";
     case Event::LogStarted:
         return "log_started";
     case Event::RequestAdmitted:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -24,6 +24,8 @@
     ProcessStarted = 100,
     ProcessStopping = 101,
     ProcessStopped = 102,
+    RequestsEnded = 103,
+    ShutdownIncomplete = 104,
     LogStarted = logStartedEvent,
     RequestAdmitted = 200,
     RequestRefused = 201,
--- a/src/wisteriayardd/usage_reporter.cpp
+++ b/src/wisteriayardd/usage_reporter.cpp
@@ -121,14 +121,19 @@
 awaitable<bool> UsageReporter::writePartialRecords(bool submitToWriter)
 {
     bool complete = true;
+    bool storeFailed = false;
     for (WindowId window : m_ledger.windows()) {
         auto record = m_ledger.nextPartialRecord(window);
         if (record && submitToWriter && m_submitToWriter && m_submitToWriter(window, m_self, *record)) {
             m_unconfirmed.insert(window);
             complete = false;
+        } else if (record && !submitToWriter && storeFailed && m_forwardUnstored) {
+            // A process that stops has no time for further calls without a response.
+            m_forwardUnstored(window, m_self, *record);
         } else if (record) {
             bool stored = co_await writePartialRecord(window, *record);
             complete = complete && stored;
+            storeFailed = !stored;
             if (!stored && !m_forwardUnstored)
                 co_return false;
         }
--- a/src/wisteriayardd/usage_reporter.h
+++ b/src/wisteriayardd/usage_reporter.h
@@ -45,6 +45,8 @@
     void count(const AccountId& account, const ClassId& requestClass, const UsageFigures& figures);
     /// Default limit for the time that a shutdown waits for the store.
     static constexpr Duration flushTimeout = std::chrono::seconds(30);
+    /// Releases the lease, for shutdown. Usage is still counted and written.
+    boost::asio::awaitable<void> releaseLease() { return m_keeper.release(); }
     /// Writes all counted usage and releases the lease, for shutdown.
     boost::asio::awaitable<void> flush(Duration timeout = flushTimeout);
     /// Queues a record of another entry, to be written in one transaction with others that arrive at about the same
--- /dev/null
+++ b/testsuite/planned_stop/run.py
@@ -0,0 +1,122 @@
+#!/usr/bin/env python3
+"""A gateway that is stopped by SIGTERM answers each request that it has read, and ends with status 0.
+
+Callers open new connections until the process is gone, as they do where the load balancer has too few other gateways.
+"""
+
+import collections
+import os
+import signal
+import socket
+import sys
+import threading
+import time
+import uuid
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
+from platform_deployment import HOST, Deployment, run_cases  # noqa: E402
+
+BODY_BYTES = 100_000
+PIECES = 20
+# Longer than the time that a gateway gets to stop, `grace_s`.
+LONG_TIMEOUT_MS = 9000
+SHORT_TIMEOUT_MS = 1500
+ANSWER_TIMEOUT_S = 12
+REFUSED = 503
+
+
+class Request(threading.Thread):
+    """A request on a connection of its own, sent in pieces between two times after the start of the thread."""
+
+    def __init__(self, gateway, path, begin_s, end_s, body_bytes):
+        super().__init__(daemon=True)
+        self.gateway, self.path, self.body_bytes = gateway, path, body_bytes
+        self.started, self.begin_s, self.end_s = time.monotonic(), begin_s, end_s
+        self.id, self.sent, self.received = uuid.uuid4().hex[:16], False, b""
+        self.start()
+
+    def sleep_until(self, seconds):
+        time.sleep(max(0, self.started + seconds - time.monotonic()))
+
+    def run(self):
+        self.sleep_until(self.begin_s)
+        try:
+            with socket.create_connection((self.gateway.ip, self.gateway.ports[0]), ANSWER_TIMEOUT_S) as connection:
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection.sendall((f"POST {self.path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {self.id}\r\n"
+                                    f"Deadline-Ms: {LONG_TIMEOUT_MS}\r\nConnection: close\r\n"
+                                    f"Content-Length: {self.body_bytes}\r\n\r\n").encode())
+                for piece in range(1, PIECES + 1):
+                    self.sleep_until(self.begin_s + (self.end_s - self.begin_s) * piece / PIECES)
+                    connection.sendall(b"x" * (self.body_bytes // PIECES))
+                self.sent = True
+                while True:
+                    data = connection.recv(65536)
+                    if not data:
+                        return
+                    self.received += data
+        except OSError:
+            pass  # the process has ended
+
+    def status(self):
+        """Status of a complete response; None without one."""
+        head, separator, body = self.received.partition(b"\r\n\r\n")
+        length = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
+        if not separator or not length or len(body) != int(length[0].split(b":")[1]):
+            return None
+        return int(head.split(b" ")[1])
+
+
+def make_deployment(bin_folder):
+    deployment = Deployment(bin_folder)
+    deployment.routes += [
+        {"name": "upload", "prefix": "/upload/", "kind": "non_idempotent", "service": "plain",
+         "timeout_ms": LONG_TIMEOUT_MS, "anonymous": True},
+        {"name": "publish", "prefix": "/publish/", "kind": "non_idempotent", "service": "plain",
+         "timeout_ms": SHORT_TIMEOUT_MS, "anonymous": True}]
+    return deployment
+
+
+def check_answers(deployment, requests):
+    """Checks that no request was executed without an answer, and that refusals are true. Counts the answers."""
+    for request in requests:
+        request.join()
+    for request in requests:
+        runs = deployment.runs(request.id)
+        assert runs <= 1, (request.id, runs)
+        assert runs == 0 or request.status() is not None, f"{request.id} was executed and got no answer"
+        assert request.status() != REFUSED or runs == 0, f"{request.id} was refused and executed"
+    return collections.Counter(request.status() for request in requests)
+
+
+# Guards against uploads that are read and executed while the process makes its last calls to a store that gives no
+# answer, and are then cut off by its end.
+def uploads_during_a_stop_are_answered(deployment):
+    gateway = deployment.gateways[0]
+    for endpoint in deployment.endpoints:
+        endpoint.delay_s = 0.3
+    assert gateway.call("/charge/1").status == 200  # usage to be written
+    deployment.store.silent = True
+    gateway.signal(signal.SIGTERM)
+    # They end when no other request is in progress, and while the process may make its last calls.
+    requests = [Request(gateway, "/publish/1", 0.5 + 0.05 * number, 3.5 + 0.06 * number, BODY_BYTES)
+                for number in range(24)]
+    answers = check_answers(deployment, requests)
+    deployment.store.silent = False
+    assert gateway.process.wait(30) == 0
+    # Each upload began well before the end of the process.
+    assert answers[None] == 0, answers
+    assert answers[200] > 0, answers
+
+
+# Guards against the loss of a request that is only half read when the process ends.
+def unfinished_uploads_are_not_executed(deployment):
+    gateway = deployment.gateways[0]
+    gateway.signal(signal.SIGTERM)
+    requests = [Request(gateway, "/upload/1", 0.5, 20, BODY_BYTES) for _ in range(4)]
+    assert gateway.process.wait(30) == 0
+    check_answers(deployment, requests)
+    assert all(deployment.runs(request.id) == 0 for request in requests)
+
+
+run_cases((uploads_during_a_stop_are_answered, unfinished_uploads_are_not_executed), make_deployment, 2)
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -14,6 +14,9 @@
 import urllib.parse
 
 
+SILENCE_POLL_S = 0.02
+
+
 def reset(connection):
     """Ends a connection by a reset, as a crash does on the platform; other threads may use it."""
     try:
@@ -62,7 +65,7 @@
 class Store(Server):
     """The metadata store: items with revisions, leases and watches.
 
-    While `down` is set, it refuses all calls. `response_loss_rate` is the share of POST calls that take effect but get
+    While `down` is set, it refuses all calls; while `silent` is set, calls have no effect and get no response. `response_loss_rate` is the share of POST calls that take effect but get
     no response. restore() brings back what copy() returned earlier; later revisions and lease numbers are then given out
     again. `usage_holder` is the name of the only gateway that may take the usage lease; None lets each one.
     """
@@ -77,7 +80,7 @@
         self.leases = {}
         # Wider than revisions, as on the platform.
         self.last_lease = 10**15
-        self.down = False
+        self.down = self.silent = False
         self.usage_holder = None
         self.response_loss_rate = 0.0
         self.random = random.Random(1)
@@ -181,6 +184,11 @@
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         text = self.body()
         era = store.era
+        if store.silent:
+            self.close_connection = True
+            while store.silent:
+                time.sleep(SILENCE_POLL_S)
+            return None
         if store.down:
             return self.answer(503, None, [("Store-Era", str(era))])
         status, document = self.execute(store, method, url.path, query, json.loads(text or b"{}"))
