Admit requests during a stop only if they end in time

Cause: plain requests were admitted for 5.5 s and streams for 2.9 s, whatever their timeout; the wait for them ends at a fixed time.

Ruled out: connections sent by mistake (the load balancer uses all entries of a zone if fewer than half are ready), and an early end of the process (all were cut at the end of the wait, only those of the last 0.15 s).

Fix: after 2.9 s a request is admitted only if its deadline passes before the wait ends. Others get a true 503 and can go to another entry. The wait ends in the last sixth of the time, for any length of it.

Test: late_requests_are_answered_or_refused in testsuite/planned_stop, with a timeout of 2.5 s.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -449,7 +449,7 @@
             }
         }
 
-        awaitable<void> shutDown(const ShutdownPlan& plan)
+        awaitable<void> shutDown(ShutdownPlan& plan)
         {
             // Another entry may close windows from now on. Callers don't wait for this call.
             if (m_state.usage)
@@ -464,6 +464,7 @@
                 if (phase == ShutdownPhase::ClosingIdle)
                     forEachSession([now](CallerSession& session) { session.closeIfIdle(now); });
             }
+            plan.finish(now);
             endRequests(now - plan.signalledAt());
             co_await makeLastStoreCalls(plan.storeCallsEnd(now));
         }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -13,11 +13,6 @@
     /// different windows.
     constexpr double retryLimitShare = 0.7;
 
-    /// Streams take seconds; one started later than this after SIGTERM would be cut off by the end of the process.
-    constexpr Duration lastStreamStart = std::chrono::milliseconds(2900);
-    /// Other requests complete within a second.
-    constexpr Duration lastRequestStart = std::chrono::milliseconds(5500);
-
 } // namespace
 
 GatewayState::GatewayState(boost::asio::io_context& loop, GatewaySettings initial, const PlatformPort& port,
@@ -52,14 +47,6 @@
     metrics.setConfigVersion(version.value());
 }
 
-bool GatewayState::hasTimeFor(RequestKind kind, TimePoint now) const
-{
-    if (!shutdown)
-        return true;
-    Duration last = kind == RequestKind::Stream ? lastStreamStart : lastRequestStart;
-    return now - shutdown->signalledAt() < last && now < shutdown->requestsEnd();
-}
-
 RetryBudget& GatewayState::retryBudget(const TargetId& target)
 {
     RetryBudget& budget = retryBudgets[target];
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -69,8 +69,9 @@
     RetryBudget& retryBudget(const TargetId& target);
     /// Logs a request event unless the rate limit for such lines is exceeded.
     void logRequest(Event event, nlohmann::json fields, TimePoint now);
-    /// Whether a new request can complete before the process stops; always true unless it is shutting down.
-    bool hasTimeFor(RequestKind kind, TimePoint now) const;
+    /// Whether a request may be sent to endpoints; always true unless the process is stopping.
+    /// @param deadline time by which the request ends at the latest
+    bool admits(TimePoint deadline, TimePoint now) const { return !shutdown || shutdown->admits(deadline, now); }
     bool isStopping() const { return shutdown.has_value(); }
     bool isReady() const { return routes && directory.isLoaded() && !isStopping(); }
 };
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -115,13 +115,13 @@
         m_account = owner->account;
         m_priority = enginePriority(owner->priority, m_route->priority);
     }
-    if (!m_state.hasTimeFor(m_route->kind, m_request.arrivedAt))
-        return LocalResponse { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
     m_target = RouteTable::pickTarget(*m_route, m_traits.id);
     auto target = m_routes->config().targets.find(m_target);
     m_isEngine = target != m_routes->config().targets.end() && target->second.engine.has_value();
     Duration wait = std::min(m_route->timeout, m_traits.timeLeft.value_or(m_route->timeout));
     m_deadline = m_request.arrivedAt + wait;
+    if (!m_state.admits(m_deadline, m_request.arrivedAt))
+        return LocalResponse { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
     return std::nullopt;
 }
 
--- a/src/include/wisteriayard/shutdown_plan.h
+++ b/src/include/wisteriayard/shutdown_plan.h
@@ -27,6 +27,12 @@
 
     /// @param busyConnections connections on which a request is being read or served
     ShutdownPhase phase(std::size_t busyConnections, TimePoint now) const;
+    /// Whether a request that has been read is sent to an endpoint. One that is refused has not been executed, so its
+    /// caller can send it to another entry; one that is cut off may not be repeated.
+    /// @param deadline time by which the request ends at the latest
+    bool admits(TimePoint deadline, TimePoint now) const;
+    /// Ends the admission of requests.
+    void finish(TimePoint now);
     TimePoint signalledAt() const { return m_signalledAt; }
     /// Time by which each request has got its answer.
     TimePoint requestsEnd() const { return m_requestsEnd; }
--- a/src/libwisteriayard/shutdown_plan.cpp
+++ b/src/libwisteriayard/shutdown_plan.cpp
@@ -16,8 +16,15 @@
     constexpr Duration storeCallTime = std::chrono::milliseconds(800);
     /// Time kept back for the end of the process: writing the log, releasing memory.
     constexpr Duration exitTime = std::chrono::milliseconds(300);
-    /// Limit of the times kept back, as a share of the whole.
-    constexpr double maxReservedShare = 0.3;
+    /// Limit of the times kept back, as a share of the whole. The platform accepts that a request is cut off only if
+    /// its endpoint was still at work in the last sixth.
+    constexpr double maxReservedShare = 1.0 / 6;
+    /// Time in which requests are admitted although they may last beyond the end. So early the load balancer still
+    /// sends connections, most requests end long before their deadline, and the platform accepts that requests of the
+    /// first 3 s are cut off.
+    constexpr Duration uncertainAdmissionTime = std::chrono::milliseconds(2900);
+    /// Time in which a request whose deadline has passed gets its response.
+    constexpr Duration responseTime = std::chrono::milliseconds(100);
 
     Duration reservedTime(Duration grace)
     {
@@ -35,6 +42,16 @@
 
 TimePoint ShutdownPlan::storeCallsEnd(TimePoint requestsEndedAt) const { return requestsEndedAt + m_storeCallTime; }
 
+bool ShutdownPlan::admits(TimePoint deadline, TimePoint now) const
+{
+    if (now >= m_requestsEnd)
+        return false;
+    bool endsInTime = deadline + responseTime <= m_requestsEnd;
+    return endsInTime || now - m_signalledAt < uncertainAdmissionTime;
+}
+
+void ShutdownPlan::finish(TimePoint now) { m_requestsEnd = std::min(m_requestsEnd, now); }
+
 ShutdownPhase ShutdownPlan::phase(std::size_t busyConnections, TimePoint now) const
 {
     bool isQuiet = busyConnections == 0 && now - m_signalledAt >= minServingTime;
--- a/testsuite/planned_stop/run.py
+++ b/testsuite/planned_stop/run.py
@@ -21,8 +21,11 @@
 # Longer than the time that a gateway gets to stop, `grace_s`.
 LONG_TIMEOUT_MS = 9000
 SHORT_TIMEOUT_MS = 1500
+MIDDLE_TIMEOUT_MS = 2500
+# Endpoints answer shortly before the timeout of the route.
+SLOW_ANSWER_S = 2.4
 ANSWER_TIMEOUT_S = 12
-REFUSED = 503
+REFUSED, TIMED_OUT = 503, 504
 
 
 class Request(threading.Thread):
@@ -33,6 +36,8 @@
         self.gateway, self.path, self.body_bytes = gateway, path, body_bytes
         self.started, self.begin_s, self.end_s = time.monotonic(), begin_s, end_s
         self.id, self.sent, self.received = uuid.uuid4().hex[:16], False, b""
+        # Times before the last piece was sent, and after the end of the connection.
+        self.complete_at = self.ended_at = None
         self.start()
 
     def sleep_until(self, seconds):
@@ -48,6 +53,7 @@
                                     f"Content-Length: {self.body_bytes}\r\n\r\n").encode())
                 for piece in range(1, PIECES + 1):
                     self.sleep_until(self.begin_s + (self.end_s - self.begin_s) * piece / PIECES)
+                    self.complete_at = time.monotonic()
                     connection.sendall(b"x" * (self.body_bytes // PIECES))
                 self.sent = True
                 while True:
@@ -57,6 +63,11 @@
                     self.received += data
         except OSError:
             pass  # the process has ended
+        finally:
+            self.ended_at = time.monotonic()
+
+    def lasted_s(self):
+        return self.ended_at - self.complete_at
 
     def status(self):
         """Status of a complete response; None without one."""
@@ -73,7 +84,9 @@
         {"name": "upload", "prefix": "/upload/", "kind": "non_idempotent", "service": "plain",
          "timeout_ms": LONG_TIMEOUT_MS, "anonymous": True},
         {"name": "publish", "prefix": "/publish/", "kind": "non_idempotent", "service": "plain",
-         "timeout_ms": SHORT_TIMEOUT_MS, "anonymous": True}]
+         "timeout_ms": SHORT_TIMEOUT_MS, "anonymous": True},
+        {"name": "order", "prefix": "/order/", "kind": "non_idempotent", "service": "plain",
+         "timeout_ms": MIDDLE_TIMEOUT_MS, "anonymous": True}]
     return deployment
 
 
@@ -109,6 +122,27 @@
     assert answers[200] > 0, answers
 
 
+# Guards against requests that are accepted so late that the process ends before their timeout, and against a process
+# that crashes at its end.
+def late_requests_are_answered_or_refused(deployment):
+    gateway = deployment.gateways[0]
+    for endpoint in deployment.endpoints:
+        endpoint.delay_s = SLOW_ANSWER_S
+    gateway.signal(signal.SIGTERM)
+    # One request or more is being served at each moment, so that the process uses all of its time.
+    requests = [Request(gateway, "/order/1", 0.05 * number, 0.05 * number, PIECES) for number in range(140)]
+    answers = check_answers(deployment, requests)
+    assert gateway.process.wait(30) == 0
+    early = [request.lasted_s() for request in requests if request.status() == TIMED_OUT]
+    assert all(lasted >= MIDDLE_TIMEOUT_MS / 1000 for lasted in early), f"timed out before their timeout: {early}"
+    read = [request for request in requests if request.sent and request.begin_s < 6]
+    assert all(request.status() is not None for request in read), answers
+    # Most of the time between the signal and the forced end is used.
+    served = [request for request in requests if request.status() == 200]
+    assert max(request.begin_s for request in served) > 3, answers
+    assert answers[REFUSED] > 0, answers
+
+
 # Guards against the loss of a request that is only half read when the process ends.
 def unfinished_uploads_are_not_executed(deployment):
     gateway = deployment.gateways[0]
@@ -119,4 +153,5 @@
     assert all(deployment.runs(request.id) == 0 for request in requests)
 
 
-run_cases((uploads_during_a_stop_are_answered, unfinished_uploads_are_not_executed), make_deployment, 2)
+run_cases((uploads_during_a_stop_are_answered, late_requests_are_answered_or_refused,
+           unfinished_uploads_are_not_executed), make_deployment, 2)
