Hold signals back until the gateway handles them

Cause: until the handlers are installed, after the settings were read, a signal has its default action.

Ruled out: the handler itself; a signal 50 ms after the start of the program gave status 0.

Test: signal_during_the_start_ends_the_process_in_order stops a program that waits for its settings.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -546,6 +546,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     Gateway gateway(settings, platform, options);
+    if (options.signalsHandled)
+        options.signalsHandled();
     auto started = gateway.start();
     if (!started) {
         std::fprintf(stderr, "wisteriayard-gateway: %s\n", started.error().message.c_str());
--- a/testsuite/planned_stop/run.py
+++ b/testsuite/planned_stop/run.py
@@ -206,6 +206,46 @@
     assert [request.status() for request in requests[:20]] == [TIMED_OUT] * 20
 
 
+def wait_for_reader(pipe):
+    """Opens a named pipe for writing as soon as a process reads it."""
+    opened = []
+
+    def has_reader():
+        try:
+            opened.append(os.open(pipe, os.O_WRONLY | os.O_NONBLOCK))
+        except OSError:
+            return False
+        os.set_blocking(opened[0], True)
+        return True
+    wait_until(has_reader, "the program to read its settings")
+    return opened[0]
+
+
+# Guards against a signal during the start that ends the process before its handler exists.
+def signal_during_the_start_ends_the_process_in_order(deployment):
+    gateway = deployment.gateways[0]
+    gateway.signal(signal.SIGTERM)
+    assert gateway.process.wait(30) == 0, gateway.process.returncode
+    # A program that waits for its settings has no handler yet.
+    pipe = gateway.file + ".pipe"
+    os.mkfifo(pipe)
+    gateway.start(pipe)
+    writer = wait_for_reader(pipe)
+    gateway.signal(signal.SIGTERM)
+    with os.fdopen(writer, "w") as settings, open(gateway.file) as source:
+        settings.write(source.read())
+    os.replace(gateway.file, pipe)
+    assert gateway.process.wait(30) == 0, gateway.process.returncode
+    for delay_s in (0, 0.002, 0.01, 0.1, 0.4):
+        gateway.start()
+        # Until the program's code runs, the signal has its default action.
+        wait_until(lambda: gateway.handles(signal.SIGTERM), "the program to run")
+        time.sleep(delay_s)
+        gateway.signal(signal.SIGTERM)
+        assert gateway.process.wait(30) == 0, delay_s
+
+
 run_cases((uploads_during_a_stop_are_answered, late_requests_are_answered_or_refused,
            unfinished_uploads_are_not_executed, process_ends_with_status_0,
-           work_in_progress_at_the_end_does_no_harm), make_deployment, 2)
+           work_in_progress_at_the_end_does_no_harm,
+           signal_during_the_start_ends_the_process_in_order), make_deployment, 2)
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -73,9 +73,10 @@
             json.dump(self.settings, file)
         os.replace(self.file + ".new", self.file)
 
-    def start(self):
+    def start(self, file=None):
+        """Starts the process; `file` is the settings file if it is not the gateway's own."""
         self.write_settings()
-        environment = dict(os.environ, WISTERIAYARD_CONFIG=self.file)
+        environment = dict(os.environ, WISTERIAYARD_CONFIG=file or self.file)
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([os.path.join(self.deployment.bin, "wisteriayard-gateway")],
                                             env=environment, stdout=log, stderr=log)
