Deliver refusals to callers that are still sending

What callers saw: a caller that sends a body above the size limit, and reads the answer only then, got a reset connection in place of the 413, so it couldn't tell a refusal from a failure and repeated the request.

Cause: the connection was closed right after the response had been written. Closing a connection with unread bytes resets it, and the reset discards the response at the caller. The responses 400, 408 and 431 ended in the same way.

Ruled out: a response that was not written (the entry logs the refusal and the write succeeds).

Fix: after such a response only the sending side is closed. What still arrives is discarded until the caller closes the connection, for 10 s and twice the size limit of a body at most, so that callers that never end are still closed (callers_without_end_are_closed in testsuite/gateway).

Test: too_large_bodies_are_refused in testsuite/request_bodies. After: passed, with a stated length and in chunks.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -21,6 +21,8 @@
     constexpr std::size_t maxUnparsedBytes = 32 * 1024;
     /// Time allowed for receiving the body after the header.
     constexpr Duration bodyTimeout = std::chrono::seconds(10);
+    /// Limit on input that is discarded after a refusal, as a multiple of the size limit of a body.
+    constexpr std::int64_t maxDiscardedBodies = 2;
     /// Idle time after which a connection is closed at shutdown: a caller that has just connected sends its request
     /// within a round trip between regions.
     constexpr Duration minIdleTimeToClose = std::chrono::milliseconds(200);
@@ -91,6 +93,7 @@
             break;
         if (result != ReadResult::Complete) {
             co_await sendErrorResponse(result);
+            co_await discardInput();
             break;
         }
         CallerRequest request;
@@ -184,6 +187,20 @@
     co_await boost::asio::async_write(m_socket, boost::asio::buffer(text), redirect_error(use_awaitable, ignored));
 }
 
+awaitable<void> CallerSession::discardInput()
+{
+    boost::system::error_code error;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    m_expiry.set(bootTimeNow() + bodyTimeout);
+    auto left = maxDiscardedBodies * limits().maxBody.value();
+    while (!m_ending && !error && left > 0) {
+        m_buffer.clear();
+        auto space = m_buffer.prepare(readBytes);
+        left -= static_cast<std::int64_t>(
+            co_await m_socket.async_read_some(space, redirect_error(use_awaitable, error)));
+    }
+}
+
 awaitable<void> CallerSession::sendErrorResponse(ReadResult result)
 {
     LocalResponse response { 400, "bad_request", "the request can't be parsed", std::nullopt };
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -47,6 +47,9 @@
     ReadResult parseBuffered(Parser& parser);
     boost::asio::awaitable<void> sendErrorResponse(ReadResult end);
     boost::asio::awaitable<void> writeContinue();
+    /// Discards what the caller still sends, until it closes the connection. If a connection is closed before that, it
+    /// is reset, and the caller may lose the response.
+    boost::asio::awaitable<void> discardInput();
     void onExpired();
     /// Records whether a request is in progress on the connection.
     void setIdle(bool idle, TimePoint now);
