Limit the memory of request bodies

Cause: CallerSession reads a request as a whole and keeps its body for retries until the answer has been sent. Only the size of one body was limited; buffered responses had a common limit, request bodies had none.

Evidence: 45 uploads that are held at the same time use 185 MiB with a stated length and 187 MiB in chunks: one copy of each body and 13 MiB. Ruled out: copies for each attempt (the same figures), and memory that is not reused for bodies of other sizes (eight rounds of 60 stay below 110 MiB with the limit).

Fix: ByteBudget limits the memory of one kind of content; buffered responses now use it, too. Request bodies may use what the memory limit leaves beside responses and 24 MiB for everything else. The memory is reserved when the head has been read, or as a body in chunks grows, and lives as long as the body. A request that doesn't fit is refused with 503 (no_memory) and Retry-After before anything is sent, and its caller receives the refusal. Bodies above 64 KiB leave 2 MiB to smaller ones. Metric: wisteriayard_gateway_request_body_bytes.

Tests: six of the seven cases of testsuite/request_bodies, byte_budget_test. Before: all six failed.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace wisteriayard {
 
 namespace http = boost::beast::http;
@@ -21,12 +23,35 @@
     constexpr std::size_t maxUnparsedBytes = 32 * 1024;
     /// Time allowed for receiving the body after the header.
     constexpr Duration bodyTimeout = std::chrono::seconds(10);
+    /// Size limit of a small body, and the memory that larger ones leave to them, so that uploads don't stop all other
+    /// requests.
+    constexpr Bytes maxSmallBody { 64 * 1024 };
+    constexpr Bytes smallBodyMemory { 2 * 1024 * 1024 };
     /// Limit on input that is discarded after a refusal, as a multiple of the size limit of a body.
     constexpr std::int64_t maxDiscardedBodies = 2;
     /// Idle time after which a connection is closed at shutdown: a caller that has just connected sends its request
     /// within a round trip between regions.
     constexpr Duration minIdleTimeToClose = std::chrono::milliseconds(200);
 
+    /// Body of a request and the memory reserved for it.
+    struct RequestBody {
+        explicit RequestBody(ByteBudget& budget)
+            : reservation(budget)
+        {
+        }
+        ByteReservation reservation;
+        std::string text;
+    };
+
+    /// Extends the reservation to the size of the body: the stated one, or that of the part received so far.
+    template <typename Parser> bool reserveBody(const Parser& parser, ByteReservation& reservation)
+    {
+        const std::string& received = parser.get().body();
+        std::uint64_t stated = parser.content_length().value_or(0);
+        Bytes size(static_cast<std::int64_t>(received.empty() ? stated : std::max(stated, received.capacity())));
+        return reservation.extendTo(size, size > maxSmallBody ? smallBodyMemory : Bytes(0));
+    }
+
 } // namespace
 
 CallerSession::CallerSession(GatewayState& state, boost::asio::ip::tcp::socket socket, TimePoint now)
@@ -83,32 +108,19 @@
 {
     auto self = shared_from_this();
     setTcpOptions(m_socket);
-    while (!m_ending) {
-        Parser parser;
-        parser.header_limit(limits().maxHeaderBytes);
-        parser.body_limit(static_cast<std::uint64_t>(limits().maxBody.value()));
-        parser.eager(true);
-        ReadResult result = co_await readRequest(parser);
+    bool keepAlive = true;
+    while (keepAlive && !m_ending) {
+        CallerRequest request;
+        ReadResult result = co_await readRequest(request);
         if (result == ReadResult::Closed)
             break;
-        if (result != ReadResult::Complete) {
+        keepAlive = false;
+        if (result == ReadResult::Complete || result == ReadResult::NoMemory)
+            keepAlive = co_await serve(std::move(request));
+        else
             co_await sendErrorResponse(result);
+        if (result != ReadResult::Complete)
             co_await discardInput();
-            break;
-        }
-        CallerRequest request;
-        request.arrivedAt = bootTimeNow();
-        request.keepAlive = parser.get().keep_alive();
-        request.acceptsChunked = parser.get().version() >= 11;
-        request.hasBody = parser.content_length().has_value() || parser.chunked();
-        request.body = std::make_shared<const std::string>(std::move(parser.get().body()));
-        request.head = std::move(parser.get().base());
-        RequestHandler handler(m_state, m_socket, std::move(request));
-        m_handler = &handler;
-        bool keepAlive = co_await handler.serve();
-        m_handler = nullptr;
-        if (!keepAlive)
-            break;
     }
     m_expiry.clear();
     boost::system::error_code ignored;
@@ -117,7 +129,16 @@
     setIdle(true, bootTimeNow());
 }
 
-CallerSession::ReadResult CallerSession::parseBuffered(Parser& parser)
+awaitable<bool> CallerSession::serve(CallerRequest request)
+{
+    RequestHandler handler(m_state, m_socket, std::move(request));
+    m_handler = &handler;
+    bool keepAlive = co_await handler.serve();
+    m_handler = nullptr;
+    co_return keepAlive;
+}
+
+CallerSession::ReadResult CallerSession::parseBuffered(Parser& parser, ByteReservation& reservation)
 {
     while (m_buffer.size() > 0 && !parser.is_done()) {
         boost::system::error_code error;
@@ -136,33 +157,58 @@
     }
     if (!parser.is_done() && m_buffer.size() > limits().maxHeaderBytes + maxUnparsedBytes)
         return ReadResult::Malformed;
+    if (parser.is_header_done() && !reserveBody(parser, reservation))
+        return ReadResult::NoMemory;
     return ReadResult::Complete;
 }
 
-awaitable<CallerSession::ReadResult> CallerSession::readMore(Parser& parser)
+awaitable<CallerSession::ReadResult> CallerSession::readMore(Parser& parser, ByteReservation& reservation)
 {
     auto space = m_buffer.prepare(readBytes);
     boost::system::error_code error;
     std::size_t received = co_await m_socket.async_read_some(space, redirect_error(use_awaitable, error));
     m_buffer.commit(received);
     if (!error)
-        co_return parseBuffered(parser);
+        co_return parseBuffered(parser, reservation);
     if (m_ending && !m_idleSince)
         co_return ReadResult::Stopping;
     co_return m_readTimedOut ? ReadResult::TooSlow : ReadResult::Closed;
 }
 
-awaitable<CallerSession::ReadResult> CallerSession::readRequest(Parser& parser)
+awaitable<CallerSession::ReadResult> CallerSession::readRequest(CallerRequest& request)
+{
+    Parser parser;
+    parser.header_limit(limits().maxHeaderBytes);
+    parser.body_limit(static_cast<std::uint64_t>(limits().maxBody.value()));
+    parser.eager(true);
+    auto body = std::make_shared<RequestBody>(m_state.requestBodies);
+    ReadResult result = co_await receive(parser, body->reservation);
+    if (result != ReadResult::Complete && result != ReadResult::NoMemory)
+        co_return result;
+    bool complete = result == ReadResult::Complete;
+    request.arrivedAt = bootTimeNow();
+    request.keepAlive = parser.get().keep_alive() && complete;
+    request.acceptsChunked = parser.get().version() >= 11;
+    request.hasBody = parser.content_length().has_value() || parser.chunked();
+    if (complete) {
+        body->text = std::move(parser.get().body());
+        request.body = std::shared_ptr<const std::string>(body, &body->text);
+    }
+    request.head = std::move(parser.get().base());
+    co_return result;
+}
+
+awaitable<CallerSession::ReadResult> CallerSession::receive(Parser& parser, ByteReservation& reservation)
 {
     bool sentContinue = false;
     m_readTimedOut = false;
     // A pipelined request may already be in the buffer.
-    ReadResult result = parseBuffered(parser);
+    ReadResult result = parseBuffered(parser, reservation);
     setIdle(m_buffer.size() == 0 && !parser.got_some(), bootTimeNow());
     m_expiry.set(bootTimeNow() + (m_idleSince ? limits().idleTimeout : limits().headerTimeout));
     while (result == ReadResult::Complete && !parser.is_done()) {
         bool hadHeader = parser.is_header_done();
-        result = co_await readMore(parser);
+        result = co_await readMore(parser, reservation);
         if (m_idleSince && result == ReadResult::Complete) {
             setIdle(false, bootTimeNow());
             m_expiry.set(bootTimeNow() + limits().headerTimeout);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -31,9 +31,12 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    /// Result of reading a request; the values other than Complete and Closed are answered with an error response.
+    /// Result of reading a request; the values other than Complete, NoMemory and Closed are answered with an error
+    /// response.
     enum class ReadResult {
         Complete,
+        /// There is no memory for the body; the head is complete.
+        NoMemory,
         Closed,
         Malformed,
         HeadTooLarge,
@@ -42,9 +45,15 @@
         Stopping,
     };
 
-    boost::asio::awaitable<ReadResult> readRequest(Parser& parser);
-    boost::asio::awaitable<ReadResult> readMore(Parser& parser);
-    ReadResult parseBuffered(Parser& parser);
+    /// Reads a request. It is set if the result is Complete, or NoMemory: then without its body.
+    boost::asio::awaitable<ReadResult> readRequest(CallerRequest& request);
+    /// Receives bytes until the request is complete or can't be completed.
+    /// @param reservation extended as memory for the body is needed
+    boost::asio::awaitable<ReadResult> receive(Parser& parser, ByteReservation& reservation);
+    boost::asio::awaitable<ReadResult> readMore(Parser& parser, ByteReservation& reservation);
+    ReadResult parseBuffered(Parser& parser, ByteReservation& reservation);
+    /// @return whether the connection can serve another request
+    boost::asio::awaitable<bool> serve(CallerRequest request);
     boost::asio::awaitable<void> sendErrorResponse(ReadResult end);
     boost::asio::awaitable<void> writeContinue();
     /// Discards what the caller still sends, until it closes the connection. If a connection is closed before that, it
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -395,6 +395,7 @@
         {
             m_state.metrics.setEndpointCount(m_state.directory.size());
             m_state.metrics.setActiveRequests(m_state.activeRequests);
+            m_state.metrics.setRequestBodyMemory(m_state.requestBodies.reserved());
             m_state.metrics.setViewAge("config", now - m_state.configConfirmedAt);
             m_state.metrics.setViewAge("endpoints", now - m_state.endpointsConfirmedAt);
             m_state.metrics.setStoreEra(m_eras->current());
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -74,6 +74,8 @@
     , m_configVersion(
           gauge(*m_registry, "wisteriayard_gateway_config_version", "Version of the configuration in force"))
     , m_active(gauge(*m_registry, "wisteriayard_gateway_active_requests", "Requests being served"))
+    , m_bodyMemory(gauge(
+          *m_registry, "wisteriayard_gateway_request_body_bytes", "Memory reserved for bodies of callers' requests"))
     , m_viewAge(
           gauge(*m_registry, "wisteriayard_gateway_view_age_seconds", "Time since the store was last heard, by view"))
     , m_storeEra(gauge(*m_registry, "wisteriayard_gateway_store_era", "Era that the store names in its responses"))
@@ -162,6 +164,11 @@
 
 void GatewayMetrics::setActiveRequests(int count) { m_active.Add({}).Set(count); }
 
+void GatewayMetrics::setRequestBodyMemory(Bytes reserved)
+{
+    m_bodyMemory.Add({}).Set(static_cast<double>(reserved.value()));
+}
+
 void GatewayMetrics::setViewAge(const std::string& view, Duration age)
 {
     m_viewAge.Add({ { "view", view } }).Set(toSeconds(age));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -47,6 +47,7 @@
     void configApplied(Duration maxDelay);
     void configRejected();
     void setActiveRequests(int count);
+    void setRequestBodyMemory(Bytes reserved);
     /// @param view `config` or `endpoints`
     void setViewAge(const std::string& view, Duration age);
     /// @param cause reason for reading the store: `watch`, `not_loaded`, `gap` or `stale`
@@ -84,6 +85,7 @@
     prometheus::Family<prometheus::Gauge>& m_endpoints;
     prometheus::Family<prometheus::Gauge>& m_configVersion;
     prometheus::Family<prometheus::Gauge>& m_active;
+    prometheus::Family<prometheus::Gauge>& m_bodyMemory;
     prometheus::Family<prometheus::Gauge>& m_viewAge;
     prometheus::Family<prometheus::Gauge>& m_storeEra;
     prometheus::Family<prometheus::Counter>& m_restorations;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -35,6 +35,7 @@
     metrics.configRejected();
     metrics.supersededChangesReceived("config", 1);
     metrics.setActiveRequests(1);
+    metrics.setRequestBodyMemory(Bytes(1));
     metrics.setViewAge("config", Duration(1));
     metrics.viewRead("config", "gap");
     metrics.setStoreEra(StoreEra(1));
@@ -69,6 +70,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 25u);
+    BOOST_TEST(code.size() == 26u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -2,6 +2,8 @@
 
 #include "wisteriayard/store_numbers.h"
 
+#include <algorithm>
+
 namespace wisteriayard {
 
 namespace {
@@ -12,6 +14,22 @@
     /// Share of the platform's retry limit that is used: the gateway processes and the platform count over
     /// different windows.
     constexpr double retryLimitShare = 0.7;
+    /// Memory of the process apart from bodies and responses. An entry of a deployment with 300 machines uses 20 MiB.
+    constexpr Bytes workingMemory { 24 * 1024 * 1024 };
+    /// Share of the memory limit that buffered responses may use, and the least one for request bodies.
+    constexpr double bufferedResponseMemoryShare = 0.125;
+    constexpr double minRequestBodyMemoryShare = 0.25;
+
+    Bytes shareOf(Bytes memory, double share)
+    {
+        return Bytes(static_cast<std::int64_t>(share * static_cast<double>(memory.value())));
+    }
+
+    Bytes requestBodyMemory(Bytes memory)
+    {
+        Bytes rest = memory - shareOf(memory, bufferedResponseMemoryShare) - workingMemory;
+        return std::max(rest, shareOf(memory, minRequestBodyMemoryShare));
+    }
 
 } // namespace
 
@@ -26,6 +44,8 @@
     , directory(settings, platform, log, [this](const EndpointId& id) { pool.drop(id); })
     , crashGuard(loop, log, metrics)
     , requestLogBudget(requestLogLinesPerSecond, requestLogLinesBurst)
+    , requestBodies(requestBodyMemory(settings.memory))
+    , bufferedResponses(shareOf(settings.memory, bufferedResponseMemoryShare))
 {
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "platform_port.h"
 #include "usage_reporter.h"
 #include "watchdog.h"
+#include "wisteriayard/byte_budget.h"
 #include "wisteriayard/clock_guard.h"
 #include "wisteriayard/log_rate_limiter.h"
 #include "wisteriayard/retry_budget.h"
@@ -60,8 +61,10 @@
     /// Connections of callers on which a request is being read, served or refused. The process must not end before
     /// they are idle.
     std::size_t busyConnections = 0;
-    /// Total size of buffered responses, which are forwarded only when complete.
-    std::size_t bufferedResponseBytes = 0;
+    /// Memory for the bodies of callers' requests, which are kept for retries until the requests end.
+    ByteBudget requestBodies;
+    /// Memory for buffered responses, which are forwarded only when complete.
+    ByteBudget bufferedResponses;
 
     /// Applies a configuration unless its version is not newer than the current one.
     void configure(RoutingConfig config, const ConfigOrigin& origin);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -29,8 +29,6 @@
     constexpr int maxStaleResponses = 2;
     /// Size limit of a buffered response.
     constexpr std::size_t maxBufferedResponse = 8 * 1024 * 1024;
-    /// Share of the process's memory limit that all buffered responses together may use.
-    constexpr double bufferedResponseMemoryShare = 0.125;
     /// Size limit of the body of a skipped response to an earlier request.
     constexpr std::size_t maxStaleBody = 1024 * 1024;
     /// Limits on size and read time of the body of a response that states that the request was not executed. Beyond
@@ -41,31 +39,6 @@
     /// Limit on logged bytes of a response's field value.
     constexpr std::size_t maxLoggedValue = 64;
 
-    /// Accounts for the memory of a buffered response during its lifetime.
-    class BufferedResponseBytes {
-    public:
-        explicit BufferedResponseBytes(GatewayState& state)
-            : m_state(state)
-        {
-        }
-        BufferedResponseBytes(const BufferedResponseBytes&) = delete;
-        BufferedResponseBytes& operator=(const BufferedResponseBytes&) = delete;
-        ~BufferedResponseBytes() { m_state.bufferedResponseBytes -= m_bytes; }
-
-        /// @return whether the response and the total stay within their limits
-        bool add(std::size_t bytes)
-        {
-            m_bytes += bytes;
-            m_state.bufferedResponseBytes += bytes;
-            auto limit = bufferedResponseMemoryShare * static_cast<double>(m_state.settings.memory.value());
-            return m_bytes <= maxBufferedResponse && static_cast<double>(m_state.bufferedResponseBytes) <= limit;
-        }
-
-    private:
-        GatewayState& m_state;
-        std::size_t m_bytes = 0;
-    };
-
     /// @param error the error that ended the exchange with the endpoint
     MayHaveExecuted brokenExchange(const Error& error)
     {
@@ -295,7 +268,7 @@
     EndpointExchange& exchange, Placement& placement, bool success)
 {
     std::string body;
-    BufferedResponseBytes buffered(m_state);
+    ByteReservation reservation(m_state.bufferedResponses);
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
@@ -303,9 +276,10 @@
         m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
         if (part.value().empty())
             break;
-        body += part.value();
-        if (!buffered.add(part.value().size()))
+        std::size_t size = body.size() + part.value().size();
+        if (size > maxBufferedResponse || !reservation.extendTo(Bytes(static_cast<std::int64_t>(size))))
             co_return MayHaveExecuted { "the response exceeds the buffer limit" };
+        body += part.value();
     }
     m_state.crashGuard.answerBegan(m_sharedSegments, bootTimeNow());
     answerCompleted(bootTimeNow());
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -26,7 +26,8 @@
     constexpr Duration minTimeForAttempt = std::chrono::milliseconds(30);
     /// Time limit of a request that does not state one, until its route and thereby its timeout is known.
     constexpr Duration defaultTimeLeft = std::chrono::seconds(5);
-    /// Retry-After of requests that are refused because the configuration is missing or no endpoint accepted them.
+    /// Retry-After of requests that are refused because the configuration is missing, there is no memory for the body
+    /// or no endpoint accepted them.
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Limit of Retry-After as a share of the caller's remaining time.
     constexpr double retryAfterShare = 1.0 / 3;
@@ -122,6 +123,8 @@
     m_deadline = m_request.arrivedAt + wait;
     if (!m_state.admits(m_deadline, m_request.arrivedAt))
         return LocalResponse { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
+    if (!m_request.body)
+        return LocalResponse { 503, "no_memory", "this entry has no memory for the request's body", defaultRetryAfter };
     return std::nullopt;
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -13,9 +13,10 @@
 
 namespace wisteriayard {
 
-/// A completely received request of a caller.
+/// A received request of a caller.
 struct CallerRequest {
     RequestHead head;
+    /// Null if there was no memory for the body: it was not read, and the request is refused.
     std::shared_ptr<const std::string> body;
     /// The request has a body, possibly an empty one.
     bool hasBody = false;
--- a/testsuite/request_bodies/run.py
+++ b/testsuite/request_bodies/run.py
@@ -1,22 +1,33 @@
 #!/usr/bin/env python3
-"""A caller whose request is refused receives the refusal, also if it sends its whole body first.
+"""Request bodies that a gateway holds at the same time stay within its memory limit. A request that does not fit is
+refused, and its caller receives the refusal.
 
 An upload is held by the gateway until it is answered; the endpoints answer uploads when the test opens a gate.
 """
 
 import os
+import random
 import socket
 import sys
 import threading
 import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from platform_deployment import HOST, KEY, Deployment, run_cases  # noqa: E402
+from platform_deployment import HOST, KEY, Deployment, run_cases, wait_until  # noqa: E402
 from platform_standins import EndpointHandler  # noqa: E402
 
+MEBIBYTE = 1024 * 1024
+MEMORY_MB = 110
 # Within the limit of 4 MiB of a configuration without limits.
 BODY_BYTES = 4_000_000
 TOO_LARGE_BODY_BYTES = 6_000_000
+# Together far above the memory limit.
+UPLOADS = 45
+# Share of the memory limit that request bodies can use at least.
+LEAST_SHARE = 0.5
+SMALL_REQUESTS = 100
+SMALL_BODY_BYTES = 2000
+ROUNDS, UPLOADS_OF_ROUND, SIZE_SEED = 8, 60, 1
 CHUNK_BYTES = 64 * 1024
 # Limits hangs only.
 TIMEOUT_S = 60
@@ -78,11 +89,89 @@
         if self.chunked:
             connection.sendall(b"0\r\n\r\n")
 
+    def reached_endpoint(self):
+        return self.deployment.runs(self.request) > 0
+
+    def wait_until_held_or_answered(self):
+        wait_until(lambda: self.reached_endpoint() or not self.is_alive(), "the upload to be held or answered")
+        return self
+
     def result(self):
         self.join(TIMEOUT_S)
         return self.status
 
 
+def fill(deployment, **options):
+    """Starts uploads until one is refused. @return the uploads that the gateway holds, and the refused one or None"""
+    held = []
+    for _ in range(UPLOADS):
+        upload = Upload(deployment, **options).wait_until_held_or_answered()
+        if not upload.reached_endpoint():
+            return held, upload
+        held.append(upload)
+    return held, None
+
+
+def open_gate(deployment):
+    for endpoint in deployment.endpoints:
+        endpoint.gate.set()
+
+
+def close_gate(deployment):
+    for endpoint in deployment.endpoints:
+        endpoint.gate.clear()
+
+
+def check_refusal(upload):
+    assert upload.status == 503, (upload.status, upload.error)
+    assert b"\r\nretry-after:" in upload.head.lower(), upload.head
+    assert upload.request.encode() in upload.head, upload.head
+    assert not upload.reached_endpoint(), "a refused request was executed"
+
+
+def check_memory(deployment):
+    gateway = deployment.gateways[0]
+    assert gateway.alive(), "the gateway has ended"
+    assert gateway.peak_memory() < MEMORY_MB * MEBIBYTE, f"{gateway.peak_memory() / MEBIBYTE:.1f} MiB"
+
+
+def check_filled(deployment, **options):
+    held, refused = fill(deployment, **options)
+    check_memory(deployment)
+    assert refused, f"{len(held)} uploads are held at the same time"
+    check_refusal(refused)
+    assert len(held) * BODY_BYTES >= LEAST_SHARE * MEMORY_MB * MEBIBYTE, f"only {len(held)} uploads are held"
+    open_gate(deployment)
+    statuses = [upload.result() for upload in held]
+    assert statuses == [200] * len(held), statuses
+    # The memory of answered requests is available again.
+    assert Upload(deployment, **options).result() == 200
+    check_memory(deployment)
+
+
+def bodies_stay_within_memory(deployment):
+    """Many callers send bodies of the permitted size; the gateway was killed because of its memory."""
+    check_filled(deployment)
+
+
+def chunked_bodies_stay_within_memory(deployment):
+    """As before, with bodies whose size is not known in advance."""
+    check_filled(deployment, chunked=True)
+
+
+def concurrent_uploads_are_answered(deployment):
+    """Callers that send all at once get their answer or a refusal; each refusal is true."""
+    uploads = [Upload(deployment) for _ in range(UPLOADS)]
+    for upload in uploads:
+        upload.wait_until_held_or_answered()
+    check_memory(deployment)
+    open_gate(deployment)
+    for upload in uploads:
+        if upload.result() != 200:
+            check_refusal(upload)
+    assert any(upload.status == 200 for upload in uploads)
+
+
 def too_large_bodies_are_refused(deployment):
     """A connection that is closed while bytes of the body arrive is reset, and its caller loses the refusal."""
     for chunked in (False, True):
@@ -90,8 +179,42 @@
         assert large.result() == 413, (chunked, large.status, large.error)
 
 
+def refusals_reach_callers_that_send_first(deployment):
+    """As before, where there is no memory for the body."""
+    held, _ = fill(deployment)
+    for chunked in (False, True):
+        check_refusal(Upload(deployment, chunked=chunked).wait_until_held_or_answered())
+    open_gate(deployment)
+    assert {upload.result() for upload in held} == {200}
+
+
+def small_requests_are_served_beside_uploads(deployment):
+    """Uploads that hold all memory for bodies must not make the gateway refuse small requests."""
+    held, refused = fill(deployment)
+    assert refused
+    for _ in range(SMALL_REQUESTS):
+        answer = deployment.gateways[0].call("/lookup/1", body=b"x" * SMALL_BODY_BYTES, timeout=TIMEOUT_S)
+        assert answer.status == 200, answer.status
+    open_gate(deployment)
+    assert {upload.result() for upload in held} == {200}
+
+
+def memory_is_reused_for_other_sizes(deployment):
+    """Memory of answered bodies that new ones of other sizes can't use would exceed the limit in the end."""
+    sizes = random.Random(SIZE_SEED)
+    for _ in range(ROUNDS):
+        close_gate(deployment)
+        uploads = [Upload(deployment, sizes.randrange(BODY_BYTES // 20, BODY_BYTES)) for _ in range(UPLOADS_OF_ROUND)]
+        for upload in uploads:
+            upload.wait_until_held_or_answered()
+        open_gate(deployment)
+        statuses = {upload.result() for upload in uploads}
+        assert statuses == {200, 503}, statuses
+        check_memory(deployment)
+
+
 def make_deployment(bin_folder):
-    deployment = Deployment(bin_folder)
+    deployment = Deployment(bin_folder, memory_mb=MEMORY_MB)
     deployment.routes.append({"name": "upload", "prefix": "/upload/", "kind": "non_idempotent", "service": "plain",
                               "timeout_ms": TIMEOUT_S * 1000, "slo_ms": TIMEOUT_S * 1000})
     for endpoint in deployment.endpoints:
@@ -100,4 +223,7 @@
     return deployment
 
 
-run_cases((too_large_bodies_are_refused,), make_deployment, 1)
+run_cases((bodies_stay_within_memory, chunked_bodies_stay_within_memory, concurrent_uploads_are_answered,
+           too_large_bodies_are_refused, refusals_reach_callers_that_send_first,
+           small_requests_are_served_beside_uploads, memory_is_reused_for_other_sizes),
+          make_deployment, 1)
