Build the refusal of a stopping process in one place

CallerSession and RequestHandler built the same 503 (stopping) with the same words; both now call stoppingResponse(). RequestHandler::expire() only called another member function; it is that function now. No behaviour changes.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -257,8 +257,7 @@
     else if (result == ReadResult::TooSlow)
         response = LocalResponse { 408, "too_slow", "the request did not arrive in time", std::nullopt };
     else if (result == ReadResult::Stopping)
-        response
-            = LocalResponse { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
+        response = stoppingResponse();
     m_state.logRequest(Event::RequestRefused, { { "outcome", "refused" }, { "detail", response.code } }, bootTimeNow());
     std::string text = localResponseText(response, m_state.platform.codec(), RequestId(), false);
     boost::system::error_code ignored; // the connection is closed after this response in any case
--- a/src/gateway/http_head.cpp
+++ b/src/gateway/http_head.cpp
@@ -109,6 +109,11 @@
     return text.append("\r\n");
 }
 
+LocalResponse stoppingResponse()
+{
+    return { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
+}
+
 std::string localResponseText(
     const LocalResponse& response, const WireCodec& codec, const RequestId& request, bool keepAlive)
 {
--- a/src/gateway/http_head.h
+++ b/src/gateway/http_head.h
@@ -51,6 +51,9 @@
     std::optional<Duration> retryAfter;
 };
 
+/// Response to a request that is refused because the process stops.
+LocalResponse stoppingResponse();
+
 /// Formats a complete response that the gateway generates itself.
 std::string localResponseText(
     const LocalResponse& response, const WireCodec& codec, const RequestId& request, bool keepAlive);
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -85,7 +85,7 @@
     , m_caller(caller)
     , m_request(std::move(request))
     , m_routes(state.routes)
-    , m_expiry(state.watchdog, [this] { onExpired(); })
+    , m_expiry(state.watchdog, [this] { expire(); })
     , m_connectExpiry(state.watchdog, [this] { closeEndpoint(); })
 {
 }
@@ -122,7 +122,7 @@
     Duration wait = std::min(m_route->timeout, m_traits.timeLeft.value_or(m_route->timeout));
     m_deadline = m_request.arrivedAt + wait;
     if (!m_state.admits(m_deadline, m_request.arrivedAt))
-        return LocalResponse { 503, "stopping", "this entry is stopping; another one takes the request", Duration(0) };
+        return stoppingResponse();
     if (!m_request.body)
         return LocalResponse { 503, "no_memory", "this entry has no memory for the request's body", defaultRetryAfter };
     return std::nullopt;
@@ -335,7 +335,7 @@
     m_caller.cancel(ignored);
 }
 
-void RequestHandler::onExpired()
+void RequestHandler::expire()
 {
     m_timedOut = true;
     closeEndpoint();
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -76,7 +76,7 @@
     /// @return whether the caller's connection can serve another request
     boost::asio::awaitable<bool> serve();
     /// Ends the request as if its deadline had passed.
-    void expire() { onExpired(); }
+    void expire();
 
 private:
     /// Determines the route, account, priority, target and deadline.
@@ -117,7 +117,6 @@
 
     void watchForDisconnect();
     void stopDisconnectWatch();
-    void onExpired();
     void closeEndpoint();
     /// Ends the attempt if the request or a segment of its prompt was put in quarantine, unless the answer has begun.
     void suspectQuarantined(SuspectTag tag);
