Forward no length with 204

What callers saw: an endpoint's 204 with a Content-Length was forwarded with that length. HTTP forbids it, and a caller that trusts the length waits for a body that never comes.

Cause: callerResponseHead() kept the stated length of all bodyless responses; only HEAD and 304 may have one.

Test: bodyless_response_keeps_the_length_of_the_body_left_out in http_head_test. Before: failed for 204. After: passed.

--- a/src/gateway/http_head.cpp
+++ b/src/gateway/http_head.cpp
@@ -96,9 +96,10 @@
         if (!isHopByHopHeader(name, connection))
             appendHeader(text, name, stdView(field.value()));
     }
-    // The length that a bodyless response states is that of the body which it leaves out.
+    // The length that a bodyless response states is that of the body which it leaves out. HTTP forbids it with 204.
     auto stated = head.find(http::field::content_length);
-    if (framing == BodyFraming::Bodyless && stated != head.end())
+    bool hasLength = stated != head.end() && head.result() != http::status::no_content;
+    if (framing == BodyFraming::Bodyless && hasLength)
         appendHeader(text, "Content-Length", stdView(stated->value()));
     if (framing == BodyFraming::Length)
         appendHeader(text, "Content-Length", std::to_string(bodySize));
--- a/src/gateway/http_head_test.cpp
+++ b/src/gateway/http_head_test.cpp
@@ -37,8 +37,32 @@
     { seconds(20), "Retry-After: 20.00\r\n" },
 };
 
+struct BodylessCase {
+    const char* name;
+    boost::beast::http::status status;
+    /// Whether the length that the endpoint states is forwarded.
+    bool keepsLength;
+};
+std::ostream& operator<<(std::ostream& out, const BodylessCase& each) { return out << each.name; }
+
+const BodylessCase bodylessCases[] = {
+    { "HEAD", boost::beast::http::status::ok, true },
+    { "not modified", boost::beast::http::status::not_modified, true },
+    { "no content", boost::beast::http::status::no_content, false },
+};
+
 } // namespace
 
+// Guards against callers that wait for the body of a response that never has one: HTTP forbids a length with 204.
+BOOST_DATA_TEST_CASE(bodyless_response_keeps_the_length_of_the_body_left_out, data::make(bodylessCases), each)
+{
+    ResponseHead head;
+    head.result(each.status);
+    head.set(boost::beast::http::field::content_length, "600");
+    std::string text = callerResponseHead(head, BodyFraming::Bodyless, 0, true);
+    BOOST_TEST((text.find("Content-Length") != std::string::npos) == each.keepsLength, text);
+}
+
 // Guards against a refusal that asks the caller to return after no time, because a short time was rounded to zero.
 BOOST_DATA_TEST_CASE(retry_after_is_never_zero, data::make(retryCases), each)
 {
