Keep error responses of endpoints within the memory for responses

What callers saw: nothing yet; found as a related path of the request bodies. 45 callers that don't read an endpoint's error response of 4 MB made an entry hold 364 MiB. With a limit of 110 MiB the platform kills such an entry, and all its requests are lost.

Cause: the memory of a buffered response was returned to the budget when the attempt ended. An error response is kept after that, for later attempts and until the caller has read it. Each response was also copied once more, behind its head.

Ruled out: successful responses, which keep their reservation until they have been written; the case passes for them with the former code.

Fix: text and reservation live together (ReservedText), for request bodies and responses, and head and body are written without a copy.

Test: unread_responses_stay_within_memory in testsuite/request_bodies. Before: failed with 363.8 MiB. After: passed.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -33,16 +33,6 @@
     /// within a round trip between regions.
     constexpr Duration minIdleTimeToClose = std::chrono::milliseconds(200);
 
-    /// Body of a request and the memory reserved for it.
-    struct RequestBody {
-        explicit RequestBody(ByteBudget& budget)
-            : reservation(budget)
-        {
-        }
-        ByteReservation reservation;
-        std::string text;
-    };
-
     /// Extends the reservation to the size of the body: the stated one, or that of the part received so far.
     template <typename Parser> bool reserveBody(const Parser& parser, ByteReservation& reservation)
     {
@@ -181,7 +171,7 @@
     parser.header_limit(limits().maxHeaderBytes);
     parser.body_limit(static_cast<std::uint64_t>(limits().maxBody.value()));
     parser.eager(true);
-    auto body = std::make_shared<RequestBody>(m_state.requestBodies);
+    auto body = std::make_shared<ReservedText>(m_state.requestBodies);
     ReadResult result = co_await receive(parser, body->reservation);
     if (result != ReadResult::Complete && result != ReadResult::NoMemory)
         co_return result;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -267,8 +267,7 @@
 awaitable<AttemptOutcome> RequestHandler::forwardBufferedResponse(
     EndpointExchange& exchange, Placement& placement, bool success)
 {
-    std::string body;
-    ByteReservation reservation(m_state.bufferedResponses);
+    auto body = std::make_shared<ReservedText>(m_state.bufferedResponses);
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
@@ -276,17 +275,17 @@
         m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
         if (part.value().empty())
             break;
-        std::size_t size = body.size() + part.value().size();
-        if (size > maxBufferedResponse || !reservation.extendTo(Bytes(static_cast<std::int64_t>(size))))
+        std::size_t size = body->text.size() + part.value().size();
+        if (size > maxBufferedResponse || !body->reservation.extendTo(Bytes(static_cast<std::int64_t>(size))))
             co_return MayHaveExecuted { "the response exceeds the buffer limit" };
-        body += part.value();
+        body->text += part.value();
     }
     m_state.crashGuard.answerBegan(m_sharedSegments, bootTimeNow());
     answerCompleted(bootTimeNow());
     if (!success)
-        co_return EndpointFailure { exchange.head(), std::move(body) };
+        co_return EndpointFailure { exchange.head(), std::shared_ptr<const std::string>(body, &body->text) };
     m_headSent = true;
-    co_await forwardResponse(exchange.head(), body);
+    co_await forwardResponse(exchange.head(), body->text);
     if (m_callerDisconnected)
         co_return CallerDisconnected {};
     co_return Delivered {};
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace wisteriayard {
 
@@ -239,7 +240,7 @@
     }
     if (failure) {
         logEnd(Event::RequestFailed, "endpoint_failure", std::to_string(failure->head.result_int()));
-        co_return co_await forwardResponse(failure->head, failure->body);
+        co_return co_await forwardResponse(failure->head, *failure->body);
     }
     if (!m_mayHaveExecuted) {
         std::string reason = notExecuted ? notExecuted->reason : "not_run";
@@ -259,7 +260,7 @@
     bool bodyless = isBodyless(head, m_request.head.method() == http::verb::head);
     BodyFraming framing = bodyless ? BodyFraming::Bodyless : BodyFraming::Length;
     std::string text = callerResponseHead(head, framing, body.size(), keepAlive);
-    bool written = co_await write(std::move(text.append(body)));
+    bool written = co_await write(std::move(text), body);
     co_return written&& keepAlive;
 }
 
@@ -293,10 +294,13 @@
     co_return co_await respond(std::move(response));
 }
 
-awaitable<bool> RequestHandler::write(std::string text)
+awaitable<bool> RequestHandler::write(std::string text, std::string_view body)
 {
     boost::system::error_code error;
-    co_await boost::asio::async_write(m_caller, boost::asio::buffer(text), redirect_error(use_awaitable, error));
+    std::array<boost::asio::const_buffer, 2> buffers;
+    buffers[0] = boost::asio::buffer(text);
+    buffers[1] = boost::asio::buffer(body);
+    co_await boost::asio::async_write(m_caller, buffers, redirect_error(use_awaitable, error));
     if (error)
         m_callerDisconnected = true;
     co_return !error;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -54,7 +54,7 @@
 /// The endpoint executed the request and responded with an error.
 struct EndpointFailure {
     ResponseHead head;
-    std::string body;
+    std::shared_ptr<const std::string> body;
 };
 /// The caller closed its connection.
 struct CallerDisconnected { };
@@ -109,7 +109,7 @@
     /// Refuses a request that is in quarantine, or whose prompt has a segment in quarantine.
     /// @param wait time until such a request can be tried again
     boost::asio::awaitable<bool> refuseQuarantined(Duration wait);
-    boost::asio::awaitable<bool> write(std::string text);
+    boost::asio::awaitable<bool> write(std::string text, std::string_view body = {});
     /// @param retryAfter when an endpoint will probably have capacity; used if the request was not executed
     boost::asio::awaitable<bool> respondToFailure(const std::optional<EndpointFailure>& failure,
         const NotExecuted* notExecuted, std::optional<Duration> retryAfter = {});
--- a/src/include/wisteriayard/byte_budget.h
+++ b/src/include/wisteriayard/byte_budget.h
@@ -2,6 +2,8 @@
 
 #include "wisteriayard/units.h"
 
+#include <string>
+
 namespace wisteriayard {
 
 /// Limit on the memory of one kind of content that a process holds for many requests. Not thread-safe.
@@ -44,4 +46,15 @@
     Bytes m_size { 0 };
 };
 
+/// Text and the memory reserved for it.
+struct ReservedText {
+    explicit ReservedText(ByteBudget& budget)
+        : reservation(budget)
+    {
+    }
+
+    ByteReservation reservation;
+    std::string text;
+};
+
 } // namespace wisteriayard
--- a/testsuite/request_bodies/run.py
+++ b/testsuite/request_bodies/run.py
@@ -46,6 +46,8 @@
         return b""
 
     def answer(self, *arguments):
+        if self.path.startswith("/download/"):
+            return super().answer(int(self.path.split("/")[-1]), {"error": "x" * BODY_BYTES}, *arguments[2:])
         if self.path.startswith("/upload/"):
             self.server.gate.wait(TIMEOUT_S)
         return super().answer(*arguments)
@@ -188,6 +190,29 @@
     assert {upload.result() for upload in held} == {200}
 
 
+def unread_responses_stay_within_memory(deployment):
+    """Callers that don't read must not make the gateway hold more than it has memory for. The error responses of
+    endpoints were not limited.
+    """
+    gateway = deployment.gateways[0]
+    for status in (200, 500):
+        connections = []
+        for number in range(UPLOADS):
+            connection = socket.create_connection((gateway.ip, gateway.ports[0]), TIMEOUT_S)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BODY_BYTES)
+            request = f"{status}-{number}"
+            connection.sendall((f"POST /download/{status} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request}\r\n"
+                                f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n").encode())
+            connections.append(connection)
+            # The gateway begins to answer when it has the whole response, or no memory for it.
+            assert connection.recv(12, socket.MSG_PEEK), "no answer"
+        check_memory(deployment)
+        answers = [connection.recv(12).split()[1] for connection in connections]
+        assert set(answers) == {b"%d" % status, b"502"}, answers
+        for connection in connections:
+            connection.close()
+
+
 def small_requests_are_served_beside_uploads(deployment):
     """Uploads that hold all memory for bodies must not make the gateway refuse small requests."""
     held, refused = fill(deployment)
@@ -215,8 +240,9 @@
 
 def make_deployment(bin_folder):
     deployment = Deployment(bin_folder, memory_mb=MEMORY_MB)
-    deployment.routes.append({"name": "upload", "prefix": "/upload/", "kind": "non_idempotent", "service": "plain",
-                              "timeout_ms": TIMEOUT_S * 1000, "slo_ms": TIMEOUT_S * 1000})
+    for name in ("upload", "download"):
+        deployment.routes.append({"name": name, "prefix": f"/{name}/", "kind": "non_idempotent", "service": "plain",
+                                  "timeout_ms": TIMEOUT_S * 1000, "slo_ms": TIMEOUT_S * 1000})
     for endpoint in deployment.endpoints:
         endpoint.RequestHandlerClass = UploadHandler
         endpoint.gate = threading.Event()
@@ -225,5 +251,6 @@
 
 run_cases((bodies_stay_within_memory, chunked_bodies_stay_within_memory, concurrent_uploads_are_answered,
            too_large_bodies_are_refused, refusals_reach_callers_that_send_first,
-           small_requests_are_served_beside_uploads, memory_is_reused_for_other_sizes),
+           unread_responses_stay_within_memory, small_requests_are_served_beside_uploads,
+           memory_is_reused_for_other_sizes),
           make_deployment, 1)
