Count a refused request as in progress until its response is written

A request that was refused after its first read counted as idle, so a stopping entry could close its connection while the refusal was being written. A connection whose further input was discarded counted as busy in other cases, so a caller that kept it open delayed the stop.

Fix: a connection is busy from the first byte of a request, whatever becomes of it, and idle once the response has been written.

Test: refused_caller_does_not_delay_a_stop in testsuite/request_bodies. The connection that is cut while a refusal is written was not reproduced.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -199,7 +199,7 @@
     while (result == ReadResult::Complete && !parser.is_done()) {
         bool hadHeader = parser.is_header_done();
         result = co_await readMore(parser, reservation);
-        if (m_idleSince && result == ReadResult::Complete) {
+        if (m_idleSince && result != ReadResult::Closed) {
             setIdle(false, bootTimeNow());
             m_expiry.set(bootTimeNow() + limits().headerTimeout);
         }
@@ -225,6 +225,7 @@
 
 awaitable<void> CallerSession::discardInput()
 {
+    setIdle(true, bootTimeNow());
     boost::system::error_code error;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
     m_expiry.set(bootTimeNow() + bodyTimeout);
--- a/testsuite/request_bodies/run.py
+++ b/testsuite/request_bodies/run.py
@@ -7,6 +7,7 @@
 
 import os
 import random
+import signal
 import socket
 import sys
 import threading
@@ -181,6 +182,19 @@
         assert large.result() == 413, (chunked, large.status, large.error)
 
 
+def refused_caller_does_not_delay_a_stop(deployment):
+    """A caller that got its refusal and keeps its connection open has no request that a stopping gateway must answer."""
+    gateway = deployment.gateways[0]
+    with socket.create_connection((gateway.ip, gateway.ports[0]), TIMEOUT_S) as connection:
+        connection.sendall((f"POST /upload/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+                            f"Content-Length: {TOO_LARGE_BODY_BYTES}\r\n\r\n").encode())
+        assert connection.recv(65536).startswith(b"HTTP/1.1 413 ")
+        gateway.signal(signal.SIGTERM)
+        wait_until(lambda: not gateway.alive(), "the end of the gateway")
+    ended = gateway.events("requests_ended")
+    assert [event["busy_connections"] for event in ended] == [0], ended
+
+
 def refusals_reach_callers_that_send_first(deployment):
     """As before, where there is no memory for the body."""
     held, _ = fill(deployment)
@@ -250,7 +264,8 @@
 
 
 run_cases((bodies_stay_within_memory, chunked_bodies_stay_within_memory, concurrent_uploads_are_answered,
-           too_large_bodies_are_refused, refusals_reach_callers_that_send_first,
+           too_large_bodies_are_refused, refused_caller_does_not_delay_a_stop,
+           refusals_reach_callers_that_send_first,
            unread_responses_stay_within_memory, small_requests_are_served_beside_uploads,
            memory_is_reused_for_other_sizes),
           make_deployment, 1)
