Stop the former lease holder well before the window is due

new_holder_awaits_records stopped the holder 0.2 s before it would close the window. If a busy machine delays the test by more, the holder closes the window first; its record is then lost with the restoration, the window is skipped as the postmortem of restored stores says, and the case times out. This has not been seen.

--- a/testsuite/restored_store/run.py
+++ b/testsuite/restored_store/run.py
@@ -21,6 +21,8 @@
 QUARANTINE_KEY = "quarantine/123"
 # One of the three entries that compete for the usage lease while all six know each other.
 LEASE_CANDIDATE = "g1"
+# Time from the end of a holder until a window is due that it must not close.
+STOP_BEFORE_DUE_S = 1.2
 
 
 def restore(deployment, copy, passed_revisions=0):
@@ -137,11 +139,14 @@
     copy = deployment.store.copy()
     window = begin_window()
     call_all(deployment, 5)
-    time.sleep(max(0, (window + 1) * WINDOW_S + USAGE_GRACE_S - 0.2 - time.time()))
+    due = (window + 1) * WINDOW_S + USAGE_GRACE_S
+    time.sleep(max(0, due - STOP_BEFORE_DUE_S - time.time()))
     holder = lease_holder(deployment)
     assert holder and holder.name == LEASE_CANDIDATE
     holder.stop()
+    assert time.time() < due, "the former holder may have closed the window"
     restore(deployment, copy)
+    time.sleep(max(0, due - time.time()))
     holder.start()
     wait_until(lambda: window in deployment.reports.windows, "the report of the window")
     # The killed entry takes with it what the store has forgotten of its own requests.
