--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -66,7 +66,8 @@
     AttemptOutcome outcome = NotExecuted { "connect_failed", false };
     int requestsSentBefore = m_requestsSent;
     EndpointConnectionPtr connection = co_await connect(record);
-    if (connection && !endpoints.accepts(placement, bootTimeNow()))
+    now = bootTimeNow();
+    if (connection && !endpoints.accepts(placement, placementRequest(now), now))
         outcome = NotExecuted { endpoints.limit(placement) ? "endpoint_limited" : "endpoint_left_or_paused", false };
     else if (connection && !interruption())
         outcome = co_await exchangeWithEndpoint(connection, record, placement);
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -153,6 +153,7 @@
     request.output = m_traits.outputHint.value_or(m_traits.maxOutput);
     request.timeLeft = timeLeft(now);
     request.objective = m_route->objective;
+    request.gapObjective = m_route->gapObjective;
     request.rank = m_priority;
     return request;
 }
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "wisteriayard/allowed_regions.h"
 #include "wisteriayard/cached_segments.h"
+#include "wisteriayard/endpoint_exclusion.h"
 #include "wisteriayard/endpoint_limit.h"
 #include "wisteriayard/endpoint_pause.h"
 #include "wisteriayard/ids.h"
@@ -37,6 +39,9 @@
     Priority rank { 0 };
     Duration timeLeft {};
     Duration objective {};
+    /// Objective for the longest gap between two events of a stream; 0 if there is none.
+    Duration gapObjective {};
+    AllowedRegions allowedRegions;
 };
 
 /// An endpoint that requests may be sent to.
@@ -215,9 +220,9 @@
     bool recordLimit(const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now);
     /// Rate limit that the endpoint of a placement names for all entries together, if any.
     std::optional<RequestRate> limit(const Placement& placement) const;
-    /// Whether the request may still be sent: the endpoint is known and has not been paused since choose(). If it has
-    /// named a rate limit since, credit is taken for the request.
-    bool accepts(Placement& placement, TimePoint now);
+    /// Whether the request may still be sent: the endpoint is known, and nothing has excluded it since choose(). If it
+    /// has named a rate limit since, credit is taken for the request.
+    bool accepts(Placement& placement, const PlacementRequest& request, TimePoint now);
     /// @name Rate limits of endpoints, divided among the entries
     /// @{
 
@@ -326,7 +331,22 @@
     static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
     void sumPeerLoads(TimePoint now);
-    bool isUsable(const State& state, TimePoint now) const;
+    /// @name Reasons why an endpoint is no candidate
+    /// @{
+
+    /// Reason that holds until the request is sent, whatever the health of the endpoint.
+    std::optional<EndpointExclusion> sendExclusion(
+        const State& state, const PlacementRequest& request, TimePoint now) const;
+    /// The same, or its health.
+    std::optional<EndpointExclusion> availabilityExclusion(
+        const State& state, const PlacementRequest& request, TimePoint now) const;
+    /// First reason that applies.
+    /// @param tried endpoints of earlier attempts of the request
+    /// @param onlyEjected ejected endpoints are used, because no others remain
+    std::optional<EndpointExclusion> exclusion(const State& state, const PlacementRequest& request,
+        const std::vector<EndpointId>& tried, bool onlyEjected, TimePoint now) const;
+    bool onlyEjectedRemain(const PlacementRequest& request, TimePoint now) const;
+    /// @}
     void keepLimit(const State& state, TimePoint now);
     void restoreLimit(std::size_t index);
     /// Applies a changed limit to this entry's share and to the pools of engines.
@@ -338,7 +358,7 @@
     /// entries together return at the rate at which the endpoints accept requests.
     Duration limitedRetryAfter();
     /// Reason why no endpoint is available, and when to retry.
-    Refused refusal(const std::vector<EndpointId>& excluded, Priority rank, TimePoint now);
+    Refused refusal(const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now);
     /// Tokens, for requests of all entries, that an endpoint computes before a request of this rank.
     static std::int64_t tokensAhead(const State& state, Priority rank);
     double tokenTime(const State& state, TimePoint now) const;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -200,7 +200,7 @@
     std::vector<std::pair<std::uint64_t, std::size_t>> limitedWeights;
     for (const auto& [id, index] : m_index) {
         const State& state = m_states[index];
-        if (!isInPool(state, isLong, poolSize) || !isUsable(state, now))
+        if (!isInPool(state, isLong, poolSize) || availabilityExclusion(state, request, now))
             continue;
         // Most requests with a segment can't go to a limited endpoint, so another one has to cache the segment.
         auto& group = state.limit.rate() ? limitedWeights : weights;
@@ -291,13 +291,6 @@
     return candidate;
 }
 
-bool EndpointPlacement::isUsable(const State& state, TimePoint now) const
-{
-    if (state.pause.isActive(now))
-        return false;
-    return !state.ejected || (now >= state.ejectedUntil && !state.probing);
-}
-
 bool EndpointPlacement::isInPool(const State& state, bool isLong, std::size_t poolSize)
 {
     return poolSize == 0 || !state.poolOrder || (*state.poolOrder < poolSize) == isLong;
@@ -312,7 +305,8 @@
         < std::tie(best->cost, m_states[best->index].info.id);
 }
 
-Refused EndpointPlacement::refusal(const std::vector<EndpointId>& excluded, Priority rank, TimePoint now)
+Refused EndpointPlacement::refusal(
+    const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     Refused refused;
     refused.retryAfter = firstEjection;
@@ -322,7 +316,10 @@
         const State& state = m_states[index];
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
-        if (state.pause.isActive(now))
+        auto reason = sendExclusion(state, request, now);
+        if (reason && reason != EndpointExclusion::Paused)
+            continue;
+        if (reason)
             pauseEnd = std::min(pauseEnd.value_or(state.pause.end()), state.pause.end());
         else if (state.limit.rate())
             limited = true;
@@ -330,7 +327,7 @@
             refused.reason = PlacementRefusal::AllEjected;
     }
     if (limited) {
-        m_limitTurns.refused(rank, now);
+        m_limitTurns.refused(request.rank, now);
         refused.reason = PlacementRefusal::Limited;
         refused.retryAfter = limitedRetryAfter();
         return refused;
@@ -354,13 +351,9 @@
     std::optional<Candidate> spill;
     bool unlimitedInTime = false;
     // When the other endpoints have left and only ejected ones remain, requests are sent to these.
-    bool onlyEjected = std::none_of(
-        m_index.begin(), m_index.end(), [&](const auto& each) { return isUsable(m_states[each.second], now); });
+    bool onlyEjected = onlyEjectedRemain(request, now);
     for (const auto& [id, index] : m_index) {
-        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
-            continue;
-        bool usable = onlyEjected ? !m_states[index].pause.isActive(now) : isUsable(m_states[index], now);
-        if (!usable || !m_states[index].limit.admits(now))
+        if (exclusion(m_states[index], request, excluded, onlyEjected, now))
             continue;
         Candidate candidate = evaluate(index, request, preferred, poolSize, now);
         if (isBetter(candidate, best))
@@ -374,7 +367,7 @@
         best = spill;
     bool yields = best && best->limited && !unlimitedInTime && m_limitTurns.mustYield(request.rank, now);
     if (!best || yields)
-        return refusal(excluded, request.rank, now);
+        return refusal(request, excluded, now);
     if (best->queued && best->firstEvent > latest) {
         const State& busy = m_states[best->index];
         if (busy.info.memory.value() > 0)
@@ -521,10 +514,10 @@
     return state && state->pause.extend(time, now);
 }
 
-bool EndpointPlacement::accepts(Placement& placement, TimePoint now)
+bool EndpointPlacement::accepts(Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     State* state = find(placement);
-    if (!state || state->pause.isActive(now))
+    if (!state || sendExclusion(*state, request, now))
         return false;
     if (state->limit.rate() && !placement.tookCredit)
         takeCredit(*state, placement, now);
--- a/src/libwisteriayard/endpoint_placement_limits_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits_test.cpp
@@ -61,7 +61,7 @@
         if (!placement)
             continue;
         fleet.started(*placement, makeRequest(), at(time));
-        if (!fleet.accepts(*placement, at(time)))
+        if (!fleet.accepts(*placement, makeRequest(), at(time)))
             continue;
         ++sent;
         fleet.ended(*placement, outcome, at(time));
@@ -169,11 +169,11 @@
     Placement first = placed(milliseconds(900));
     Placement second = placed(milliseconds(900));
     limitAll(fleet, 1, 1);
-    BOOST_TEST(!fleet.accepts(first, at(milliseconds(1500))));
-    BOOST_TEST(fleet.accepts(first, at(milliseconds(2100))));
-    BOOST_TEST(!fleet.accepts(second, at(milliseconds(2100))));
+    BOOST_TEST(!fleet.accepts(first, makeRequest(), at(milliseconds(1500))));
+    BOOST_TEST(fleet.accepts(first, makeRequest(), at(milliseconds(2100))));
+    BOOST_TEST(!fleet.accepts(second, makeRequest(), at(milliseconds(2100))));
     fleet.notSent(first, at(milliseconds(2200)));
-    BOOST_TEST(fleet.accepts(second, at(milliseconds(2200))));
+    BOOST_TEST(fleet.accepts(second, makeRequest(), at(milliseconds(2200))));
 }
 
 // Pattern: all endpoints are limited and requests of two ranks exceed the limits. Guards against urgent requests that
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -433,7 +433,7 @@
         fleet.started(placement, request, at(milliseconds(0)));
         tried.push_back(fleet.endpoint(placement.endpoint).id);
         std::size_t number = std::stoul(tried.back().value().substr(1));
-        BOOST_TEST(fleet.accepts(placement, at(milliseconds(0))));
+        BOOST_TEST(fleet.accepts(placement, request, at(milliseconds(0))));
         BOOST_TEST(
             fleet.pause(placement, each.pauses[number], at(milliseconds(0))) == (each.pauses[number] > seconds(0)));
         // A rejection is not a failure, so it doesn't change the endpoint's health.
@@ -465,7 +465,7 @@
     Placement first = place(fleet, request, at(milliseconds(0)));
     Placement second = place(fleet, request, at(milliseconds(1)));
     fleet.pause(first, seconds(5), at(milliseconds(2)));
-    BOOST_TEST(!fleet.accepts(second, at(milliseconds(3))));
+    BOOST_TEST(!fleet.accepts(second, request, at(milliseconds(3))));
     BOOST_TEST(std::holds_alternative<Refused>(fleet.choose(request, {}, at(milliseconds(4)))));
     fleet.remove(EndpointId("e0"), at(milliseconds(4)));
     fleet.put(engine(0));
