Share failures of endpoints among entries

Cause: on a deployment with 31 entries, six engines reset every connection for six seconds while they were listed as healthy. Each entry needs three failures of its own to eject an engine, and repeats trials, so some 500 requests failed at these engines.

Ruled out: the quarantine of crashing requests (no suspects in the logs).

Health code moved to a file of its own.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -191,6 +191,31 @@
         placement->updatePeerUse(peer, use, now);
 }
 
+std::map<EndpointTag, std::uint32_t> EndpointDirectory::failureReports(TimePoint now) const
+{
+    std::map<EndpointTag, std::uint32_t> reports;
+    if (!m_settings.sharesFailures)
+        return reports;
+    for (const auto& [target, placement] : m_placements) {
+        for (const EndpointId& id : placement->failingEndpoints(now))
+            reports[endpointTag(id)] = 1;
+    }
+    return reports;
+}
+
+void EndpointDirectory::updatePeerFailures(
+    const InstanceId& peer, const std::map<EndpointTag, std::uint32_t>& reported, TimePoint now)
+{
+    if (!m_settings.sharesFailures)
+        return;
+    std::map<EndpointId, std::uint32_t> failing = resolveTags(reported);
+    for (auto& [target, placement] : m_placements) {
+        for (const EndpointId& id : placement->updatePeerFailures(peer, failing, now))
+            m_log->write(Event::EndpointEjected,
+                { { "endpoint", id.value() }, { "cause", "failing_at_other_entries" }, { "peer", peer.value() } });
+    }
+}
+
 std::map<EndpointId, std::vector<SegmentTag>> EndpointDirectory::nextCacheHints()
 {
     std::map<EndpointId, std::vector<SegmentTag>> hints;
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -51,6 +51,14 @@
     void configure(const RoutingConfig& config);
     /// Records the load that another entry reported.
     void updatePeerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& reported, TimePoint now);
+    /// @name Endpoints at which requests fail; empty unless the settings ask for the exchange
+    /// @{
+    std::map<EndpointTag, std::uint32_t> failureReports(TimePoint now) const;
+    /// Ejects endpoints at which the requests of several other entries fail.
+    /// @param reported number of entries for which requests fail
+    void updatePeerFailures(
+        const InstanceId& peer, const std::map<EndpointTag, std::uint32_t>& reported, TimePoint now);
+    /// @}
     /// @name Cache hints: shared prompt segments that requests started to use at endpoints
     /// @{
     std::map<EndpointId, std::vector<SegmentTag>> nextCacheHints();
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -88,6 +88,10 @@
                 message.add_limit_rates(limit.rate ? static_cast<float>(limit.rate->value()) : noRateLimit);
                 message.add_limit_ages_ms(clampToUint32(limit.age / std::chrono::milliseconds(1)));
             }
+            for (const auto& [endpoint, entries] : loads.failing) {
+                message.add_failing_endpoints(static_cast<std::uint32_t>(endpoint));
+                message.add_failing_entries(entries);
+            }
             addQuarantine(message, loads.quarantine);
             if (loads.closedWindow)
                 message.set_closed_window(loads.closedWindow->value());
@@ -278,6 +282,10 @@
                 std::chrono::milliseconds(reported.age_ms()) };
         }
         BOOST_OUTCOME_TRY(loads.limits, decodeLimits(message));
+        if (message.failing_entries_size() != message.failing_endpoints_size())
+            return fail(Errc::Protocol, "peer datagram: columns of failures have different lengths");
+        for (int i = 0; i < message.failing_endpoints_size(); ++i)
+            loads.failing[EndpointTag(message.failing_endpoints(i))] = message.failing_entries(i);
         BOOST_OUTCOME_TRY(loads.quarantine, decodeQuarantine(message));
         if (message.has_closed_window())
             loads.closedWindow = WindowId(message.closed_window());
@@ -361,6 +369,8 @@
             known->second = aged;
     }
     quarantine.add(other.quarantine, age);
+    for (const auto& [endpoint, entries] : other.failing)
+        failing[endpoint] += entries;
     for (const auto& [tag, use] : other.endpoints)
         endpoints[tag] += use;
     for (const auto& [endpoint, hints] : other.cacheHints)
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -50,6 +50,8 @@
     std::map<EndpointTag, std::vector<SegmentTag>> cacheHints;
     /// Recent responses of endpoints that name a rate limit or have withdrawn it.
     std::map<EndpointTag, ReportedLimit> limits;
+    /// Number of entries for which requests to an endpoint fail.
+    std::map<EndpointTag, std::uint32_t> failing;
     /// Observations about prompt segments that may crash engines.
     QuarantineReport quarantine;
     /// Progress of the sender's copies of the store; empty if it is not an observer.
@@ -61,7 +63,8 @@
     /// Number of entries of the sender's region, including the sender, whose endpoint load and work are summed up.
     std::uint32_t entryCount = 1;
 
-    /// Adds the endpoint load, cache hints, work, rate limits, crash observations and entry count of another report.
+    /// Adds the endpoint load, cache hints, work, rate limits, failures, crash observations and entry count of another
+    /// report.
     /// @param age time since the other report was received
     void add(const PeerLoads& other, Duration age);
 };
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -25,6 +25,8 @@
     loads.work[TargetId("t1")] = WorkRates { 0.5, 0.25, 2.5, 0.75 };
     if (endpoints > 0)
         loads.cacheHints[endpointTag(EndpointId("i-0"))] = { segmentTag(7), segmentTag(8) };
+    if (endpoints > 0)
+        loads.failing[endpointTag(EndpointId("i-0"))] = 3;
     return loads;
 }
 
@@ -65,10 +67,13 @@
 /// Loads with a cache hint without an endpoint: one row in field 15.
 const std::string hintWithoutEndpoint("\x0a\x06\x7a\x04\x01\x02\x03\x04", 8);
 
-const std::string badDatagrams[] = { crashWithoutTag, deltaBeforeItsChanges, deltaAfterItsChanges, limitWithoutEndpoint,
-    limitNotFinite, hintWithoutEndpoint, backwardsChanges, changeOutside, unknownView, impossibleProgress,
-    backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1), "text",
-    std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
+/// Loads with a failing endpoint without its number of entries: one row in field 32.
+const std::string failureWithoutEntries("\x0a\x07\x82\x02\x04\x01\x02\x03\x04", 9);
+
+const std::string badDatagrams[] = { failureWithoutEntries, crashWithoutTag, deltaBeforeItsChanges,
+    deltaAfterItsChanges, limitWithoutEndpoint, limitNotFinite, hintWithoutEndpoint, backwardsChanges, changeOutside,
+    unknownView, impossibleProgress, backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1),
+    "text", std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
 
 /// Version field with the current version, appended to a datagram.
 const std::string versionField("\x78\x02", 2);
@@ -91,6 +96,7 @@
         BOOST_TEST((received.backlog == use.backlog));
         BOOST_TEST(received.memoryTokens == use.memoryTokens);
     }
+    BOOST_TEST((loads.failing == sent.failing));
     BOOST_TEST(loads.work.at(TargetId("t1")).longPrompts == 0.5);
     BOOST_TEST(loads.work.at(TargetId("t1")).shortPrompts == 0.25);
     BOOST_TEST(loads.work.at(TargetId("t1")).longRanks == 2.5);
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -131,6 +131,8 @@
     Duration usageDelay = std::chrono::seconds(10);
     /// The gateway sends usage reports to the platform.
     bool reportsUsage = false;
+    /// Entries tell each other at which endpoints their requests fail, because health checks may be wrong.
+    bool sharesFailures = false;
 };
 
 /// Encodes and decodes the platform's HTTP headers. Contains no routing or retry decisions.
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -6,6 +6,7 @@
 #include "wisteriayard/endpoint_limit.h"
 #include "wisteriayard/endpoint_pause.h"
 #include "wisteriayard/ids.h"
+#include "wisteriayard/peer_failures.h"
 #include "wisteriayard/prefill_backlog.h"
 #include "wisteriayard/prefill_pool.h"
 #include "wisteriayard/segment_rates.h"
@@ -244,6 +245,18 @@
     /// Records that the attempt ended.
     HealthChange ended(const Placement& placement, EndpointOutcome outcome, TimePoint now);
 
+    /// @name Failures, exchanged with other entries
+    /// @{
+
+    /// Endpoints at which requests of this entry have failed recently, several in a row.
+    std::vector<EndpointId> failingEndpoints(TimePoint now) const;
+    /// Records the endpoints at which requests of another entry fail, or of several.
+    /// @param failing number of these entries, by endpoint
+    /// @return the endpoints that are ejected because of it
+    std::vector<EndpointId> updatePeerFailures(
+        const InstanceId& peer, std::map<EndpointId, std::uint32_t> failing, TimePoint now);
+    /// @}
+
     /// Engine time that the requests of this entry need.
     WorkRates ownWork(TimePoint now) { return m_pool.ownRates(now); }
     /// Records the engine time that another entry reported, or the sum over several entries.
@@ -286,6 +299,8 @@
         EndpointUse peers;
         int consecutiveFailures = 0;
         double failureRate = 0;
+        TimePoint lastFailure {};
+        TimePoint lastSuccess {};
         TimePoint ejectedUntil {};
         Duration ejection {};
         bool probing = false;
@@ -365,8 +380,10 @@
     State* find(const Placement& placement);
     const State* find(const Placement& placement) const;
     void prefillEnded(const Placement& placement);
+    /// Ejects an endpoint unless too many are ejected.
+    bool eject(State& state, TimePoint now);
     HealthChange recordFailure(State& state, TimePoint now);
-    HealthChange recordSuccess(State& state);
+    HealthChange recordSuccess(State& state, TimePoint now);
 
     PlacementPolicy m_policy;
     ZoneId m_zone;
@@ -375,6 +392,7 @@
     std::unordered_map<EndpointId, std::size_t> m_index;
     std::uint64_t m_generation = 0;
     std::unordered_map<InstanceId, PeerLoad> m_peerLoads;
+    PeerFailures m_peerFailures;
     RetrySpread m_retrySpread;
     RetrySpread m_limitedRetrySpread;
     LimitEntries m_limitEntries;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -37,15 +37,8 @@
     /// Time assumed for a request to an endpoint that is not an engine before its first answer, in microseconds.
     constexpr double initialRequestTime = 20'000;
 
-    /// Failures in a row after which an endpoint is ejected, and the failure rate that does the same.
-    constexpr int ejectAfterFailures = 3;
-    constexpr double ejectFailureRate = 0.6;
-    constexpr double failureWeight = 0.2;
-    constexpr Duration firstEjection = std::chrono::milliseconds(1000);
-    constexpr Duration maxEjection = std::chrono::seconds(6);
-    /// Maximum share of ejected endpoints: if more fail, the cause lies elsewhere, and the rest would be overloaded.
-    constexpr double maxEjectedShare = 0.5;
-
+    /// Time after which callers return if no endpoint is usable; that of a first ejection.
+    constexpr Duration unusableRetryAfter = std::chrono::milliseconds(1000);
     constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 
     /// Behind a queue, first events of the lowest rank take up to three times the expected time plus some slack.
@@ -309,7 +302,7 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     Refused refused;
-    refused.retryAfter = firstEjection;
+    refused.retryAfter = unusableRetryAfter;
     std::optional<TimePoint> pauseEnd;
     bool limited = false;
     for (const auto& [id, index] : m_index) {
@@ -547,40 +540,7 @@
         average(state->requestTime, sample);
         average(m_requestTime, sample);
     }
-    return recordSuccess(*state);
-}
-
-HealthChange EndpointPlacement::recordFailure(State& state, TimePoint now)
-{
-    ++state.consecutiveFailures;
-    state.failureRate += failureWeight * (1 - state.failureRate);
-    bool failing = state.consecutiveFailures >= ejectAfterFailures || state.failureRate >= ejectFailureRate;
-    if (state.ejected) {
-        state.ejection = std::min(2 * state.ejection, maxEjection);
-        state.ejectedUntil = now + state.ejection;
-        return HealthChange::None;
-    }
-    if (!failing)
-        return HealthChange::None;
-    auto ejected = static_cast<double>(
-        std::count_if(m_states.begin(), m_states.end(), [](const State& each) { return each.ejected; }));
-    if (ejected + 1 > maxEjectedShare * static_cast<double>(m_index.size()))
-        return HealthChange::None;
-    state.ejected = true;
-    state.ejection = firstEjection;
-    state.ejectedUntil = now + state.ejection;
-    return HealthChange::Ejected;
-}
-
-HealthChange EndpointPlacement::recordSuccess(State& state)
-{
-    state.consecutiveFailures = 0;
-    state.failureRate -= failureWeight * state.failureRate;
-    if (!state.ejected)
-        return HealthChange::None;
-    state.ejected = false;
-    state.failureRate = 0;
-    return HealthChange::Restored;
+    return recordSuccess(*state, now);
 }
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/endpoint_placement_exclusion.cpp
+++ b/src/libwisteriayard/endpoint_placement_exclusion.cpp
@@ -20,10 +20,12 @@
 {
     if (auto reason = sendExclusion(state, request, now))
         return reason;
-    bool isTrialDue = now >= state.ejectedUntil && !state.probing;
-    if (state.ejected && !isTrialDue)
-        return EndpointExclusion::Ejected;
-    return std::nullopt;
+    if (!state.ejected)
+        return std::nullopt;
+    // While requests of several other entries fail there, a trial would only fail as well.
+    bool isTrialDue = now >= state.ejectedUntil && !state.probing
+        && m_peerFailures.entries(state.info.id, now) < PeerFailures::entriesToEject;
+    return isTrialDue ? std::nullopt : std::optional(EndpointExclusion::Ejected);
 }
 
 std::optional<EndpointExclusion> EndpointPlacement::exclusion(const State& state, const PlacementRequest& request,
