State 0 entries in /status until the registrations were read; a test waits for it

Cause, from the code: the share of the retry budget is 0 until the number of entries is known, so the first requests after the start get no second attempt, which is intended. The test called before that. /status stated 1 entry in that time; it now states 0, and the test waits until the number is known. No check is dropped.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -162,7 +162,7 @@
 
         std::string statusJson() const
         {
-            nlohmann::json status = { { "entries", std::max<std::size_t>(1, m_state.liveEntries) },
+            nlohmann::json status = { { "entries", m_state.liveEntries },
                 { "endpoints", m_state.directory.size() },
                 { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
                 { "active_requests", m_state.activeRequests } };
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -131,6 +131,12 @@
         connection.request("GET", "/metrics")
         return connection.getresponse().read().decode()
 
+    def knows_entries(self):
+        """Whether the registrations of the entries were read. Until then there is hardly any retry budget."""
+        connection = http.client.HTTPConnection(self.ip, METRICS_PORT, timeout=5)
+        connection.request("GET", "/status")
+        return json.loads(connection.getresponse().read())["entries"] > 0
+
     def call(self, path, method="POST", body=b"x", key=KEY, headers=None, timeout=5, request=None):
         """Sends a request over a new connection."""
         request = request or uuid.uuid4().hex[:16]
--- a/testsuite/response_heads/run.py
+++ b/testsuite/response_heads/run.py
@@ -136,6 +136,7 @@
 
 # Guards against a request that may be repeated and fails because of one endpoint's unsound response.
 def repeatable_requests_are_tried_elsewhere(deployment):
+    wait_until(deployment.gateways[0].knows_entries, "the registrations to be read")
     for row in UNSOUND[:4]:
         answer_with(deployment.endpoints[:1], row)
         answers = [deployment.gateways[0].call("/lookup/1").status for _ in range(4)]
