Omit all changes of a revision from a relay if one of them is omitted

An observer that could not relay a large value went on with the other changes of the same revision, in a message that starts at that revision. Receivers refuse such a message as invalid. It needs a copy with several keys: a large one changes last, and a comparison with a read of the store finds another one removed, or a transaction writes both. The copy of the configuration gets more keys with the evacuation of zones.

The effect was one refused datagram; receivers found the gap by the next progress report and read the store.

--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -385,6 +385,9 @@
 
         void add(StoreItem item)
         {
+            // Omitted with another change of its revision.
+            if (item.modRevision <= m_open.from)
+                return;
             std::size_t itemSize = item.key.size() + item.value.size();
             // Changes of one revision stay in one message, because a copy is complete up to whole revisions only.
             bool sameRevision = item.modRevision == m_open.to;
@@ -403,7 +406,7 @@
             skipTo(delta.revision);
             m_messages.emplace_back(std::move(delta));
         }
-        /// Omits a change and all changes before it.
+        /// Omits a change and all changes before it or of its revision.
         void omit(const StoreItem& item)
         {
             m_messages.clear();
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -201,6 +201,37 @@
     BOOST_TEST(reached.value() == 50);
 }
 
+struct SharedRevisionCase {
+    const char* name;
+    /// Keys that change at revision 12, in this order; the value of `large` can't be relayed.
+    std::vector<const char*> keys;
+};
+std::ostream& operator<<(std::ostream& out, const SharedRevisionCase& each) { return out << each.name; }
+
+const SharedRevisionCase sharedRevisionCases[] = {
+    { "large_last", { "small", "large" } },
+    { "large_first", { "large", "small" } },
+    { "large_between", { "a", "large", "small" } },
+};
+
+// Guards against a message with a part of the changes of a revision, which receivers refuse (seen when the largest key
+// was the last one that changed and a comparison found another one removed).
+BOOST_DATA_TEST_CASE(changes_of_a_revision_are_omitted_together, data::make(sharedRevisionCases), each)
+{
+    WatchBatch batch { Revision(20), { { "before", "x", Revision(11), {} } } };
+    for (std::string_view key : each.keys)
+        batch.items.push_back({ std::string(key), std::string(key == "large" ? 100'000 : 0, 'x'), Revision(12), {} });
+    batch.items.push_back({ "after", "x", Revision(13), {} });
+    auto messages = splitChanges(StoreView::Configuration, Revision(10), batch, {});
+    BOOST_REQUIRE(messages.size() == 1u);
+    auto decoded = decodePeerMessage(encodePeerMessage(std::get<ViewChanges>(messages[0])));
+    BOOST_REQUIRE(decoded.has_value());
+    const auto& changes = std::get<ViewChanges>(decoded.value());
+    BOOST_TEST(changes.from.value() == 12);
+    BOOST_REQUIRE(changes.items.size() == 1u);
+    BOOST_TEST(changes.items[0].key == "after");
+}
+
 struct LargeValueCase {
     const char* name;
     /// Items at revisions 11, 12 and so on: their keys and whether their values are large.
--- a/src/gateway/view_convergence_test.cpp
+++ b/src/gateway/view_convergence_test.cpp
@@ -24,6 +24,20 @@
 
 using Content = std::map<std::string, std::string>;
 
+/// Key whose value does not fit into a datagram.
+constexpr const char* largeKey = "config/0";
+
+const std::string& filler()
+{
+    static const std::string text = [] {
+        std::string numbers;
+        for (int i = 0; i < 4000; ++i)
+            numbers += ',' + std::to_string(i);
+        return numbers;
+    }();
+    return text;
+}
+
 /// A store in the same process that can be down, and can be restored to an earlier state of itself.
 class RestorableStore {
 public:
@@ -40,8 +54,11 @@
     void put(const std::string& key)
     {
         ++m_number;
-        StoreItem item { key, "value " + std::to_string(m_era.value()) + "/" + std::to_string(m_number), revision(),
-            revision() };
+        std::string value = "value " + std::to_string(m_era.value()) + "/" + std::to_string(m_number);
+        // Relayed as a difference, beside the small values of the other keys.
+        if (key == largeKey)
+            value += filler();
+        StoreItem item { key, std::move(value), revision(), revision() };
         m_items[key] = item;
         m_history.push_back(std::move(item));
         m_states[m_number] = m_items;
@@ -306,9 +323,9 @@
         std::string text = "revision " + std::to_string(numberInEra(m_world.store.revision())) + ":";
         Content content = m_world.store.content();
         for (const auto& [key, value] : entry.content)
-            text += " has " + key + " = " + value;
+            text += " has " + key + " = " + value.substr(0, value.find(','));
         for (const auto& [key, value] : content)
-            text += " should have " + key + " = " + value;
+            text += " should have " + key + " = " + value.substr(0, value.find(','));
         m_differences.push_back(std::move(text));
     }
 
