Send nothing to the endpoints of evacuated zones

The key op/evacuate/ZONE requests that nothing more be sent to a zone. The copy of the prefix op/, which each entry keeps for the configuration, holds these keys, so they take the same way through observers and datagrams, and an entry that starts gets both in one read. Evacuations applies reads and changes; EvacuationControl passes the zones to the directory and logs them. Evacuated is a reason in EndpointPlacement::sendExclusion(), which choosing, preferred endpoints, trials, the last resort and the check before the send share. Evacuated engines leave the order for long prompts, and evacuated endpoints don't count in the share that may be ejected. Without any other endpoint the request gets 503 evacuated. EndpointDirectory has one function that is called with the zones whose evacuation was withdrawn; it discards the record of cached segments.

Ruled out: a copy of its own (more calls to the store), a part of the configuration (an invalid document would delay an evacuation).

Without these keys the calls to the store and the choices are unchanged.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -3,7 +3,9 @@
 #include "address.h"
 #include "wisteriayard/store_numbers.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace wisteriayard {
 
@@ -176,6 +178,30 @@
         placement(record.target).put(placementEndpoint(record));
 }
 
+void EndpointDirectory::setEvacuatedZones(const std::set<ZoneId>& zones)
+{
+    std::set<ZoneId> withdrawn;
+    std::set_difference(m_evacuatedZones.begin(), m_evacuatedZones.end(), zones.begin(), zones.end(),
+        std::inserter(withdrawn, withdrawn.end()));
+    m_evacuatedZones = zones;
+    for (auto& [target, placement] : m_placements)
+        placement->setEvacuatedZones(zones);
+    if (!withdrawn.empty())
+        evacuationsWithdrawn(withdrawn);
+}
+
+void EndpointDirectory::evacuationsWithdrawn(const std::set<ZoneId>& zones)
+{
+    for (auto& [target, placement] : m_placements)
+        placement->forgetCachedSegments(zones);
+}
+
+std::size_t EndpointDirectory::sizeOf(const ZoneId& zone) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_records.begin(), m_records.end(), [&zone](const auto& each) { return each.second.zone == zone; }));
+}
+
 template <typename Value>
 std::map<EndpointId, Value> EndpointDirectory::resolveTags(const std::map<EndpointTag, Value>& byTag) const
 {
@@ -315,6 +341,7 @@
     if (!placement) {
         placement = std::make_unique<EndpointPlacement>(PlacementPolicy(), m_settings.zone, m_settings.region);
         placement->setLimitEntries(m_limitEntries, TimePoint());
+        placement->setEvacuatedZones(m_evacuatedZones);
     }
     return *placement;
 }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace wisteriayard {
@@ -51,6 +52,10 @@
     void configure(const RoutingConfig& config);
     /// Applies changed zones of the settings to the endpoints.
     void settingsChanged() { updateEndpoints(); }
+    /// Sets the zones to whose endpoints nothing may be sent.
+    void setEvacuatedZones(const std::set<ZoneId>& zones);
+    /// Number of endpoints in a zone.
+    std::size_t sizeOf(const ZoneId& zone) const;
     /// Records the load that another entry reported.
     void updatePeerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& reported, TimePoint now);
     /// @name Cache hints: shared prompt segments that requests started to use at endpoints
@@ -91,6 +96,8 @@
 
 private:
     void applyItem(const StoreItem& item, TimePoint now);
+    /// Called with the zones whose evacuation has just been withdrawn: their endpoints have had no requests meanwhile.
+    void evacuationsWithdrawn(const std::set<ZoneId>& zones);
     void updateEndpoints();
     /// Whether a record may come from the copy from which the store was restored.
     bool mayBeOld(const StoreItem& item) const { return item.modRevision <= m_restoredRevision; }
@@ -115,6 +122,7 @@
     std::map<TargetId, TargetInfo> m_targets;
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
     LimitEntries m_limitEntries;
+    std::set<ZoneId> m_evacuatedZones;
     bool m_loaded = false;
     /// Revision of the last complete read.
     Revision m_readRevision;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "buffered_sink.h"
 #include "caller_session.h"
 #include "clock.h"
+#include "evacuation_control.h"
 #include "event_loop.h"
 #include "gateway_state.h"
 #include "http_server.h"
@@ -77,6 +78,7 @@
             , m_acceptor(m_io)
             , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
             , m_peers(m_state, platform.makeStore(m_io.get_executor(), leaseCallTimeout, m_eras))
+            , m_evacuations(m_state)
             , m_config(m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras), platform.configPrefix(),
                   CatchUp::CurrentState, configHandlers(), m_state.log)
             , m_endpoints(m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras),
@@ -165,7 +167,7 @@
             nlohmann::json status = { { "entries", std::max<std::size_t>(1, m_state.liveEntries) },
                 { "endpoints", m_state.directory.size() },
                 { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
-                { "active_requests", m_state.activeRequests } };
+                { "active_requests", m_state.activeRequests }, { "evacuated_zones", m_evacuations.zonesField() } };
             if (m_state.usage)
                 status["usage"] = m_state.usage->status();
             return status.dump();
@@ -176,11 +178,13 @@
             StoreFollower::Handlers handlers;
             handlers.snapshot = [this](const StoreRange& range, const ChangeOrigin& origin, TimePoint now) {
                 m_state.configConfirmedAt = now;
+                m_evacuations.replace(range, origin, bootTimeNow());
                 for (const StoreItem& item : range.items)
                     applyConfig(item, origin);
             };
             handlers.changes = [this](const WatchBatch& batch, const ChangeOrigin& origin, TimePoint now) {
                 m_state.configConfirmedAt = now;
+                m_evacuations.apply(batch, origin, bootTimeNow());
                 for (const StoreItem& item : batch.items)
                     applyConfig(item, origin);
             };
@@ -375,6 +379,7 @@
                 TimePoint now = bootTimeNow();
                 m_state.pool.expire(now);
                 m_state.directory.removeLapsed(now);
+                m_evacuations.expire(now);
                 m_state.crashGuard.expire(now);
                 m_state.directory.logPrefillPools(now);
                 std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
@@ -539,6 +544,7 @@
         std::shared_ptr<HttpServer> m_readinessServer;
         std::shared_ptr<HttpServer> m_adminServer;
         PeerExchange m_peers;
+        EvacuationControl m_evacuations;
         StoreFollower m_config;
         StoreFollower m_endpoints;
         QuarantineStore m_quarantine;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -72,6 +72,8 @@
           "Configurations in the store that could not be decoded"))
     , m_withheldSends(counter(*m_registry, "wisteriayard_gateway_sends_withheld_total",
           "Attempts that ended before the request was sent, because the chosen endpoint was excluded, by reason"))
+    , m_evacuatedZones(
+          gauge(*m_registry, "wisteriayard_gateway_evacuated_zones", "Zones to whose endpoints nothing is sent"))
     , m_endpoints(gauge(*m_registry, "wisteriayard_gateway_endpoints", "Endpoints that may be given requests"))
     , m_configVersion(
           gauge(*m_registry, "wisteriayard_gateway_config_version", "Version of the configuration in force"))
@@ -150,6 +152,8 @@
     m_withheldSends.Add({ { "reason", reason } }).Increment();
 }
 
+void GatewayMetrics::setEvacuatedZones(std::size_t count) { m_evacuatedZones.Add({}).Set(static_cast<double>(count)); }
+
 void GatewayMetrics::setEndpointCount(std::size_t count) { m_endpoints.Add({}).Set(static_cast<double>(count)); }
 
 void GatewayMetrics::setConfigVersion(std::int64_t version)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -43,6 +43,7 @@
     void peerDatagramRefused();
     /// A request was not sent to the chosen endpoint, because it was excluded meanwhile.
     void sendWithheld(const std::string& reason);
+    void setEvacuatedZones(std::size_t count);
     void setEndpointCount(std::size_t count);
     void setConfigVersion(std::int64_t version);
     /// @param maxDelay upper bound of the time since the store accepted the configuration
@@ -85,6 +86,7 @@
     prometheus::Family<prometheus::Histogram>& m_configDelay;
     prometheus::Family<prometheus::Counter>& m_configRejections;
     prometheus::Family<prometheus::Counter>& m_withheldSends;
+    prometheus::Family<prometheus::Gauge>& m_evacuatedZones;
     prometheus::Family<prometheus::Gauge>& m_endpoints;
     prometheus::Family<prometheus::Gauge>& m_configVersion;
     prometheus::Family<prometheus::Gauge>& m_active;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -29,7 +29,8 @@
     metrics.setQuarantinedSegments(1);
     metrics.limitedRequestSent(false);
     metrics.peerDatagramRefused();
-    metrics.sendWithheld("other_region");
+    metrics.sendWithheld("evacuated");
+    metrics.setEvacuatedZones(1);
     metrics.setEndpointCount(1);
     metrics.setConfigVersion(1);
     metrics.configApplied(Duration(1));
@@ -71,6 +72,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 27u);
+    BOOST_TEST(code.size() == 28u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -163,8 +163,11 @@
     virtual std::unique_ptr<StoreClient> makeStore(
         boost::asio::any_io_executor executor, Duration timeout, std::shared_ptr<StoreEraMonitor> eras) const = 0;
 
+    /// Prefix of the operator's keys: the configuration and the evacuations.
     virtual std::string configPrefix() const = 0;
     virtual std::string configKey() const = 0;
+    /// Prefix of the keys that request the evacuation of a zone; the rest of the key is the zone's name.
+    virtual std::string evacuationPrefix() const = 0;
     /// @return the configuration, or a Protocol error that names the invalid field
     virtual Result<RoutingConfig> decodeConfig(std::string_view document) const = 0;
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -97,7 +97,7 @@
     auto reason = endpoints.sendExclusion(placement, placementRequest(now), now);
     if (reason)
         m_state.metrics.sendWithheld(std::string(endpointExclusionName(*reason)));
-    if (reason == EndpointExclusion::OtherRegion)
+    if (reason == EndpointExclusion::Evacuated || reason == EndpointExclusion::OtherRegion)
         return NotExecuted { "endpoint_" + std::string(endpointExclusionName(*reason)), false };
     return NotExecuted { endpoints.limit(placement) ? "endpoint_limited" : "endpoint_left_or_paused", false };
 }
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -73,7 +73,10 @@
     }
 
     /// Whether a refusal names the operator's decision that ended the attempts, whatever endpoints responded before.
-    bool endsAllAttempts(PlacementRefusal reason) { return reason == PlacementRefusal::RegionNotAvailable; }
+    bool endsAllAttempts(PlacementRefusal reason)
+    {
+        return reason == PlacementRefusal::RegionNotAvailable || reason == PlacementRefusal::Evacuated;
+    }
 
     /// Name of an outcome without its reason, as a metric label.
     std::string outcomeMetricLabel(const AttemptOutcome& outcome)
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -155,6 +155,8 @@
     Overloaded,
     /// No region of the deployment may serve the request.
     RegionNotAvailable,
+    /// All endpoints in the regions that may serve the request are being evacuated.
+    Evacuated,
 };
 std::string_view placementRefusalName(PlacementRefusal refusal);
 
@@ -228,6 +230,14 @@
     /// Reason why nothing may be sent to the endpoint of a placement, whatever its health; none if it has left.
     std::optional<EndpointExclusion> sendExclusion(
         const Placement& placement, const PlacementRequest& request, TimePoint now) const;
+    /// @name Evacuation of zones
+    /// @{
+
+    /// Sets the zones to whose endpoints nothing may be sent.
+    void setEvacuatedZones(std::set<ZoneId> zones);
+    /// Forgets what the endpoints of these zones have cached, so that requests return one segment after another.
+    void forgetCachedSegments(const std::set<ZoneId>& zones);
+    /// @}
     /// @name Rate limits of endpoints, divided among the entries
     /// @{
 
@@ -351,6 +361,11 @@
     std::optional<EndpointExclusion> exclusion(const State& state, const PlacementRequest& request,
         const std::vector<EndpointId>& tried, bool onlyEjected, TimePoint now) const;
     bool onlyEjectedRemain(const PlacementRequest& request, TimePoint now) const;
+    bool isEvacuated(const State& state) const { return m_evacuatedZones.count(state.info.zone) > 0; }
+    /// Whether another endpoint may be ejected; evacuated ones don't count, since they take no requests either.
+    bool mayEject() const;
+    /// Whether there are endpoints in the allowed regions, and all of them are evacuated.
+    bool allEvacuated(const PlacementRequest& request) const;
     /// @}
     void keepLimit(const State& state, TimePoint now);
     void restoreLimit(std::size_t index);
@@ -386,6 +401,7 @@
     LimitTurns m_limitTurns;
     /// Endpoints that have named a rate limit.
     std::set<std::size_t> m_limited;
+    std::set<ZoneId> m_evacuatedZones;
     /// Recent rate limits of endpoints that are missing in the list.
     std::map<EndpointId, FormerLimit> m_formerLimits;
     PrefillPool m_pool;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -43,10 +43,11 @@
     constexpr double failureWeight = 0.2;
     constexpr Duration firstEjection = std::chrono::milliseconds(1000);
     constexpr Duration maxEjection = std::chrono::seconds(6);
-    /// Maximum share of ejected endpoints: if more fail, the cause lies elsewhere, and the rest would be overloaded.
-    constexpr double maxEjectedShare = 0.5;
 
     constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
+    /// Retry-After while all endpoints are evacuated: short compared with an evacuation, long enough that the callers'
+    /// retries are a small load.
+    constexpr Duration evacuatedRetryAfter = std::chrono::seconds(2);
 
     /// Behind a queue, first events of the lowest rank take up to three times the expected time plus some slack.
     /// Without a queue, they come in the expected time.
@@ -96,6 +97,8 @@
         return "overloaded";
     case PlacementRefusal::RegionNotAvailable:
         return "region_not_available";
+    case PlacementRefusal::Evacuated:
+        return "evacuated";
     }
     return "unknown";
 }
@@ -142,13 +145,15 @@
 void EndpointPlacement::orderEndpoints()
 {
     // Ordered by hash within each zone, taking one endpoint of each zone in turn, so that any prefix of the order
-    // covers all zones. Endpoints with a rate limit do too little work to count as a part of either pool.
-    bool allLimited = std::all_of(m_index.begin(), m_index.end(),
-        [this](const auto& each) { return m_states[each.second].limit.rate().has_value(); });
+    // covers all zones. Endpoints with a rate limit do too little work to count as a part of either pool, and evacuated
+    // ones do none.
+    bool allLimited = std::all_of(m_index.begin(), m_index.end(), [this](const auto& each) {
+        return isEvacuated(m_states[each.second]) || m_states[each.second].limit.rate().has_value();
+    });
     std::map<ZoneId, std::vector<std::size_t>> zones;
     for (const auto& [id, index] : m_index) {
         m_states[index].poolOrder.reset();
-        if (allLimited || !m_states[index].limit.rate())
+        if (!isEvacuated(m_states[index]) && (allLimited || !m_states[index].limit.rate()))
             zones[m_states[index].info.zone].push_back(index);
     }
     std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, std::size_t>> order;
@@ -311,6 +316,11 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     Refused refused;
+    if (allEvacuated(request)) {
+        refused.reason = PlacementRefusal::Evacuated;
+        refused.retryAfter = evacuatedRetryAfter;
+        return refused;
+    }
     refused.retryAfter = firstEjection;
     std::optional<TimePoint> pauseEnd;
     bool limited = false;
@@ -562,11 +572,7 @@
         state.ejectedUntil = now + state.ejection;
         return HealthChange::None;
     }
-    if (!failing)
-        return HealthChange::None;
-    auto ejected = static_cast<double>(
-        std::count_if(m_states.begin(), m_states.end(), [](const State& each) { return each.ejected; }));
-    if (ejected + 1 > maxEjectedShare * static_cast<double>(m_index.size()))
+    if (!failing || !mayEject())
         return HealthChange::None;
     state.ejected = true;
     state.ejection = firstEjection;
--- a/src/libwisteriayard/endpoint_placement_exclusion.cpp
+++ b/src/libwisteriayard/endpoint_placement_exclusion.cpp
@@ -5,11 +5,20 @@
 
 namespace wisteriayard {
 
+namespace {
+
+    /// Maximum share of ejected endpoints: if more fail, the cause lies elsewhere, and the rest would be overloaded.
+    constexpr double maxEjectedShare = 0.5;
+
+} // namespace
+
 std::optional<EndpointExclusion> EndpointPlacement::sendExclusion(
     const State& state, const PlacementRequest& request, TimePoint now) const
 {
     if (!request.allowedRegions.contains(state.info.region))
         return EndpointExclusion::OtherRegion;
+    if (isEvacuated(state))
+        return EndpointExclusion::Evacuated;
     if (state.pause.isActive(now))
         return EndpointExclusion::Paused;
     return std::nullopt;
@@ -52,4 +61,44 @@
         [&](const auto& each) { return !availabilityExclusion(m_states[each.second], request, now); });
 }
 
+bool EndpointPlacement::mayEject() const
+{
+    std::size_t usable = 0;
+    std::size_t ejected = 0;
+    for (const auto& [id, index] : m_index) {
+        if (isEvacuated(m_states[index]))
+            continue;
+        ++usable;
+        ejected += m_states[index].ejected ? 1 : 0;
+    }
+    return static_cast<double>(ejected + 1) <= maxEjectedShare * static_cast<double>(usable);
+}
+
+bool EndpointPlacement::allEvacuated(const PlacementRequest& request) const
+{
+    bool anyAllowed = false;
+    for (const auto& [id, index] : m_index) {
+        if (!request.allowedRegions.contains(m_states[index].info.region))
+            continue;
+        if (!isEvacuated(m_states[index]))
+            return false;
+        anyAllowed = true;
+    }
+    return anyAllowed;
+}
+
+void EndpointPlacement::setEvacuatedZones(std::set<ZoneId> zones)
+{
+    m_evacuatedZones = std::move(zones);
+    orderEndpoints();
+}
+
+void EndpointPlacement::forgetCachedSegments(const std::set<ZoneId>& zones)
+{
+    for (const auto& [id, index] : m_index) {
+        if (zones.count(m_states[index].info.zone) > 0)
+            m_states[index].cachedSegments = CachedSegments(m_policy.cacheLifetime);
+    }
+}
+
 } // namespace wisteriayard
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -172,6 +172,12 @@
         return "segment_on_probation";
     case Event::RequestOnProbation:
         return "request_on_probation";
+    case Event::ZoneEvacuated:
+        return "zone_evacuated";
+    case Event::ZoneEvacuationWithdrawn:
+        return "zone_evacuation_withdrawn";
+    case Event::ZoneEvacuationKept:
+        return "zone_evacuation_kept";
     case Event::RegionsUnavailable:
         return "regions_unavailable";
     case Event::QuarantineStoreFailed:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -99,6 +99,9 @@
     RequestTried = 727,
     SegmentOnProbation = 728,
     RequestOnProbation = 729,
+    ZoneEvacuated = 740,
+    ZoneEvacuationWithdrawn = 741,
+    ZoneEvacuationKept = 742,
     RegionsUnavailable = 743,
 };
 
