--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -52,7 +52,7 @@
         self.zone = zone
         self.ports = [self._free_port() for _ in range(3)]
         self.settings = {
-            "node_name": name, "zone": zone, "region": "r", "zones": {"a": "r", "b": "r"},
+            "node_name": name, "zone": zone, "region": deployment.zones[zone], "zones": deployment.zones,
             "listen": {"front": f"{self.ip}:{self.ports[0]}", "ready": f"{self.ip}:{self.ports[1]}"},
             "port_range": [self.ports[2], self.ports[2]], "limits": {"memory_mb": deployment.memory_mb, "max_fds": 4096},
             "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_slack": 50, "lease_ttl_ms": 1500,
@@ -159,8 +159,9 @@
 class Deployment:
     """The store, endpoints of a plain and a model service, the receiver of usage reports, and gateways."""
 
-    def __init__(self, bin_folder, linked=False, memory_mb=128):
+    def __init__(self, bin_folder, linked=False, memory_mb=128, zones=None):
         self.bin, self.memory_mb = bin_folder, memory_mb
+        self.zones = zones or {"a": "r", "b": "r"}
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.store, self.reports = Store(), Reports()
