--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace wisteriayard {
@@ -49,6 +50,12 @@
     void shutdownAnnounced(const EndpointId& id, Incarnation incarnation, TimePoint now);
     /// Applies the engine parameters of a new configuration.
     void configure(const RoutingConfig& config);
+    /// Applies changed zones of the settings to the endpoints.
+    void settingsChanged() { updateEndpoints(); }
+    /// Sets the zones to whose endpoints nothing may be sent.
+    void setEvacuatedZones(const std::set<ZoneId>& zones);
+    /// Number of endpoints in a zone.
+    std::size_t sizeOf(const ZoneId& zone) const;
     /// Records the load that another entry reported.
     void updatePeerUse(const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& reported, TimePoint now);
     /// @name Endpoints at which requests fail; empty unless the settings ask for the exchange
@@ -97,6 +104,9 @@
 
 private:
     void applyItem(const StoreItem& item, TimePoint now);
+    /// Called with the zones whose evacuation has just been withdrawn: their endpoints have had no requests meanwhile.
+    void evacuationsWithdrawn(const std::set<ZoneId>& zones);
+    void updateEndpoints();
     /// Whether a record may come from the copy from which the store was restored.
     bool mayBeOld(const StoreItem& item) const { return item.modRevision <= m_restoredRevision; }
     /// Whether an endpoint has left or restarted since the copy with this record was made.
@@ -120,6 +130,7 @@
     std::map<TargetId, TargetInfo> m_targets;
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
     LimitEntries m_limitEntries;
+    std::set<ZoneId> m_evacuatedZones;
     bool m_loaded = false;
     /// Revision of the last complete read.
     Revision m_readRevision;
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -133,6 +134,9 @@
     bool reportsUsage = false;
     /// Entries tell each other at which endpoints their requests fail, because health checks may be wrong.
     bool sharesFailures = false;
+
+    /// Regions of all zones and of this entry.
+    std::set<RegionId> regions() const;
 };
 
 /// Encodes and decodes the platform's HTTP headers. Contains no routing or retry decisions.
@@ -161,8 +165,11 @@
     virtual std::unique_ptr<StoreClient> makeStore(
         boost::asio::any_io_executor executor, Duration timeout, std::shared_ptr<StoreEraMonitor> eras) const = 0;
 
+    /// Prefix of the operator's keys: the configuration and the evacuations.
     virtual std::string configPrefix() const = 0;
     virtual std::string configKey() const = 0;
+    /// Prefix of the keys that request the evacuation of a zone; the rest of the key is the zone's name.
+    virtual std::string evacuationPrefix() const = 0;
     /// @return the configuration, or a Protocol error that names the invalid field
     virtual Result<RoutingConfig> decodeConfig(std::string_view document) const = 0;
 
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -40,6 +40,9 @@
     /// Time after which callers return if no endpoint is usable; that of a first ejection.
     constexpr Duration unusableRetryAfter = std::chrono::milliseconds(1000);
     constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
+    /// Retry-After while all endpoints are evacuated: short compared with an evacuation, long enough that the callers'
+    /// retries are a small load.
+    constexpr Duration evacuatedRetryAfter = std::chrono::seconds(2);
 
     /// Behind a queue, first events of the lowest rank take up to three times the expected time plus some slack.
     /// Without a queue, they come in the expected time.
@@ -87,6 +90,10 @@
         return "limited";
     case PlacementRefusal::Overloaded:
         return "overloaded";
+    case PlacementRefusal::RegionNotAvailable:
+        return "region_not_available";
+    case PlacementRefusal::Evacuated:
+        return "evacuated";
     }
     return "unknown";
 }
@@ -133,13 +140,15 @@
 void EndpointPlacement::orderEndpoints()
 {
     // Ordered by hash within each zone, taking one endpoint of each zone in turn, so that any prefix of the order
-    // covers all zones. Endpoints with a rate limit do too little work to count as a part of either pool.
-    bool allLimited = std::all_of(m_index.begin(), m_index.end(),
-        [this](const auto& each) { return m_states[each.second].limit.rate().has_value(); });
+    // covers all zones. Endpoints with a rate limit do too little work to count as a part of either pool, and evacuated
+    // ones do none.
+    bool allLimited = std::all_of(m_index.begin(), m_index.end(), [this](const auto& each) {
+        return isEvacuated(m_states[each.second]) || m_states[each.second].limit.rate().has_value();
+    });
     std::map<ZoneId, std::vector<std::size_t>> zones;
     for (const auto& [id, index] : m_index) {
         m_states[index].poolOrder.reset();
-        if (allLimited || !m_states[index].limit.rate())
+        if (!isEvacuated(m_states[index]) && (allLimited || !m_states[index].limit.rate()))
             zones[m_states[index].info.zone].push_back(index);
     }
     std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, std::size_t>> order;
@@ -302,6 +311,11 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     Refused refused;
+    if (allEvacuated(request)) {
+        refused.reason = PlacementRefusal::Evacuated;
+        refused.retryAfter = evacuatedRetryAfter;
+        return refused;
+    }
     refused.retryAfter = unusableRetryAfter;
     std::optional<TimePoint> pauseEnd;
     bool limited = false;
--- a/src/libwisteriayard/endpoint_placement_exclusion.cpp
+++ b/src/libwisteriayard/endpoint_placement_exclusion.cpp
@@ -10,11 +10,20 @@
 {
     if (!request.allowedRegions.contains(state.info.region))
         return EndpointExclusion::OtherRegion;
+    if (isEvacuated(state))
+        return EndpointExclusion::Evacuated;
     if (state.pause.isActive(now))
         return EndpointExclusion::Paused;
     return std::nullopt;
 }
 
+std::optional<EndpointExclusion> EndpointPlacement::sendExclusion(
+    const Placement& placement, const PlacementRequest& request, TimePoint now) const
+{
+    const State* state = find(placement);
+    return state ? sendExclusion(*state, request, now) : std::nullopt;
+}
+
 std::optional<EndpointExclusion> EndpointPlacement::availabilityExclusion(
     const State& state, const PlacementRequest& request, TimePoint now) const
 {
@@ -47,4 +56,31 @@
         [&](const auto& each) { return !availabilityExclusion(m_states[each.second], request, now); });
 }
 
+bool EndpointPlacement::allEvacuated(const PlacementRequest& request) const
+{
+    bool anyAllowed = false;
+    for (const auto& [id, index] : m_index) {
+        if (!request.allowedRegions.contains(m_states[index].info.region))
+            continue;
+        if (!isEvacuated(m_states[index]))
+            return false;
+        anyAllowed = true;
+    }
+    return anyAllowed;
+}
+
+void EndpointPlacement::setEvacuatedZones(std::set<ZoneId> zones)
+{
+    m_evacuatedZones = std::move(zones);
+    orderEndpoints();
+}
+
+void EndpointPlacement::forgetCachedSegments(const std::set<ZoneId>& zones)
+{
+    for (const auto& [id, index] : m_index) {
+        if (zones.count(m_states[index].info.zone) > 0)
+            m_states[index].cachedSegments = CachedSegments(m_policy.cacheLifetime);
+    }
+}
+
 } // namespace wisteriayard
--- a/src/libwisteriayard/endpoint_placement_health.cpp
+++ b/src/libwisteriayard/endpoint_placement_health.cpp
@@ -25,11 +25,22 @@
 
 } // namespace
 
+bool EndpointPlacement::mayEject() const
+{
+    std::size_t usable = 0;
+    std::size_t ejected = 0;
+    for (const auto& [id, index] : m_index) {
+        if (isEvacuated(m_states[index]))
+            continue;
+        ++usable;
+        ejected += m_states[index].ejected ? 1 : 0;
+    }
+    return static_cast<double>(ejected + 1) <= maxEjectedShare * static_cast<double>(usable);
+}
+
 bool EndpointPlacement::eject(State& state, TimePoint now)
 {
-    auto ejected = static_cast<double>(
-        std::count_if(m_states.begin(), m_states.end(), [](const State& each) { return each.ejected; }));
-    if (ejected + 1 > maxEjectedShare * static_cast<double>(m_index.size()))
+    if (!mayEject())
         return false;
     state.ejected = true;
     state.ejection = firstEjection;
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -99,6 +99,10 @@
     RequestTried = 727,
     SegmentOnProbation = 728,
     RequestOnProbation = 729,
+    ZoneEvacuated = 740,
+    ZoneEvacuationWithdrawn = 741,
+    ZoneEvacuationKept = 742,
+    RegionsUnavailable = 743,
 };
 
 /// Name of an event as in docs/events.md, or `unknown`.
