EntryShare: the share of a divided rate, extracted from EndpointLimit

Cause: cold endpoints need the same division of a rate among a few entries that all agree on, with another number of holders and another capacity.

The choice of the holders (shareHolders(), formerly in limits.cpp), the token bucket and the rule that a new share starts empty move to EntryShare.

--- a/src/include/wisteriayard/endpoint_limit.h
+++ b/src/include/wisteriayard/endpoint_limit.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "wisteriayard/entry_share.h"
 #include "wisteriayard/ids.h"
-#include "wisteriayard/token_bucket.h"
 #include "wisteriayard/units.h"
 
 #include <map>
@@ -17,17 +17,6 @@
     TimePoint at {};
 };
 
-/// The entries among which the rate limits of endpoints are divided, as known to this entry.
-struct LimitEntries {
-    InstanceId self;
-    /// This entry may use its shares: the other entries count it, too.
-    bool active = false;
-    /// All entries with their regions, including this one.
-    std::map<InstanceId, RegionId> regions;
-
-    friend bool operator==(const LimitEntries&, const LimitEntries&) = default;
-};
-
 /// Rate limit that an endpoint names for the requests of all entries together, and the credit of this entry for it.
 ///
 /// Load pattern: many entries send requests to an endpoint in need, which names a limit of a few requests per second
@@ -55,14 +44,14 @@
     /// Determines this entry's share of the limit in force. A new share starts without credit.
     void updateShare(const EndpointId& endpoint, const RegionId& region, const LimitEntries& entries, TimePoint now);
     /// This entry's share, in requests per second; 0 if it holds none.
-    RequestRate share() const { return RequestRate(m_credit.rate()); }
+    RequestRate share() const { return m_share.rate(); }
     /// Whether a request may be sent now.
     bool admits(TimePoint now) const;
     /// Takes the credit for one request; the endpoint must have a limit.
     /// @return false if there is none
     bool tryAcquire(TimePoint now);
     /// Returns the credit of a request that was not sent.
-    void giveBack(TimePoint now) { m_credit.giveBack(now); }
+    void giveBack(TimePoint now) { m_share.giveBack(now); }
     /// Takes the credit for one request if this entry hasn't used it for a while, to pass it on to another entry.
     bool takeUnused(TimePoint now);
     /// Adds credit for one request that another entry passed on. It expires soon.
@@ -74,7 +63,7 @@
 
     LimitObservation m_latest;
     LimitObservation m_own;
-    TokenBucket m_credit;
+    EntryShare m_share;
     /// Expiry times of credits passed on by other entries.
     std::vector<TimePoint> m_passedOn;
     /// Time after the latest observation at which one request is sent as a probe, which differs between entries, and
--- a/src/include/wisteriayard/limits.h
+++ b/src/include/wisteriayard/limits.h
@@ -52,13 +52,6 @@
 /// Returns the entry that owns the budget of an account: the one with the highest rendezvous weight.
 /// @param entries live entries, at least one
 InstanceId budgetOwner(const AccountId& account, const std::vector<InstanceId>& entries);
-/// Returns the entries that divide a rate of requests among them in equal shares without any messages. All entries that
-/// have the same list agree on them, whether or not they reach each other, so the shares add up to the rate.
-/// Each share is at least one request per second, or there is only one: with smaller shares, the first request that
-/// each of many entries may send at once would exceed the rate.
-/// @param key what the rate applies to; different keys have different holders
-/// @param entries entries that may hold a share; may be empty
-std::vector<InstanceId> shareHolders(std::string_view key, RequestRate rate, const std::vector<InstanceId>& entries);
 /// Returns the maximum credit of a kind that accumulates at the budget owner, which bounds a burst.
 double creditCapacity(CreditKind kind, double rate);
 /// Returns the credit of a kind that a new budget owner starts with. Without it, accounts within their limits were
--- a/src/libwisteriayard/endpoint_limit.cpp
+++ b/src/libwisteriayard/endpoint_limit.cpp
@@ -4,6 +4,7 @@
 #include "wisteriayard/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wisteriayard {
 
@@ -26,6 +27,15 @@
     constexpr Duration refusalMemory = std::chrono::seconds(1);
     /// Each request of this number is kept for less urgent requests.
     constexpr unsigned lessUrgentTurn = 4;
+    /// Limits above this are divided among all entries anyway.
+    constexpr float maxHolders = 1e6;
+
+    /// Each share is at least one request per second, or there is only one: with smaller shares, the first request that
+    /// each of many entries may send at once would exceed the limit.
+    std::size_t holderCount(RequestRate rate)
+    {
+        return static_cast<std::size_t>(std::clamp(std::floor(rate.value()), 1.0F, maxHolders));
+    }
 
 } // namespace
 
@@ -61,30 +71,18 @@
     const EndpointId& endpoint, const RegionId& region, const LimitEntries& entries, TimePoint now)
 {
     if (!m_latest.rate) {
-        m_credit = TokenBucket();
+        m_share.clear();
         m_passedOn.clear();
         return;
     }
-    std::vector<InstanceId> candidates;
-    for (const auto& [instance, home] : entries.regions) {
-        if (home == region)
-            candidates.push_back(instance);
-    }
-    if (candidates.empty()) {
-        for (const auto& [instance, home] : entries.regions)
-            candidates.push_back(instance);
-    }
     RequestRate rate = std::max(*m_latest.rate, minRate);
     std::uint64_t weight = rendezvousWeight(endpoint.value(), entries.self);
     auto rank = std::count_if(entries.regions.begin(), entries.regions.end(),
         [&](const auto& each) { return rendezvousWeight(endpoint.value(), each.first) > weight; });
     m_probeDelay = firstProbeDelay + rank * probeSpacing;
     m_probeInterval = firstProbeDelay + static_cast<Duration::rep>(entries.regions.size()) * probeSpacing;
-    std::vector<InstanceId> holders = shareHolders(endpoint.value(), rate, candidates);
-    bool isHolder = entries.active && std::find(holders.begin(), holders.end(), entries.self) != holders.end();
-    double share = isHolder ? rate.value() / static_cast<double>(holders.size()) : 0;
-    double capacity = isHolder ? creditCapacity(CreditKind::Requests, share) : 0;
-    m_credit.reconfigure(share, capacity, now);
+    auto capacity = [](double share) { return creditCapacity(CreditKind::Requests, share); };
+    m_share.update(endpoint, region, entries, { rate, holderCount(rate), entries.active }, capacity, now);
 }
 
 bool EndpointLimit::isRecent(TimePoint now) const { return m_latest.rate && now - m_latest.at < firstProbeDelay; }
@@ -98,7 +96,7 @@
 bool EndpointLimit::admits(TimePoint now) const
 {
     bool passedOn = std::any_of(m_passedOn.begin(), m_passedOn.end(), [now](TimePoint end) { return now < end; });
-    return !m_latest.rate || passedOn || m_credit.available(now) >= 1 || needsProbe(now);
+    return !m_latest.rate || passedOn || m_share.available(now) >= 1 || needsProbe(now);
 }
 
 bool EndpointLimit::tryAcquire(TimePoint now)
@@ -109,7 +107,7 @@
         m_passedOn.erase(m_passedOn.begin());
         return true;
     }
-    if (m_credit.tryTake(now))
+    if (m_share.tryTake(now))
         return true;
     bool probes = needsProbe(now);
     if (probes)
@@ -119,13 +117,13 @@
 
 bool EndpointLimit::takeUnused(TimePoint now)
 {
-    if (!m_latest.rate || m_credit.available(now) < 1) {
+    if (!m_latest.rate || m_share.available(now) < 1) {
         m_unusedSince.reset();
         return false;
     }
     if (!m_unusedSince)
         m_unusedSince = now;
-    return now - *m_unusedSince >= unusedDelay && m_credit.tryTake(now);
+    return now - *m_unusedSince >= unusedDelay && m_share.tryTake(now);
 }
 
 void EndpointLimit::addPassedOn(TimePoint now)
--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -63,13 +63,6 @@
     return rendezvousTop(account.value(), entries, 1).at(0);
 }
 
-std::vector<InstanceId> shareHolders(std::string_view key, RequestRate rate, const std::vector<InstanceId>& entries)
-{
-    auto most = std::max(1.0F, static_cast<float>(entries.size()));
-    auto count = static_cast<std::size_t>(std::clamp(std::floor(rate.value()), 1.0F, most));
-    return rendezvousTop(key, entries, count);
-}
-
 double creditCapacity(CreditKind kind, double rate)
 {
     if (kind == CreditKind::Spend)
