ShareActivation: when an entry may use its shares, out of PeerExchange

Cold endpoints need a stricter rule from the same facts.

The rule for rate limits (isActive) is moved as it is. updateExclusive() returns the time until which no other entry can use the same share: the registration is confirmed, at least 8 s old, and the list was read within 7.9 s; or the store is down for all entries that are listed. Nothing uses it yet. The functions for limits move to peer_exchange_limits.cpp.

Ruled out: a longer delay after the registration instead of the condition on the age of the list, because entries that start would get no share for longer.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -21,11 +21,6 @@
 
 namespace {
 
-    /// Time to live of a registration: it survives two lost renewals.
-    constexpr Duration registrationTimeToLive = std::chrono::seconds(9);
-    /// Interval at which registrations are read; after a datagram from an unknown address they are read earlier.
-    constexpr Duration registrationReadInterval = std::chrono::seconds(6);
-    constexpr Duration registrationRetryDelay = std::chrono::seconds(2);
     constexpr Duration unknownSenderCheckInterval = std::chrono::milliseconds(600);
     /// Peers without contact for longer are considered dead, in the assignment of roles among others. More than twice
     /// the idle interval.
@@ -43,12 +38,6 @@
     /// the traffic of an entry. Entries of other regions receive the sum of the region's loads from its observers.
     constexpr Duration sendInterval = std::chrono::milliseconds(100);
     constexpr std::size_t peersAtSendInterval = 32;
-    /// Time after its registration from which an entry uses its shares of rate limits. By then all entries that reach
-    /// the store have read the registrations, and those that it displaces have stopped to use theirs.
-    constexpr Duration limitShareDelay = registrationReadInterval + registrationRetryDelay;
-    /// Time for which an entry without registration still counts as holder of its shares. After an outage of the store
-    /// in which the registrations lapsed, entries register again within this time.
-    constexpr Duration missingPeerGrace = 2 * registrationRenewalInterval;
     /// Fits the loads of several hundred endpoints; a larger message is truncated by the receiver and ignored.
     constexpr std::size_t maxDatagramBytes = 16 * 1024;
 
@@ -83,7 +72,7 @@
 awaitable<RegistrationState> PeerExchange::registerSelf()
 {
     bool isFirst = !std::exchange(m_registrationTried, true);
-    m_wasRegisteredAtStart = false;
+    m_activation.registering();
     TimePoint start = bootTimeNow();
     auto lease = co_await m_store->grantLease(registrationTimeToLive);
     if (!lease)
@@ -105,12 +94,9 @@
     if (!result || !result.value().succeeded)
         co_return RegistrationState::Unconfirmed;
     m_lease = lease.value();
-    m_wasRegisteredAtStart = wasRegistered;
     // After a restoration of the store the others have kept counting this entry.
-    bool wasCounted = start < m_registrationsIncompleteUntil && m_registeredSince != TimePoint();
-    if (!wasCounted)
-        m_registeredSince = bootTimeNow();
-    m_registrationConfirmedAt = start;
+    bool wasCounted = start < m_registrationsIncompleteUntil;
+    m_activation.registered(start, bootTimeNow(), wasRegistered, wasCounted);
     co_return RegistrationState::Confirmed;
 }
 
@@ -124,7 +110,7 @@
         m_lease = LeaseId();
         co_return RegistrationState::Lapsed;
     }
-    m_registrationConfirmedAt = start;
+    m_activation.confirmed(start);
     co_return RegistrationState::Confirmed;
 }
 
@@ -159,7 +145,7 @@
             { { "lease", registrationPrefix() }, { "state", "not_released" }, { "error", ended.error().message } });
 }
 
-void PeerExchange::replaceRegistrations(const StoreRange& range)
+void PeerExchange::replaceRegistrations(const StoreRange& range, TimePoint readSince)
 {
     std::map<InstanceId, Peer> previous = std::exchange(m_peers, {});
     for (const StoreItem& item : range.items)
@@ -179,7 +165,7 @@
         else if (!peer.leaving)
             m_missingPeers.try_emplace(instance, MissingPeer { peer.region, now });
     }
-    m_registrationsReadAt = now;
+    m_activation.listRead(readSince, now);
     updateEntryCount();
 }
 
@@ -193,7 +179,7 @@
             std::string prefix = registrationPrefix();
             auto range = co_await m_store->range(prefix, prefixEnd(prefix), ReadConsistency::Serializable);
             if (range)
-                replaceRegistrations(range.value()); // on failure the known peers are kept; their loads expire
+                replaceRegistrations(range.value(), now); // on failure the known peers are kept; their loads expire
             readAt = range ? now : now - registrationReadInterval + registrationRetryDelay;
         }
         timer.expires_after(unknownSenderCheckInterval);
@@ -264,61 +250,6 @@
 
 void PeerExchange::updateEntryCount() { m_state.liveEntries = m_peers.size() + m_missingPeers.size() + 1; }
 
-bool PeerExchange::isRegistrationKnown(TimePoint now) const
-{
-    // The registration of an earlier start of this entry was still there, so the others never ceased to count it.
-    bool isCounted = m_wasRegisteredAtStart || now - m_registeredSince >= limitShareDelay;
-    bool wasRead
-        = m_registrationsReadAt != TimePoint() && (m_wasRegisteredAtStart || m_registrationsReadAt > m_registeredSince);
-    if (m_leaving || m_lease.value() == 0 || !wasRead || !isCounted)
-        return false;
-    if (now - m_registrationConfirmedAt < registrationTimeToLive)
-        return true;
-    // The registration may have lapsed. While no entry reaches the store, none can notice that.
-    bool anyLive = false;
-    bool storeReached = false;
-    for (const auto& [instance, peer] : m_peers) {
-        anyLive = anyLive || isLive(peer, now);
-        storeReached = storeReached || (isLive(peer, now) && peer.reachesStore);
-    }
-    return (anyLive || m_peers.empty()) && !storeReached;
-}
-
-void PeerExchange::updateLimitEntries(TimePoint now)
-{
-    std::erase_if(m_missingPeers, [now](const auto& each) { return now - each.second.since >= missingPeerGrace; });
-    if (m_registrationsReadAt != TimePoint())
-        updateEntryCount();
-    LimitEntries entries;
-    entries.self = m_state.settings.instance;
-    entries.active = isRegistrationKnown(now);
-    if (!m_leaving)
-        entries.regions[entries.self] = m_state.settings.region;
-    for (const auto& [instance, peer] : m_peers) {
-        if (!peer.leaving)
-            entries.regions[instance] = peer.region;
-    }
-    for (const auto& [instance, peer] : m_missingPeers)
-        entries.regions[instance] = peer.region;
-    if (entries == m_limitEntries)
-        return;
-    m_limitEntries = std::move(entries);
-    m_state.directory.setLimitEntries(m_limitEntries, now);
-}
-
-void PeerExchange::passOnCredit(TimePoint now)
-{
-    std::vector<const Peer*> receivers;
-    for (const auto& [instance, peer] : m_peers) {
-        if (isInSameRegion(peer) && isLive(peer, now) && !peer.loads.endpoints.empty())
-            receivers.push_back(&peer);
-    }
-    if (receivers.empty())
-        return;
-    for (EndpointTag endpoint : m_state.directory.takeUnusedCredit(now))
-        send(encodePeerMessage(PeerLimitCredit { endpoint }), *receivers[m_nextCreditReceiver++ % receivers.size()]);
-}
-
 PeerLoads PeerExchange::livenessReport(TimePoint now) const
 {
     PeerLoads report;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway_state.h"
 #include "peer_messages.h"
+#include "wisteriayard/share_activation.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -94,13 +95,13 @@
     void detectPause(TimePoint now);
     void sendToAll(TimePoint now);
     void send(const std::string& datagram, const Peer& peer);
-    void replaceRegistrations(const StoreRange& range);
+    /// @param readSince time at which the read began
+    void replaceRegistrations(const StoreRange& range, TimePoint readSince);
     void applyRegistration(const StoreItem& item);
     void updateEntryCount();
     /// Determines the entries among which rate limits of endpoints are divided.
     void updateLimitEntries(TimePoint now);
-    /// Whether the other entries count this one.
-    bool isRegistrationKnown(TimePoint now) const;
+    PeerContact peerContact(TimePoint now) const;
     /// Passes unused credit for limited endpoints on to entries of this region that have requests.
     void passOnCredit(TimePoint now);
     /// Visitor that handles a decoded message.
@@ -132,15 +133,9 @@
     boost::asio::steady_timer m_registrationTimer;
     /// Until then registrations may be missing because the store was restored.
     TimePoint m_registrationsIncompleteUntil {};
-    /// Start of the current registration, and the last time at which it was certainly in force.
-    TimePoint m_registeredSince {};
-    TimePoint m_registrationConfirmedAt {};
+    ShareActivation m_activation;
     /// A registration was attempted. Later attempts may find the registration that an unanswered one has made.
     bool m_registrationTried = false;
-    /// The registration of an earlier start of this entry had not lapsed when this one registered for the first time.
-    bool m_wasRegisteredAtStart = false;
-    /// Last time at which the registrations were read.
-    TimePoint m_registrationsReadAt {};
     bool m_leaving = false;
     TimePoint m_sentAt {};
     /// Time of the last report to the entries of other regions.
