cold_start_property_test: tight bounds, connections that stall together

Cause: a trial in which the credit was taken at placement passed, because few of the random bounds were near the rate and few requests waited.

Half of the seeds now have an excess of at most 1.02 and a slack of at most 4, and at times all connections are made at the same moment.

--- a/src/libwisteriayard/cold_start_property_test.cpp
+++ b/src/libwisteriayard/cold_start_property_test.cpp
@@ -102,8 +102,10 @@
         constexpr int sizes[] = { 1, 2, 3, 7, 12, 30, 80, 300 };
         m_count = sizes[std::uniform_int_distribution<int>(0, std::size(sizes) - 1)(m_random)];
         double rate = std::exp(std::uniform_real_distribution<double>(std::log(0.3), std::log(150.0))(m_random));
-        double excess = std::uniform_real_distribution<double>(1, 2.5)(m_random);
-        double slack = std::uniform_real_distribution<double>(0, 12)(m_random);
+        // Half of the bounds are tight.
+        bool isTight = chance(m_random, 0.5);
+        double excess = std::uniform_real_distribution<double>(1, isTight ? 1.02 : 2.5)(m_random);
+        double slack = std::uniform_real_distribution<double>(0, isTight ? 4 : 12)(m_random);
         policy = { seconds(600), RequestRate(static_cast<float>(rate)), excess, slack };
         for (int i = 0; i < m_count; ++i)
             start(m_now + randomDuration(m_random, Duration(0), milliseconds(300)));
@@ -169,6 +171,9 @@
             any().frozenUntil = m_now + randomDuration(m_random, milliseconds(200), seconds(25));
         if (chance(m_random, 0.4 / stepsPerSecond))
             any().cutOffUntil = m_now + randomDuration(m_random, milliseconds(500), seconds(30));
+        // All connections are made at the end of such a time.
+        if (chance(m_random, 0.5 / stepsPerSecond))
+            m_stalledUntil = m_now + connectTimeout;
         if (chance(m_random, 0.05 / stepsPerSecond)) {
             // A whole group is cut off or frozen at once, while others start.
             bool isFreeze = chance(m_random, 0.5);
@@ -325,9 +330,9 @@
             return true;
         });
         while (isConfirmed && entry.cold.tryReserve(m_now)) {
-            bool isWaiting = m_hasFaults && chance(m_random, 0.3);
-            Duration wait = isWaiting ? randomDuration(m_random, Duration(0), connectTimeout) : Duration(0);
-            entry.waiting.push_back({ m_now + wait, true });
+            bool isWaiting = m_now < m_stalledUntil || (m_hasFaults && chance(m_random, 0.1));
+            Duration wait = randomDuration(m_random, Duration(0), connectTimeout);
+            entry.waiting.push_back({ m_now < m_stalledUntil ? m_stalledUntil : m_now + wait, true });
             if (!isWaiting && entry.cold.trySend(true, m_now)) {
                 entry.waiting.pop_back();
                 sent.push_back(m_now);
@@ -342,6 +347,7 @@
     bool m_hasFaults;
     int m_count = 0;
     TimePoint m_now { seconds(1000) };
+    TimePoint m_stalledUntil {};
     Store m_store;
     std::vector<std::unique_ptr<Entry>> m_entries;
 };
