--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -82,6 +82,10 @@
     std::optional<RequestRate> rateLimit;
     /// Value of the rate limit field if it is not a rate: neither a new limit nor the end of the former one.
     std::string invalidRateLimit;
+    /// Time for which the endpoint will be cold; absent if the response states none.
+    std::optional<Duration> coldTime;
+    /// Value of the cold time field if it is not a plausible number of milliseconds.
+    std::string invalidColdTime;
 };
 
 /// State of an endpoint as published in the list of endpoints.
@@ -100,6 +104,10 @@
     EndpointState state = EndpointState::Ready;
     int slots = 1;
     Incarnation incarnation { 0 };
+    /// Time for which the endpoint will be cold from the write of the record on; absent if it states none.
+    std::optional<Duration> coldTime;
+    /// What is wrong with the statement of that time; empty if nothing is.
+    std::string coldTimeProblem;
 };
 
 /// Settings of a gateway process that the platform provides.
@@ -131,6 +139,12 @@
     Duration usageDelay = std::chrono::seconds(10);
     /// The gateway sends usage reports to the platform.
     bool reportsUsage = false;
+    /// In any second, all entries together may send this multiple of the rate that a cold endpoint accepts, plus
+    /// coldSlack requests.
+    double coldExcess = 1;
+    double coldSlack = 1;
+    /// Fields that are not valid, but do not make the settings unusable.
+    std::vector<InvalidField> invalidFields;
 };
 
 /// Encodes and decodes the platform's HTTP headers. Contains no routing or retry decisions.
--- a/src/include/wisteriayard/route_table.h
+++ b/src/include/wisteriayard/route_table.h
@@ -74,6 +74,18 @@
     int maxConnections = 1;
     /// Set for model services.
     std::optional<EngineTraits> engine;
+    /// Time for which an endpoint is cold after it started; 0 if it states itself when it is.
+    Duration warmup {};
+    /// Requests per second that a cold endpoint accepts from all entries together; 0 for no limit.
+    RequestRate coldPerSecond { 0 };
+};
+
+/// A field of a document of the platform that can't be used as it is.
+struct InvalidField {
+    /// Name of the field, with that of the object it belongs to.
+    std::string name;
+    /// What is wrong, and how the field is understood.
+    std::string problem;
 };
 
 /// Size limits and timeouts for requests of callers.
@@ -104,6 +116,8 @@
     /// False if no accounts are configured; no request needs a key then.
     bool keysRequired = false;
     std::unordered_map<KeyHash, KeyOwner> keys;
+    /// Fields that are not valid, but do not make the configuration unusable.
+    std::vector<InvalidField> invalidFields;
 };
 
 /// Maps a request to the route of its host with the longest matching prefix.
