Placement at cold endpoints

Without credit a cold endpoint is excluded from every kind of attempt (ColdStart); accepts() checks again before the request is written and uses the credit up. If all candidates are cold and without credit, the refusal spreads the returning callers over the rate.

Without rules in the configuration nothing changes.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -2,6 +2,7 @@
 
 #include "wisteriayard/allowed_regions.h"
 #include "wisteriayard/cached_segments.h"
+#include "wisteriayard/cold_start.h"
 #include "wisteriayard/endpoint_exclusion.h"
 #include "wisteriayard/endpoint_limit.h"
 #include "wisteriayard/endpoint_pause.h"
@@ -136,6 +137,12 @@
     bool firstEventSeen = false;
     /// Credit for the endpoint's rate limit was taken for this request.
     bool tookCredit = false;
+    /// The endpoint was cold when the request was placed or sent: its response time says nothing about warm endpoints.
+    bool isCold = false;
+    /// Credit of the cold endpoint is reserved for this request.
+    bool reservedCold = false;
+    /// Factor by which the expected time exceeds that of a warm endpoint.
+    double slowdown = 1;
 
     /// Whether the endpoint has probably started to process the request, although no part of its response has arrived.
     bool hasProbablyBegun(TimePoint now) const;
@@ -149,6 +156,8 @@
     AllEjected,
     /// All endpoints that are not excluded are paused.
     Paused,
+    /// This entry has no credit for the few requests that the endpoints accept while they are cold.
+    ColdStart,
     /// This entry has no credit for the rate limits that the endpoints name.
     Limited,
     /// The first event is expected too late everywhere.
@@ -195,7 +204,8 @@
 
     /// Adds an endpoint or updates its properties. After a restart of an endpoint, call remove() first.
     void put(const PlacementEndpoint& endpoint);
-    /// Removes an endpoint. A rate limit that it has named recently applies again when the endpoint is back.
+    /// Removes an endpoint. A rate limit that it has named recently, or its coldness, applies again when the endpoint
+    /// is back.
     void remove(const EndpointId& id, TimePoint now);
     std::size_t size() const { return m_index.size(); }
     const PlacementEndpoint& endpoint(std::size_t index) const { return m_states[index].info; }
@@ -220,8 +230,8 @@
     bool recordLimit(const Placement& placement, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now);
     /// Rate limit that the endpoint of a placement names for all entries together, if any.
     std::optional<RequestRate> limit(const Placement& placement) const;
-    /// Whether the request may still be sent: the endpoint is known, and nothing has excluded it since choose(). If it
-    /// has named a rate limit since, credit is taken for the request.
+    /// Whether the request may be sent now: the endpoint is known, and nothing has excluded it since choose(). If it
+    /// has named a rate limit since, credit is taken for the request. The credit of a cold endpoint is used up.
     bool accepts(Placement& placement, const PlacementRequest& request, TimePoint now);
     /// @name Rate limits of endpoints, divided among the entries
     /// @{
@@ -241,6 +251,27 @@
     std::optional<RequestRate> limit(const EndpointId& id) const;
     RequestRate limitShare(const EndpointId& id) const;
     /// @}
+    /// @name Cold endpoints
+    /// @{
+
+    /// Sets the service's rules.
+    void setColdPolicy(const ColdPolicy& policy, TimePoint now);
+    const ColdPolicy& coldPolicy() const { return m_coldPolicy; }
+    /// Sets the time until which the shares of setLimitEntries() are certainly this entry's alone. Afterwards, for
+    /// example when the process was suspended meanwhile, nothing is sent to cold endpoints, and credit is lost.
+    void confirmShares(TimePoint until, TimePoint now);
+    /// Records an endpoint that is new or back.
+    /// @param startedAt latest time at which it may have started, if known
+    void recordStart(const EndpointId& id, std::optional<TimePoint> startedAt, TimePoint now);
+    /// Records the remaining cold time that an endpoint states in its record or in a response.
+    void recordColdTime(const EndpointId& id, Duration left, TimePoint now);
+    void recordColdTime(const Placement& placement, Duration left, TimePoint now);
+    /// An endpoint counts as cold for the warm-up time from now on. The record of its cached segments is discarded.
+    void setCold(const EndpointId& id, TimePoint now);
+    bool isCold(const Placement& placement, TimePoint now) const;
+    /// Ids and states of the endpoints that are cold.
+    std::map<EndpointId, const ColdStart*> coldEndpoints(TimePoint now) const;
+    /// @}
     /// Records that the attempt ended.
     HealthChange ended(const Placement& placement, EndpointOutcome outcome, TimePoint now);
 
@@ -292,6 +323,7 @@
         bool ejected = false;
         EndpointPause pause;
         EndpointLimit limit;
+        ColdStart cold;
         CachedSegments cachedSegments;
         /// Moving average of the time to compute one prompt token, in microseconds.
         double tokenTime = 0;
@@ -310,7 +342,7 @@
         double cost = 0;
         std::int64_t uncached = 0;
         double firstEvent = 0;
-        /// The endpoint names a rate limit.
+        /// The endpoint names a rate limit, or is cold and accepts few requests.
         bool limited = false;
         /// Shared tokens among the uncached ones.
         std::int64_t recomputed = 0;
@@ -347,8 +379,26 @@
         const std::vector<EndpointId>& tried, bool onlyEjected, TimePoint now) const;
     bool onlyEjectedRemain(const PlacementRequest& request, TimePoint now) const;
     /// @}
+    /// @name Limit and coldness of endpoints that are removed and come back
+    /// @{
+    void keepRestrictions(const State& state, TimePoint now);
+    void restoreRestrictions(std::size_t index);
     void keepLimit(const State& state, TimePoint now);
     void restoreLimit(std::size_t index);
+    /// @}
+    /// Applies changed facts, rules or entries to a cold endpoint.
+    void updateCold(State& state, TimePoint now);
+    void updateAllCold(TimePoint now);
+    /// Whether the endpoint accepts only few requests while it is cold.
+    bool isColdLimited(const State& state, TimePoint now) const;
+    bool isLimited(const State& state, TimePoint now) const { return state.limit.rate() || isColdLimited(state, now); }
+    bool coldAdmits(const State& state, TimePoint now) const;
+    /// Marks a placement at a cold endpoint and reserves credit for it.
+    void reserveCold(State& state, Placement& placement, TimePoint now);
+    /// Uses the credit for a request that is sent now.
+    bool sendCold(State& state, Placement& placement, TimePoint now);
+    void recordColdResponse(State& state, const Placement& placement, TimePoint now);
+    Refused coldRefusal(const PlacementRequest& request, TimePoint now);
     /// Applies a changed limit to this entry's share and to the pools of engines.
     void limitChanged(State& state, TimePoint now);
     void takeCredit(State& state, Placement& placement, TimePoint now);
@@ -383,6 +433,11 @@
     std::set<std::size_t> m_limited;
     /// Recent rate limits of endpoints that are missing in the list.
     std::map<EndpointId, FormerLimit> m_formerLimits;
+    ColdPolicy m_coldPolicy;
+    TimePoint m_sharesValidUntil {};
+    /// Endpoints that were cold when they were removed.
+    std::map<EndpointId, ColdStart> m_formerCold;
+    ReturnSchedule m_coldReturns;
     PrefillPool m_pool;
     /// Number of endpoints with a position in the pool's order.
     std::size_t m_pooledEndpoints = 0;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -90,6 +90,8 @@
         return "all_ejected";
     case PlacementRefusal::Paused:
         return "paused";
+    case PlacementRefusal::ColdStart:
+        return "cold_start";
     case PlacementRefusal::Limited:
         return "limited";
     case PlacementRefusal::Overloaded:
@@ -133,7 +135,7 @@
     state.present = true;
     m_states[index] = std::move(state);
     m_index[endpoint.id] = index;
-    restoreLimit(index);
+    restoreRestrictions(index);
     orderEndpoints();
 }
 
@@ -167,7 +169,7 @@
     auto known = m_index.find(id);
     if (known == m_index.end())
         return;
-    keepLimit(m_states[known->second], now);
+    keepRestrictions(m_states[known->second], now);
     m_states[known->second] = State(m_policy.cacheLifetime);
     m_limited.erase(known->second);
     m_index.erase(known);
@@ -203,8 +205,9 @@
         if (!isInPool(state, isLong, poolSize) || availabilityExclusion(state, request, now))
             continue;
         // Most requests with a segment can't go to a limited endpoint, so another one has to cache the segment.
-        auto& group = state.limit.rate() ? limitedWeights : weights;
-        group.emplace_back(mixHash(key ^ state.hash), index);
+        std::uint64_t weight = mixHash(key ^ state.hash);
+        auto& group = state.limit.rate() || !state.cold.takesSegment(weight, now) ? limitedWeights : weights;
+        group.emplace_back(weight, index);
     }
     if (weights.empty())
         weights = std::move(limitedWeights);
@@ -249,7 +252,7 @@
     const State& state = m_states[index];
     Candidate candidate;
     candidate.index = index;
-    candidate.limited = state.limit.rate().has_value();
+    candidate.limited = isLimited(state, now);
     int running = state.own.running + state.peers.running;
     double distance = 0;
     if (state.info.region != m_region)
@@ -286,6 +289,7 @@
         wait = time * (1 + static_cast<double>(excess) / state.info.slots);
         charge += time * running / state.info.slots;
     }
+    wait *= state.cold.isCold(now) ? state.cold.slowdown() : 1;
     candidate.firstEvent = wait + distance;
     candidate.cost = wait + charge;
     return candidate;
@@ -312,6 +316,7 @@
     refused.retryAfter = firstEjection;
     std::optional<TimePoint> pauseEnd;
     bool limited = false;
+    bool cold = false;
     for (const auto& [id, index] : m_index) {
         const State& state = m_states[index];
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
@@ -321,11 +326,15 @@
             continue;
         if (reason)
             pauseEnd = std::min(pauseEnd.value_or(state.pause.end()), state.pause.end());
+        else if (isColdLimited(state, now))
+            cold = true;
         else if (state.limit.rate())
             limited = true;
         else
             refused.reason = PlacementRefusal::AllEjected;
     }
+    if (cold && !limited)
+        return coldRefusal(request, now);
     if (limited) {
         m_limitTurns.refused(request.rank, now);
         refused.reason = PlacementRefusal::Limited;
@@ -421,19 +430,13 @@
     return const_cast<State*>(std::as_const(*this).find(placement));
 }
 
-void EndpointPlacement::notSent(Placement& placement, TimePoint now)
-{
-    State* state = find(placement);
-    if (state && std::exchange(placement.tookCredit, false))
-        state->limit.giveBack(now);
-}
-
 void EndpointPlacement::started(Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     State* state = find(placement);
     if (!state)
         return;
     takeCredit(*state, placement, now);
+    reserveCold(*state, placement, now);
     ++state->own.running;
     state->own.backlog.add(placement.rank, Tokens(placement.uncachedTokens));
     state->own.memoryTokens += placement.memoryTokens;
@@ -465,7 +468,7 @@
 
 void EndpointPlacement::eventsArrived(const Placement& placement, std::size_t count, Duration sincePrevious)
 {
-    if (!find(placement) || count == 0)
+    if (!find(placement) || count == 0 || placement.isCold)
         return;
     double sample = microseconds(sincePrevious) / static_cast<double>(count);
     m_eventTime += eventWeight * (sample - m_eventTime);
@@ -479,6 +482,8 @@
     placement.firstEventSeen = true;
     prefillEnded(placement);
     state->own.backlog.remove(placement.rank, Tokens(placement.uncachedTokens));
+    if (placement.isCold)
+        return recordColdResponse(*state, placement, now);
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
     double elapsed = microseconds(now - placement.placedAt);
     if (state->info.memory.value() > 0 && tokens <= maxBaseTokens) {
@@ -521,7 +526,7 @@
         return false;
     if (state->limit.rate() && !placement.tookCredit)
         takeCredit(*state, placement, now);
-    return !state->limit.rate() || placement.tookCredit;
+    return (!state->limit.rate() || placement.tookCredit) && sendCold(*state, placement, now);
 }
 
 HealthChange EndpointPlacement::ended(const Placement& placement, EndpointOutcome outcome, TimePoint now)
@@ -540,7 +545,7 @@
         return HealthChange::None;
     if (outcome == EndpointOutcome::Failed)
         return recordFailure(*state, now);
-    if (state->info.memory.value() == 0) {
+    if (state->info.memory.value() == 0 && !placement.isCold) {
         double sample = microseconds(now - placement.placedAt);
         if (state->requestTime == 0)
             state->requestTime = m_requestTime;
--- a/src/libwisteriayard/endpoint_placement_exclusion.cpp
+++ b/src/libwisteriayard/endpoint_placement_exclusion.cpp
@@ -34,6 +34,8 @@
     auto reason = onlyEjected ? sendExclusion(state, request, now) : availabilityExclusion(state, request, now);
     if (reason)
         return reason;
+    if (!coldAdmits(state, now))
+        return EndpointExclusion::ColdStart;
     if (!state.limit.admits(now))
         return EndpointExclusion::RateLimit;
     return std::nullopt;
--- a/src/libwisteriayard/endpoint_placement_limits.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits.cpp
@@ -64,6 +64,7 @@
     }
     for (auto& [id, former] : m_formerLimits)
         former.limit.updateShare(id, former.region, entries, now);
+    updateAllCold(now);
 }
 
 std::map<EndpointId, LimitObservation> EndpointPlacement::limitReports(TimePoint now) const
@@ -120,6 +121,15 @@
         m_limitTurns.taken();
 }
 
+void EndpointPlacement::notSent(Placement& placement, TimePoint now)
+{
+    State* state = find(placement);
+    if (state && std::exchange(placement.tookCredit, false))
+        state->limit.giveBack(now);
+    if (state && std::exchange(placement.reservedCold, false))
+        state->cold.release();
+}
+
 Duration EndpointPlacement::limitedRetryAfter()
 {
     double rate = 0;
