Drop the credit of cold endpoints only when shares begin to be valid

Cause: while this entry has no valid shares, each check (0.1 to 1 s) computed the holders of all cold endpoints anew. Nothing is sent with that credit, so dropping it once, when the shares become valid, is enough.

Tested: endpoint_placement_cold_test (unconfirmed_shares_are_not_used).

--- a/src/libwisteriayard/endpoint_placement_cold.cpp
+++ b/src/libwisteriayard/endpoint_placement_cold.cpp
@@ -27,9 +27,9 @@
 
 void EndpointPlacement::confirmShares(TimePoint until, TimePoint now)
 {
-    bool hadLapsed = now >= m_sharesValidUntil;
+    bool begins = now >= m_sharesValidUntil && now < until;
     m_sharesValidUntil = until;
-    if (!hadLapsed)
+    if (!begins)
         return;
     // Credit of before may have been used by others meanwhile.
     for (const auto& [id, index] : m_index) {
