Gateway: cold endpoints by record, response and start

The directory tells the placement when an endpoint started (born, compared with the guarded wall clock, two seconds to the cold side), the cold time that its record states, counted once for each write, and which zone counts as cold from now on (setZoneCold()). Responses add Cold-Ms. The shares of cold endpoints are valid until the time that ShareActivation states, so a process that wakes after a suspension uses none. A list of registrations that was read takes effect at once instead of at the next tick.

A request that times out at a cold endpoint is no evidence against its health. One that must not be sent after its connection was made ends as not executed (endpoint_cold) and goes elsewhere.

Events 410 to 413; metrics cold_requests_total and cold_endpoints; a field `cold` of request_admitted, only for cold endpoints.

Tested: cold_endpoints_test (records as the platform writes them, with absurd and missing values), all unit tests of src/gateway and platform.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -14,10 +14,12 @@
 }
 
 EndpointDirectory::EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform,
-    std::shared_ptr<EventLog> log, std::function<void(const EndpointId&)> onRemoved)
+    std::shared_ptr<EventLog> log, std::function<std::int64_t(TimePoint now)> wallClock,
+    std::function<void(const EndpointId&)> onRemoved)
     : m_settings(settings)
     , m_platform(platform)
     , m_log(std::move(log))
+    , m_wallClock(std::move(wallClock))
     , m_onRemoved(std::move(onRemoved))
 {
 }
@@ -86,7 +88,7 @@
         remove(id, "restarted", now);
     bool usable = m_membership.registrationListed(id, record.value().incarnation);
     if (usable && record.value().state != EndpointState::Draining) {
-        put(record.value());
+        recordCold(record.value(), put(record.value()), item.modRevision, now);
         return;
     }
     remove(id, "draining", now);
@@ -119,7 +121,7 @@
     return endpoint;
 }
 
-void EndpointDirectory::put(const EndpointRecord& record)
+bool EndpointDirectory::put(const EndpointRecord& record)
 {
     bool isNew = m_records.count(record.id) == 0;
     m_records[record.id] = record;
@@ -129,6 +131,7 @@
         m_log->write(Event::EndpointAdded,
             { { "endpoint", record.id.value() }, { "target", record.target.value() },
                 { "address", formatAddress(record.address) }, { "zone", record.zone.value() } });
+    return isNew;
 }
 
 void EndpointDirectory::remove(const EndpointId& id, std::string_view reason, TimePoint now)
@@ -140,6 +143,8 @@
     placement(known->second.target).remove(id, now);
     m_records.erase(known);
     m_idsByTag.erase(endpointTag(id));
+    m_coldProblems.erase(id);
+    m_coldRevisions.erase(id);
     m_onRemoved(id);
     m_log->write(Event::EndpointRemoved, { { "endpoint", id.value() }, { "reason", reason } });
 }
@@ -234,9 +239,12 @@
 
 void EndpointDirectory::setLimitEntries(const LimitEntries& entries, TimePoint now)
 {
+    bool isSame = entries.active == m_limitEntries.active && entries.regions == m_limitEntries.regions;
     m_limitEntries = entries;
     for (auto& [target, placement] : m_placements)
         placement->setLimitEntries(entries, now);
+    if (isSame)
+        return; // only shares of cold endpoints are affected
     m_log->write(Event::LimitEntriesChanged, { { "entries", entries.regions.size() }, { "active", entries.active } });
 }
 
@@ -310,6 +318,7 @@
     if (!placement) {
         placement = std::make_unique<EndpointPlacement>(PlacementPolicy(), m_settings.zone, m_settings.region);
         placement->setLimitEntries(m_limitEntries, TimePoint());
+        placement->setColdPolicy(coldPolicy(target), TimePoint());
     }
     return *placement;
 }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace wisteriayard {
@@ -25,9 +26,10 @@
 /// The endpoints that may receive requests, by service, as listed in the platform's store.
 class EndpointDirectory {
 public:
+    /// @param wallClock returns the guarded wall-clock time in milliseconds since 1970
     /// @param onRemoved called for each endpoint that may no longer receive requests
     EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform, std::shared_ptr<EventLog> log,
-        std::function<void(const EndpointId&)> onRemoved);
+        std::function<std::int64_t(TimePoint now)> wallClock, std::function<void(const EndpointId&)> onRemoved);
 
     /// Replaces the content by a complete read of the list.
     void replace(const StoreRange& range, TimePoint now);
@@ -75,6 +77,19 @@
     /// @param source fields that name where the change was observed
     nlohmann::json limitChangeFields(const LimitChange& change, nlohmann::json source);
     /// @}
+    /// @name Cold endpoints
+    /// @{
+
+    /// All endpoints of a zone count as cold for their service's warm-up time from now on, for example because no
+    /// requests were sent to the zone for a while. The records of their cached segments are discarded.
+    void setZoneCold(const ZoneId& zone, TimePoint now);
+    /// Sets the time until which the shares of setLimitEntries() are certainly this entry's alone.
+    void confirmShares(TimePoint until, TimePoint now);
+    /// Applies changed settings, and logs the endpoints that turned cold or warm since the last call.
+    void updateCold(TimePoint now);
+    /// Number of cold endpoints at the last updateCold().
+    std::size_t coldEndpointCount() const { return m_loggedCold.size(); }
+    /// @}
     /// Logs the services whose number of engines reserved for long prompts changed since the last call.
     void logPrefillPools(TimePoint now);
     /// Load by requests of this entry on all endpoints.
@@ -93,7 +108,15 @@
     bool mayBeOld(const StoreItem& item) const { return item.modRevision <= m_restoredRevision; }
     /// Whether an endpoint has left or restarted since the copy with this record was made.
     bool isOutdated(const EndpointRecord& record, TimePoint now) const;
-    void put(const EndpointRecord& record);
+    /// @return whether the endpoint was not known, in this incarnation
+    bool put(const EndpointRecord& record);
+    /// Records what a record says about the endpoint's coldness.
+    /// @param isNew the endpoint was not known, in this incarnation
+    /// @param revision revision of the record's write
+    void recordCold(const EndpointRecord& record, bool isNew, Revision revision, TimePoint now);
+    /// Latest time at which an endpoint that is new may have started, if it matters.
+    std::optional<TimePoint> latestStart(const EndpointRecord& record, TimePoint now) const;
+    ColdPolicy coldPolicy(const TargetId& target) const;
     void remove(const EndpointId& id, std::string_view reason, TimePoint now);
     EndpointId idOf(const std::string& key) const;
     /// Replaces endpoint tags by endpoint ids; unknown tags are omitted.
@@ -103,6 +126,7 @@
     const GatewaySettings& m_settings;
     const PlatformPort& m_platform;
     std::shared_ptr<EventLog> m_log;
+    std::function<std::int64_t(TimePoint now)> m_wallClock;
     std::function<void(const EndpointId&)> m_onRemoved;
     Membership m_membership;
     std::unordered_map<EndpointId, EndpointRecord> m_records;
@@ -112,6 +136,13 @@
     std::map<TargetId, TargetInfo> m_targets;
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
     LimitEntries m_limitEntries;
+    bool m_loggedColdShares = false;
+    /// Endpoints that were cold when that was last logged.
+    std::set<EndpointId> m_loggedCold;
+    /// Revision of the last record from which a cold time was taken. A record that is read again is not new.
+    std::map<EndpointId, Revision> m_coldRevisions;
+    /// Last logged problem of each endpoint's stated cold time.
+    std::map<EndpointId, std::string> m_coldProblems;
     bool m_loaded = false;
     /// Revision of the last complete read.
     Revision m_readRevision;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -126,6 +126,8 @@
             m_state.log->write(Event::ProcessStarted,
                 { { "role", "gateway" }, { "listen", formatAddress(m_state.settings.callerAddress) },
                     { "zone", m_state.settings.zone.value() }, { "store", formatAddress(m_state.settings.store) } });
+            for (const InvalidField& field : m_state.settings.invalidFields)
+                m_state.logInvalidField("settings", field);
             m_io.run();
             m_state.log->write(Event::ProcessStopped, nlohmann::json::object());
             m_sink->drainAtExit();
@@ -377,6 +379,7 @@
                 m_state.directory.removeLapsed(now);
                 m_state.crashGuard.expire(now);
                 m_state.directory.logPrefillPools(now);
+                m_state.directory.updateCold(now);
                 std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
                 std::uint64_t suppressed = m_state.requestLogBudget.takeSuppressedCount();
                 if (suppressed > 0 || m_sink->dropped() > dropped)
@@ -394,6 +397,7 @@
         void updateGauges(TimePoint now)
         {
             m_state.metrics.setEndpointCount(m_state.directory.size());
+            m_state.metrics.setColdEndpointCount(m_state.directory.coldEndpointCount());
             m_state.metrics.setActiveRequests(m_state.activeRequests);
             m_state.metrics.setRequestBodyMemory(m_state.requestBodies.reserved());
             m_state.metrics.setViewAge("config", now - m_state.configConfirmedAt);
@@ -423,7 +427,8 @@
             const GatewaySettings& next = loaded.value();
             GatewaySettings& current = m_state.settings;
             bool changed = next.retryRatio != current.retryRatio || next.retrySlack != current.retrySlack
-                || next.shutdownGrace != current.shutdownGrace || next.zones != current.zones;
+                || next.shutdownGrace != current.shutdownGrace || next.zones != current.zones
+                || next.coldExcess != current.coldExcess || next.coldSlack != current.coldSlack;
             if (!changed && cause == "changed")
                 return;
             // Addresses and roles do not change while the process runs.
@@ -431,6 +436,10 @@
             current.retrySlack = next.retrySlack;
             current.shutdownGrace = next.shutdownGrace;
             current.zones = next.zones;
+            current.coldExcess = next.coldExcess;
+            current.coldSlack = next.coldSlack;
+            for (const InvalidField& field : next.invalidFields)
+                m_state.logInvalidField("settings", field);
             m_state.log->write(Event::SettingsReloaded, { { "cause", cause } });
         }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -60,6 +60,10 @@
           *m_registry, "wisteriayard_gateway_quarantined_segments", "Prompt segments that are not sent to engines"))
     , m_limitedRequests(counter(*m_registry, "wisteriayard_gateway_limited_requests_total",
           "Requests sent to endpoints that name a rate limit, by attempt"))
+    , m_coldRequests(counter(*m_registry, "wisteriayard_gateway_cold_requests_total",
+          "Requests sent to endpoints that were cold, by attempt"))
+    , m_coldEndpoints(
+          gauge(*m_registry, "wisteriayard_gateway_cold_endpoints", "Endpoints that count as cold at this entry"))
     , m_peerDatagrams(counter(*m_registry, "wisteriayard_gateway_peer_datagrams_refused_total",
           "Datagrams of registered entries that could not be decoded"))
     , m_viewReads(counter(*m_registry, "wisteriayard_gateway_view_reads_total",
@@ -136,6 +140,16 @@
     m_limitedRequests.Add({ { "attempt", further ? "further" : "first" } }).Increment();
 }
 
+void GatewayMetrics::coldRequestSent(bool further)
+{
+    m_coldRequests.Add({ { "attempt", further ? "further" : "first" } }).Increment();
+}
+
+void GatewayMetrics::setColdEndpointCount(std::size_t count)
+{
+    m_coldEndpoints.Add({}).Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::peerDatagramRefused() { m_peerDatagrams.Add({}).Increment(); }
 
 void GatewayMetrics::viewRead(const std::string& view, const std::string& cause)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -40,6 +40,9 @@
     void setQuarantinedSegments(std::size_t count);
     /// @param further whether the request had been sent to an endpoint before
     void limitedRequestSent(bool further);
+    /// @param further whether the request had been sent to an endpoint before
+    void coldRequestSent(bool further);
+    void setColdEndpointCount(std::size_t count);
     void peerDatagramRefused();
     void setEndpointCount(std::size_t count);
     void setConfigVersion(std::int64_t version);
@@ -77,6 +80,8 @@
     prometheus::Family<prometheus::Counter>& m_quarantineRefusals;
     prometheus::Family<prometheus::Gauge>& m_quarantinedSegments;
     prometheus::Family<prometheus::Counter>& m_limitedRequests;
+    prometheus::Family<prometheus::Counter>& m_coldRequests;
+    prometheus::Family<prometheus::Gauge>& m_coldEndpoints;
     prometheus::Family<prometheus::Counter>& m_peerDatagrams;
     prometheus::Family<prometheus::Counter>& m_viewReads;
     prometheus::Family<prometheus::Counter>& m_supersededChanges;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -28,6 +28,8 @@
     metrics.quarantineRefused();
     metrics.setQuarantinedSegments(1);
     metrics.limitedRequestSent(false);
+    metrics.coldRequestSent(false);
+    metrics.setColdEndpointCount(1);
     metrics.peerDatagramRefused();
     metrics.setEndpointCount(1);
     metrics.setConfigVersion(1);
@@ -70,6 +72,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 26u);
+    BOOST_TEST(code.size() == 28u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway_state.h"
 
+#include "clock.h"
 #include "wisteriayard/store_numbers.h"
 
 #include <algorithm>
@@ -41,7 +42,10 @@
     , log(std::move(eventLog))
     , watchdog(loop)
     , pool(loop)
-    , directory(settings, platform, log, [this](const EndpointId& id) { pool.drop(id); })
+    , directory(
+          settings, platform, log,
+          [this](TimePoint now) { return clock.guardedMilliseconds(wallClockMilliseconds(), now); },
+          [this](const EndpointId& id) { pool.drop(id); })
     , crashGuard(loop, log, metrics)
     , requestLogBudget(requestLogLinesPerSecond, requestLogLinesBurst)
     , requestBodies(requestBodyMemory(settings.memory))
@@ -54,6 +58,7 @@
     if (routes && config.version <= routes->config().version)
         return;
     directory.configure(config);
+    directory.updateCold(bootTimeNow());
     ConfigVersion version = config.version;
     auto next = std::make_shared<const RouteTable>(std::move(config));
     log->write(Event::ConfigInForce,
@@ -65,6 +70,14 @@
         metrics.configApplied(*origin.maxDelay);
     routes = std::move(next);
     metrics.setConfigVersion(version.value());
+    for (const InvalidField& field : routes->config().invalidFields)
+        logInvalidField("configuration", field);
+}
+
+void GatewayState::logInvalidField(std::string_view document, const InvalidField& field)
+{
+    log->write(Event::DocumentFieldInvalid,
+        { { "document", document }, { "field", field.name }, { "problem", field.problem } });
 }
 
 RetryBudget& GatewayState::retryBudget(const TargetId& target)
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -70,6 +70,7 @@
     void configure(RoutingConfig config, const ConfigOrigin& origin);
     /// Retry budget of a target, with its policy updated to the number of live processes.
     RetryBudget& retryBudget(const TargetId& target);
+    void logInvalidField(std::string_view document, const InvalidField& field);
     /// Logs a request event unless the rate limit for such lines is exceeded.
     void logRequest(Event event, nlohmann::json fields, TimePoint now);
     /// Whether a request may be sent to endpoints; always true unless the process is stopping.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -167,6 +167,7 @@
     }
     m_activation.listRead(readSince, now);
     updateEntryCount();
+    updateLimitEntries(now);
 }
 
 awaitable<void> PeerExchange::followRegistrations()
--- a/src/gateway/peer_exchange_limits.cpp
+++ b/src/gateway/peer_exchange_limits.cpp
@@ -23,6 +23,8 @@
     bool isRegistered = !m_leaving && m_lease.value() != 0;
     PeerContact contact = peerContact(now);
     entries.active = isRegistered && m_activation.isActive(contact, now);
+    TimePoint exclusiveUntil = m_activation.updateExclusive(contact, now);
+    entries.exclusive = isRegistered && now < exclusiveUntil;
     if (!m_leaving)
         entries.regions[entries.self] = m_state.settings.region;
     for (const auto& [instance, peer] : m_peers) {
@@ -35,6 +37,7 @@
         m_limitEntries = std::move(entries);
         m_state.directory.setLimitEntries(m_limitEntries, now);
     }
+    m_state.directory.confirmShares(m_limitEntries.exclusive ? exclusiveUntil : TimePoint(), now);
 }
 
 void PeerExchange::passOnCredit(TimePoint now)
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -68,7 +68,7 @@
     EndpointConnectionPtr connection = co_await connect(record);
     now = bootTimeNow();
     if (connection && !endpoints.accepts(placement, placementRequest(now), now))
-        outcome = NotExecuted { endpoints.limit(placement) ? "endpoint_limited" : "endpoint_left_or_paused", false };
+        outcome = NotExecuted { exclusionName(placement, now), false };
     else if (connection && !interruption())
         outcome = co_await exchangeWithEndpoint(connection, record, placement);
     now = bootTimeNow();
@@ -80,7 +80,7 @@
     m_endpoint.reset();
     if (m_requestsSent == requestsSentBefore)
         endpoints.notSent(placement, now);
-    HealthChange change = endpoints.ended(placement, healthOutcome(outcome), now);
+    HealthChange change = endpoints.ended(placement, healthOutcome(outcome, placement), now);
     if (change == HealthChange::Ejected)
         m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
     if (change == HealthChange::Restored)
@@ -91,8 +91,19 @@
     co_return outcome;
 }
 
-EndpointOutcome RequestHandler::healthOutcome(const AttemptOutcome& outcome) const
+std::string RequestHandler::exclusionName(const Placement& placement, TimePoint now) const
 {
+    const EndpointPlacement& endpoints = m_state.directory.placement(m_target);
+    if (endpoints.isCold(placement, now))
+        return "endpoint_cold";
+    return endpoints.limit(placement) ? "endpoint_limited" : "endpoint_left_or_paused";
+}
+
+EndpointOutcome RequestHandler::healthOutcome(const AttemptOutcome& outcome, const Placement& placement) const
+{
+    // A cold endpoint is slow, which is no sign of a fault.
+    if (std::holds_alternative<TimedOut>(outcome) && placement.isCold)
+        return EndpointOutcome::Neutral;
     if (std::holds_alternative<Delivered>(outcome))
         return EndpointOutcome::Succeeded;
     if (auto* notExecuted = std::get_if<NotExecuted>(&outcome))
@@ -148,6 +159,8 @@
     m_sentAt = bootTimeNow();
     if (m_state.directory.placement(m_target).limit(placement))
         m_state.metrics.limitedRequestSent(m_requestsSent > 1);
+    if (placement.isCold)
+        m_state.metrics.coldRequestSent(m_requestsSent > 1);
     std::optional<CrashGuard::WaitingAttempt> waiting;
     if (!m_headSent)
         waiting.emplace(m_state.crashGuard, [this](SuspectTag tag) { suspectQuarantined(tag); });
@@ -233,7 +246,10 @@
     TimePoint now = bootTimeNow();
     logUnreadableField(record, "pause", traits.invalidPause, now);
     logUnreadableField(record, "limit", traits.invalidRateLimit, now);
+    logUnreadableField(record, "cold_time", traits.invalidColdTime, now);
     recordRateLimit(record, placement, traits, now);
+    if (traits.coldTime)
+        m_state.directory.placement(m_target).recordColdTime(placement, *traits.coldTime, now);
     if (traits.pause && m_state.directory.placement(m_target).pause(placement, *traits.pause, now)) {
         m_state.metrics.endpointPaused();
         m_state.logRequest(Event::EndpointPaused,
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -378,17 +378,18 @@
 
 void RequestHandler::logAdmitted(const Placement& placement, const EndpointId& endpoint, TimePoint now)
 {
-    m_state.logRequest(Event::RequestAdmitted,
-        { { "request", m_traits.id.value() }, { "route", m_route->name }, { "target", m_target.value() },
-            { "account", m_account ? m_account->value() : std::string() }, { "endpoint", endpoint.value() },
-            { "attempt", m_requestsSent + 1 }, { "priority", m_priority.value() },
-            { "expected_ms", placement.expectedFirstEvent.count() / 1000 },
-            { "uncached_tokens", placement.uncachedTokens }, { "tokens_ahead", placement.tokensAhead },
-            { "home", placement.atPreferredEndpoint }, { "config_version", m_routes->config().version.value() },
-            { "endpoints_age_ms", (now - m_state.endpointsConfirmedAt).count() / 1000 },
-            { "limit_per_second", rateField(m_state.directory.placement(m_target).limit(placement)) },
-            { "time_left_ms", timeLeft(now).count() / 1000 } },
-        now);
+    nlohmann::json fields { { "request", m_traits.id.value() }, { "route", m_route->name },
+        { "target", m_target.value() }, { "account", m_account ? m_account->value() : std::string() },
+        { "endpoint", endpoint.value() }, { "attempt", m_requestsSent + 1 }, { "priority", m_priority.value() },
+        { "expected_ms", placement.expectedFirstEvent.count() / 1000 }, { "uncached_tokens", placement.uncachedTokens },
+        { "tokens_ahead", placement.tokensAhead }, { "home", placement.atPreferredEndpoint },
+        { "config_version", m_routes->config().version.value() },
+        { "endpoints_age_ms", (now - m_state.endpointsConfirmedAt).count() / 1000 },
+        { "limit_per_second", rateField(m_state.directory.placement(m_target).limit(placement)) },
+        { "time_left_ms", timeLeft(now).count() / 1000 } };
+    if (placement.isCold)
+        fields["cold"] = true;
+    m_state.logRequest(Event::RequestAdmitted, std::move(fields), now);
 }
 
 std::vector<SuspectTag> RequestHandler::suspects(bool withSegments)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -132,7 +132,9 @@
     /// Outcome of an interrupted attempt, if the caller disconnected or the deadline passed.
     std::optional<AttemptOutcome> interruption() const;
     bool mayRetry(const AttemptOutcome& outcome, TimePoint now);
-    EndpointOutcome healthOutcome(const AttemptOutcome& outcome) const;
+    EndpointOutcome healthOutcome(const AttemptOutcome& outcome, const Placement& placement) const;
+    /// Reason why the request of a placement must not be sent now, for the log.
+    std::string exclusionName(const Placement& placement, TimePoint now) const;
     /// Records the request in the usage of its account, at most once.
     void recordUsage();
     Duration timeLeft(TimePoint now) const { return m_deadline - now; }
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -146,6 +146,14 @@
         return "view_role_changed";
     case Event::ViewRead:
         return "view_read";
+    case Event::EndpointColdChanged:
+        return "endpoint_cold_changed";
+    case Event::EndpointFieldInvalid:
+        return "endpoint_field_invalid";
+    case Event::ColdSharesChanged:
+        return "cold_shares_changed";
+    case Event::DocumentFieldInvalid:
+        return "document_field_invalid";
     case Event::LimitEntriesChanged:
         return "limit_entries_changed";
     case Event::ViewChangesReceived:
