--- a/testsuite/endpoint_limits/run.py
+++ b/testsuite/endpoint_limits/run.py
@@ -7,47 +7,19 @@
 """
 
 import argparse
-import collections
 import os
 import signal
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
-from platform_deployment import Deployment, wait_until  # noqa: E402
+from platform_deployment import Deployment, Load, wait_until  # noqa: E402
 
-CALLERS_PER_ENTRY = 3
-CALL_PAUSE_S = 0.05
 # Longer than the time after which a started entry takes part in limits.
 SETTLE_S = 10
 REFUSED = 503
 
 
-class Load:
-    """Callers that send lookups to all entries until they are stopped."""
-
-    def __init__(self, gateways, path="/lookup/1"):
-        self.path, self.answers, self.stopping = path, [], threading.Event()
-        self.threads = [threading.Thread(target=self._run, args=(gateway,), daemon=True)
-                        for gateway in gateways for _ in range(CALLERS_PER_ENTRY)]
-        for thread in self.threads:
-            thread.start()
-
-    def _run(self, gateway):
-        while not self.stopping.wait(CALL_PAUSE_S):
-            if gateway.alive():
-                self.answers.append((time.monotonic(), gateway.call(self.path)))
-
-    def stop(self):
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
-
-    def statuses(self, since=0.0):
-        return collections.Counter(answer.status for at, answer in self.answers if at >= since)
-
-
 def limited(deployment):
     return [endpoint for endpoint in deployment.endpoints if endpoint.rate_limit.history[1:]]
 
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -1,6 +1,7 @@
 """Runs gateways as separate processes against the stand-ins of the users' platform."""
 
 import argparse
+import collections
 import http.client
 import itertools
 import json
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import uuid
 
@@ -56,7 +58,7 @@
             "listen": {"front": f"{self.ip}:{self.ports[0]}", "ready": f"{self.ip}:{self.ports[1]}"},
             "port_range": [self.ports[2], self.ports[2]], "limits": {"memory_mb": deployment.memory_mb, "max_fds": 4096},
             "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_slack": 50, "lease_ttl_ms": 1500,
-                       "report_window_s": WINDOW_S, "usage_delay_s": 10, "require_fence": True},
+                       "report_window_s": WINDOW_S, "usage_delay_s": 10, "require_fence": True, **deployment.bounds},
             "platform": {"address": store_address},
             "cloud_api": {"address": deployment.reports.address, "duties": ["metering"]}}
         self.file = os.path.join(deployment.folder, name + ".json")
@@ -167,6 +169,8 @@
         self.linked = linked
         self.links = []
         self.versions = itertools.count(1)
+        # Further fields of the settings' bounds, and of the plain service.
+        self.bounds, self.plain_rules = {}, {}
         self.routes = [
             {"name": "lookup", "prefix": "/lookup/", "kind": "idempotent", "service": "plain", "max_attempts": 2},
             {"name": "charge", "prefix": "/charge/", "kind": "non_idempotent", "service": "plain"},
@@ -188,7 +192,7 @@
     def configure(self):
         routes = [{"host": HOST, "timeout_ms": 5000, "slo_ms": 400, "gap_slo_ms": 200, "priority": 1,
                    "max_attempts": 1, **route} for route in self.routes]
-        services = [{"name": "plain", "max_conns": 100},
+        services = [{"name": "plain", "max_conns": 100, **self.plain_rules},
                     {"name": "model", "max_conns": 100, "engine": {"slots": 16, "kv_capacity_tokens": 100000}}]
         version = next(self.versions)
         self.store.put("op/config", json.dumps({"version": version, "routes": routes, "services": services,
@@ -240,6 +244,37 @@
         assert not failed, f"gateways ended with statuses {failed}"
 
 
+class Load:
+    """Callers that send lookups to all entries until they are stopped.
+
+    Each request states when its caller sent it, as time.monotonic().
+    """
+
+    CALLERS_PER_ENTRY = 3
+    CALL_PAUSE_S = 0.05
+
+    def __init__(self, gateways, path="/lookup/1"):
+        self.path, self.answers, self.stopping = path, [], threading.Event()
+        self.threads = [threading.Thread(target=self._run, args=(gateway,), daemon=True)
+                        for gateway in gateways for _ in range(self.CALLERS_PER_ENTRY)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, gateway):
+        while not self.stopping.wait(self.CALL_PAUSE_S):
+            if gateway.alive():
+                sent = time.monotonic()
+                self.answers.append((sent, gateway.call(self.path, headers={"X-Sent": repr(sent)})))
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    def statuses(self, since=0.0):
+        return collections.Counter(answer.status for at, answer in self.answers if at >= since)
+
+
 def run_cases(cases, make_deployment, gateways):
     """Runs the cases, or the one that --case names, each on a new deployment. Exits with 1 if one fails.
 
