--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -16,10 +16,12 @@
 }
 
 EndpointDirectory::EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform,
-    std::shared_ptr<EventLog> log, std::function<void(const EndpointId&)> onRemoved)
+    std::shared_ptr<EventLog> log, std::function<std::int64_t(TimePoint now)> wallClock,
+    std::function<void(const EndpointId&)> onRemoved)
     : m_settings(settings)
     , m_platform(platform)
     , m_log(std::move(log))
+    , m_wallClock(std::move(wallClock))
     , m_onRemoved(std::move(onRemoved))
 {
 }
@@ -88,7 +90,7 @@
         remove(id, "restarted", now);
     bool usable = m_membership.registrationListed(id, record.value().incarnation);
     if (usable && record.value().state != EndpointState::Draining) {
-        put(record.value());
+        recordCold(record.value(), put(record.value()), item.modRevision, now);
         return;
     }
     remove(id, "draining", now);
@@ -121,7 +123,7 @@
     return endpoint;
 }
 
-void EndpointDirectory::put(const EndpointRecord& record)
+bool EndpointDirectory::put(const EndpointRecord& record)
 {
     bool isNew = m_records.count(record.id) == 0;
     m_records[record.id] = record;
@@ -131,6 +133,7 @@
         m_log->write(Event::EndpointAdded,
             { { "endpoint", record.id.value() }, { "target", record.target.value() },
                 { "address", formatAddress(record.address) }, { "zone", record.zone.value() } });
+    return isNew;
 }
 
 void EndpointDirectory::remove(const EndpointId& id, std::string_view reason, TimePoint now)
@@ -142,6 +145,8 @@
     placement(known->second.target).remove(id, now);
     m_records.erase(known);
     m_idsByTag.erase(endpointTag(id));
+    m_coldProblems.erase(id);
+    m_coldRevisions.erase(id);
     m_onRemoved(id);
     m_log->write(Event::EndpointRemoved, { { "endpoint", id.value() }, { "reason", reason } });
 }
@@ -178,7 +183,7 @@
         placement(record.target).put(placementEndpoint(record));
 }
 
-void EndpointDirectory::setEvacuatedZones(const std::set<ZoneId>& zones)
+void EndpointDirectory::setEvacuatedZones(const std::set<ZoneId>& zones, TimePoint now)
 {
     std::set<ZoneId> withdrawn;
     std::set_difference(m_evacuatedZones.begin(), m_evacuatedZones.end(), zones.begin(), zones.end(),
@@ -187,13 +192,15 @@
     for (auto& [target, placement] : m_placements)
         placement->setEvacuatedZones(zones);
     if (!withdrawn.empty())
-        evacuationsWithdrawn(withdrawn);
+        evacuationsWithdrawn(withdrawn, now);
 }
 
-void EndpointDirectory::evacuationsWithdrawn(const std::set<ZoneId>& zones)
+void EndpointDirectory::evacuationsWithdrawn(const std::set<ZoneId>& zones, TimePoint now)
 {
     for (auto& [target, placement] : m_placements)
         placement->forgetCachedSegments(zones);
+    for (const ZoneId& zone : zones)
+        setZoneCold(zone, now);
 }
 
 std::size_t EndpointDirectory::sizeOf(const ZoneId& zone) const
@@ -290,9 +297,12 @@
 
 void EndpointDirectory::setLimitEntries(const LimitEntries& entries, TimePoint now)
 {
+    bool isSame = entries.active == m_limitEntries.active && entries.regions == m_limitEntries.regions;
     m_limitEntries = entries;
     for (auto& [target, placement] : m_placements)
         placement->setLimitEntries(entries, now);
+    if (isSame)
+        return; // only shares of cold endpoints are affected
     m_log->write(Event::LimitEntriesChanged, { { "entries", entries.regions.size() }, { "active", entries.active } });
 }
 
@@ -367,6 +377,7 @@
         placement = std::make_unique<EndpointPlacement>(PlacementPolicy(), m_settings.zone, m_settings.region);
         placement->setLimitEntries(m_limitEntries, TimePoint());
         placement->setEvacuatedZones(m_evacuatedZones);
+        placement->setColdPolicy(coldPolicy(target), TimePoint());
     }
     return *placement;
 }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -26,9 +26,10 @@
 /// The endpoints that may receive requests, by service, as listed in the platform's store.
 class EndpointDirectory {
 public:
+    /// @param wallClock returns the guarded wall-clock time in milliseconds since 1970
     /// @param onRemoved called for each endpoint that may no longer receive requests
     EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform, std::shared_ptr<EventLog> log,
-        std::function<void(const EndpointId&)> onRemoved);
+        std::function<std::int64_t(TimePoint now)> wallClock, std::function<void(const EndpointId&)> onRemoved);
 
     /// Replaces the content by a complete read of the list.
     void replace(const StoreRange& range, TimePoint now);
@@ -53,7 +54,7 @@
     /// Applies changed zones of the settings to the endpoints.
     void settingsChanged() { updateEndpoints(); }
     /// Sets the zones to whose endpoints nothing may be sent.
-    void setEvacuatedZones(const std::set<ZoneId>& zones);
+    void setEvacuatedZones(const std::set<ZoneId>& zones, TimePoint now);
     /// Number of endpoints in a zone.
     std::size_t sizeOf(const ZoneId& zone) const;
     /// Records the load that another entry reported.
@@ -90,6 +91,19 @@
     /// @param source fields that name where the change was observed
     nlohmann::json limitChangeFields(const LimitChange& change, nlohmann::json source);
     /// @}
+    /// @name Cold endpoints
+    /// @{
+
+    /// All endpoints of a zone count as cold for their service's warm-up time from now on, for example because no
+    /// requests were sent to the zone for a while. The records of their cached segments are discarded.
+    void setZoneCold(const ZoneId& zone, TimePoint now);
+    /// Sets the time until which the shares of setLimitEntries() are certainly this entry's alone.
+    void confirmShares(TimePoint until, TimePoint now);
+    /// Applies changed settings, and logs the endpoints that turned cold or warm since the last call.
+    void updateCold(TimePoint now);
+    /// Number of cold endpoints at the last updateCold().
+    std::size_t coldEndpointCount() const { return m_loggedCold.size(); }
+    /// @}
     /// Logs the services whose number of engines reserved for long prompts changed since the last call.
     void logPrefillPools(TimePoint now);
     /// Load by requests of this entry on all endpoints.
@@ -104,14 +118,23 @@
 
 private:
     void applyItem(const StoreItem& item, TimePoint now);
-    /// Called with the zones whose evacuation has just been withdrawn: their endpoints have had no requests meanwhile.
-    void evacuationsWithdrawn(const std::set<ZoneId>& zones);
+    /// Called with the zones whose evacuation has just been withdrawn: their endpoints have had no requests meanwhile,
+    /// and may have turned cold.
+    void evacuationsWithdrawn(const std::set<ZoneId>& zones, TimePoint now);
     void updateEndpoints();
     /// Whether a record may come from the copy from which the store was restored.
     bool mayBeOld(const StoreItem& item) const { return item.modRevision <= m_restoredRevision; }
     /// Whether an endpoint has left or restarted since the copy with this record was made.
     bool isOutdated(const EndpointRecord& record, TimePoint now) const;
-    void put(const EndpointRecord& record);
+    /// @return whether the endpoint was not known, in this incarnation
+    bool put(const EndpointRecord& record);
+    /// Records what a record says about the endpoint's coldness.
+    /// @param isNew the endpoint was not known, in this incarnation
+    /// @param revision revision of the record's write
+    void recordCold(const EndpointRecord& record, bool isNew, Revision revision, TimePoint now);
+    /// Latest time at which an endpoint that is new may have started, if it matters.
+    std::optional<TimePoint> latestStart(const EndpointRecord& record, TimePoint now) const;
+    ColdPolicy coldPolicy(const TargetId& target) const;
     void remove(const EndpointId& id, std::string_view reason, TimePoint now);
     EndpointId idOf(const std::string& key) const;
     /// Replaces endpoint tags by endpoint ids; unknown tags are omitted.
@@ -121,6 +144,7 @@
     const GatewaySettings& m_settings;
     const PlatformPort& m_platform;
     std::shared_ptr<EventLog> m_log;
+    std::function<std::int64_t(TimePoint now)> m_wallClock;
     std::function<void(const EndpointId&)> m_onRemoved;
     Membership m_membership;
     std::unordered_map<EndpointId, EndpointRecord> m_records;
@@ -131,6 +155,13 @@
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
     LimitEntries m_limitEntries;
     std::set<ZoneId> m_evacuatedZones;
+    bool m_loggedColdShares = false;
+    /// Endpoints that were cold when that was last logged.
+    std::set<EndpointId> m_loggedCold;
+    /// Revision of the last record from which a cold time was taken. A record that is read again is not new.
+    std::map<EndpointId, Revision> m_coldRevisions;
+    /// Last logged problem of each endpoint's stated cold time.
+    std::map<EndpointId, std::string> m_coldProblems;
     bool m_loaded = false;
     /// Revision of the last complete read.
     Revision m_readRevision;
--- a/src/gateway/evacuation_control.cpp
+++ b/src/gateway/evacuation_control.cpp
@@ -1,5 +1,6 @@
 #include "evacuation_control.h"
 
+#include "clock.h"
 #include "wisteriayard/store_numbers.h"
 
 namespace wisteriayard {
@@ -62,7 +63,8 @@
     std::set<ZoneId> zones;
     for (const auto& [zone, graceEnd] : current)
         zones.insert(zone);
-    m_state.directory.setEvacuatedZones(zones);
+    // The changes may have been confirmed a while ago, but the endpoints get requests from the present on.
+    m_state.directory.setEvacuatedZones(zones, bootTimeNow());
     m_state.metrics.setEvacuatedZones(zones.size());
     for (const auto& [zone, graceEnd] : current) {
         auto known = former.find(zone);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,6 +128,8 @@
             m_state.log->write(Event::ProcessStarted,
                 { { "role", "gateway" }, { "listen", formatAddress(m_state.settings.callerAddress) },
                     { "zone", m_state.settings.zone.value() }, { "store", formatAddress(m_state.settings.store) } });
+            for (const InvalidField& field : m_state.settings.invalidFields)
+                m_state.logInvalidField("settings", field);
             m_io.run();
             m_state.log->write(Event::ProcessStopped, nlohmann::json::object());
             m_sink->drainAtExit();
@@ -164,8 +166,7 @@
 
         std::string statusJson() const
         {
-            nlohmann::json status = { { "entries", m_state.liveEntries },
-                { "endpoints", m_state.directory.size() },
+            nlohmann::json status = { { "entries", m_state.liveEntries }, { "endpoints", m_state.directory.size() },
                 { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
                 { "active_requests", m_state.activeRequests }, { "evacuated_zones", m_evacuations.zonesField() } };
             if (m_state.usage)
@@ -382,6 +383,7 @@
                 m_evacuations.expire(now);
                 m_state.crashGuard.expire(now);
                 m_state.directory.logPrefillPools(now);
+                m_state.directory.updateCold(now);
                 std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
                 std::uint64_t suppressed = m_state.requestLogBudget.takeSuppressedCount();
                 if (suppressed > 0 || m_sink->dropped() > dropped)
@@ -399,6 +401,7 @@
         void updateGauges(TimePoint now)
         {
             m_state.metrics.setEndpointCount(m_state.directory.size());
+            m_state.metrics.setColdEndpointCount(m_state.directory.coldEndpointCount());
             m_state.metrics.setActiveRequests(m_state.activeRequests);
             m_state.metrics.setRequestBodyMemory(m_state.requestBodies.reserved());
             m_state.metrics.setViewAge("config", now - m_state.configConfirmedAt);
@@ -429,7 +432,8 @@
             GatewaySettings& current = m_state.settings;
             bool zonesChanged = next.zones != current.zones;
             bool changed = next.retryRatio != current.retryRatio || next.retrySlack != current.retrySlack
-                || next.shutdownGrace != current.shutdownGrace || zonesChanged;
+                || next.shutdownGrace != current.shutdownGrace || zonesChanged || next.coldExcess != current.coldExcess
+                || next.coldSlack != current.coldSlack;
             if (!changed && cause == "changed")
                 return;
             // Addresses and roles do not change while the process runs.
@@ -437,6 +441,10 @@
             current.retrySlack = next.retrySlack;
             current.shutdownGrace = next.shutdownGrace;
             current.zones = next.zones;
+            current.coldExcess = next.coldExcess;
+            current.coldSlack = next.coldSlack;
+            for (const InvalidField& field : next.invalidFields)
+                m_state.logInvalidField("settings", field);
             m_state.log->write(Event::SettingsReloaded, { { "cause", cause } });
             if (!zonesChanged)
                 return;
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -83,6 +83,10 @@
     std::optional<RequestRate> rateLimit;
     /// Value of the rate limit field if it is not a rate: neither a new limit nor the end of the former one.
     std::string invalidRateLimit;
+    /// Time for which the endpoint will be cold; absent if the response states none.
+    std::optional<Duration> coldTime;
+    /// Value of the cold time field if it is not a plausible number of milliseconds.
+    std::string invalidColdTime;
 };
 
 /// State of an endpoint as published in the list of endpoints.
@@ -101,6 +105,10 @@
     EndpointState state = EndpointState::Ready;
     int slots = 1;
     Incarnation incarnation { 0 };
+    /// Time for which the endpoint will be cold from the write of the record on; absent if it states none.
+    std::optional<Duration> coldTime;
+    /// What is wrong with the statement of that time; empty if nothing is.
+    std::string coldTimeProblem;
 };
 
 /// Settings of a gateway process that the platform provides.
@@ -134,6 +142,12 @@
     bool reportsUsage = false;
     /// Entries tell each other at which endpoints their requests fail, because health checks may be wrong.
     bool sharesFailures = false;
+    /// In any second, all entries together may send this multiple of the rate that a cold endpoint accepts, plus
+    /// coldSlack requests.
+    double coldExcess = 1;
+    double coldSlack = 1;
+    /// Fields that are not valid, but do not make the settings unusable.
+    std::vector<InvalidField> invalidFields;
 
     /// Regions of all zones and of this entry.
     std::set<RegionId> regions() const;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -135,7 +135,7 @@
     /// Outcome of an interrupted attempt, if the caller disconnected or the deadline passed.
     std::optional<AttemptOutcome> interruption() const;
     bool mayRetry(const AttemptOutcome& outcome, TimePoint now);
-    EndpointOutcome healthOutcome(const AttemptOutcome& outcome) const;
+    EndpointOutcome healthOutcome(const AttemptOutcome& outcome, const Placement& placement) const;
     /// Records the request in the usage of its account, at most once.
     void recordUsage();
     Duration timeLeft(TimePoint now) const { return m_deadline - now; }
