Case evacuation: wait for observers, and check that they relay

The entries watch the store themselves in their first two seconds, so the cases did not go through observers reliably. They now wait for the roles and check that an entry learned of the evacuation from an observer, also with a value of 300 kB.

--- a/testsuite/evacuation/run.py
+++ b/testsuite/evacuation/run.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from platform_deployment import run_cases, wait_until  # noqa: E402
 from zone_checks import (GATEWAYS, PREFIX, Load, arrivals, broken_stream, code, evacuate, events_of,  # noqa: E402
-                         in_force, make_zone_deployment, wait_for_zones, zones_of)
+                         in_force, make_zone_deployment, sources, wait_for_observers, wait_for_zones, zones_of)
 
 # Time for which a zone stays evacuated that a restored store lacks.
 RESTORATION_GRACE_S = 6
@@ -18,11 +18,13 @@
 
 def evacuation_and_withdrawal(deployment):
     """Nothing is sent to an evacuated zone, neither by an entry that starts meanwhile; then the zone is used again."""
+    wait_for_observers(deployment)
     started = deployment.gateways[-1]
     with Load(deployment) as load:
         wait_until(lambda: all(endpoint.runs for endpoint in deployment.endpoints), "requests at all endpoints")
         started.stop()
         since = evacuate(deployment, "b")
+        assert "observer" in sources(deployment, "b"), sources(deployment, "b")
         started.start()
         wait_until(started.ready, "the started entry to be ready")
         wait_until(lambda: arrivals(deployment, "a", entry=started.entry()) > 10, "requests of the started entry")
@@ -38,14 +40,16 @@
 
 def odd_keys(deployment):
     """Unknown zones, keys without a zone and any value neither disturb the configuration nor another evacuation."""
+    wait_for_observers(deployment)
     store = deployment.store
     store.put("op/evacuate", "x")
     store.put(PREFIX, "x")
     store.put("op/other", "{")
     store.put(PREFIX + "nowhere", "")
     store.put(PREFIX + "a/b", "\0\n{")
-    # A large value must not make each entry read the store.
+    # A large value is relayed too.
     since = evacuate(deployment, "b", "x" * 300_000)
+    assert "observer" in sources(deployment, "b"), sources(deployment, "b")
     deployment.routes[0]["name"] = "renamed"
     in_force(deployment)
     for gateway in deployment.gateways:
--- a/testsuite/zone_checks.py
+++ b/testsuite/zone_checks.py
@@ -74,10 +74,26 @@
 def wait_for_zones(deployment, zones, timeout=EVACUATION_S):
     for gateway in deployment.gateways:
         if gateway.alive():
-            wait_until(lambda each=gateway: zones_of(each) == set(zones), f"{gateway.name} to learn of {zones}", timeout)
+            wait_until(lambda each=gateway: zones_of(each) == set(zones), f"{gateway.name} to learn of {zones}",
+                       timeout)
     time.sleep(ARRIVAL_S)
 
 
+def wait_for_observers(deployment):
+    """Waits until the entries have divided the watches of the store among them, so that most follow observers."""
+    def has_role(gateway):
+        return any(event["prefix"] == "op/" and event["role"] != "alone"
+                   for event in gateway.events("view_role_changed"))
+    for gateway in deployment.gateways:
+        wait_until(lambda each=gateway: has_role(each), f"{gateway.name} to follow an observer or to be one")
+
+
+def sources(deployment, zone):
+    """How the entries learned of the evacuation of a zone."""
+    return {event["source"] for gateway in deployment.gateways for event in gateway.events("zone_evacuated")
+            if event["zone"] == zone}
+
+
 def evacuate(deployment, zone, value=""):
     """Requests an evacuation and waits until all entries know of it. @return a time from which it holds"""
     others = {key[len(PREFIX):] for key in list(deployment.store.items) if key.startswith(PREFIX)} - {""}
