An endpoint that turns cold before its response counts as cold for it

Cause: a request that was sent to a warm endpoint and answered after it had turned cold put its slow response into the service's averages, and its time-out counted against the endpoint's health.

Tested: endpoint_that_turns_cold_before_the_response; the other placement tests pass.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -80,6 +80,7 @@
     m_endpoint.reset();
     if (m_requestsSent == requestsSentBefore)
         endpoints.notSent(placement, now);
+    placement.isCold = placement.isCold || endpoints.isCold(placement, now);
     HealthChange change = endpoints.ended(placement, healthOutcome(outcome, placement), now);
     if (change == HealthChange::Ejected)
         m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -137,7 +137,8 @@
     bool firstEventSeen = false;
     /// Credit for the endpoint's rate limit was taken for this request.
     bool tookCredit = false;
-    /// The endpoint was cold when the request was placed or sent: its response time says nothing about warm endpoints.
+    /// The endpoint was cold when the request was placed or sent, or became so before the response: its response time
+    /// says nothing about warm endpoints.
     bool isCold = false;
     /// Credit of the cold endpoint is reserved for this request.
     bool reservedCold = false;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -482,6 +482,7 @@
     placement.firstEventSeen = true;
     prefillEnded(placement);
     state->own.backlog.remove(placement.rank, Tokens(placement.uncachedTokens));
+    placement.isCold = placement.isCold || state->cold.isCold(now);
     if (placement.isCold)
         return recordColdResponse(*state, placement, now);
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
--- a/src/libwisteriayard/endpoint_placement_cold_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_cold_test.cpp
@@ -209,6 +209,22 @@
     BOOST_TEST(placementRefusalName(PlacementRefusal::ColdStart) == "cold_start");
 }
 
+// Guards against an average that contains the response of an endpoint that turned cold while the request waited there.
+BOOST_AUTO_TEST_CASE(endpoint_that_turns_cold_before_the_response)
+{
+    EndpointPlacement fleet = makeFleet(2);
+    auto expected
+        = [&](TimePoint now) { return place(fleet, makeRequest(), now, { endpointId(1) })->expectedFirstEvent; };
+    Duration before = expected(at(seconds(0)));
+    auto placement = send(fleet, makeRequest(), at(seconds(1)), { endpointId(0) });
+    BOOST_REQUIRE(placement.has_value());
+    fleet.recordColdTime(endpointId(1), seconds(30), at(seconds(2)));
+    fleet.firstEvent(*placement, at(seconds(3)));
+    BOOST_TEST(placement->isCold);
+    fleet.ended(*placement, EndpointOutcome::Succeeded, at(seconds(3)));
+    BOOST_TEST((expected(at(seconds(4))) == before));
+}
+
 namespace {
 
 struct ServiceCase {
