--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -54,7 +54,8 @@
         self.settings = {
             "node_name": name, "zone": zone, "region": "r", "zones": {"a": "r", "b": "r"},
             "listen": {"front": f"{self.ip}:{self.ports[0]}", "ready": f"{self.ip}:{self.ports[1]}"},
-            "port_range": [self.ports[2], self.ports[2]], "limits": {"memory_mb": deployment.memory_mb, "max_fds": 4096},
+            "port_range": [self.ports[2], self.ports[2]],
+            "limits": {"memory_mb": deployment.memory_mb, "max_fds": deployment.max_fds},
             "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_slack": 50, "lease_ttl_ms": 1500,
                        "report_window_s": WINDOW_S, "usage_delay_s": 10, "require_fence": True},
             "platform": {"address": store_address},
@@ -159,8 +160,8 @@
 class Deployment:
     """The store, endpoints of a plain and a model service, the receiver of usage reports, and gateways."""
 
-    def __init__(self, bin_folder, linked=False, memory_mb=128):
-        self.bin, self.memory_mb = bin_folder, memory_mb
+    def __init__(self, bin_folder, linked=False, memory_mb=128, max_fds=4096):
+        self.bin, self.memory_mb, self.max_fds = bin_folder, memory_mb, max_fds
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.store, self.reports = Store(), Reports()
