Keep heads of endpoints' responses as text, within the budget of responses

Cause: as for requests, the parser's nodes of a response's head lived as long as the exchange, which for a stream is the whole stream, and heads that had only begun were parsed as they arrived. 400 unfinished heads of 3,200 lines took 114 MiB.

A head is parsed when it is complete. Its status line and forwarded fields are kept as text, and the fields are released once they are decoded; trailer fields are released with the last chunk. Unparsed bytes and the text are counted in GatewayState::bufferedResponses; without room the attempt ends like one whose response is too large (502), as the request may have been executed. A connection to an endpoint has no read buffer of its own any more.

--- a/src/gateway/endpoint_exchange.cpp
+++ b/src/gateway/endpoint_exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace wisteriayard {
@@ -17,9 +18,10 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = 8 * 1024;
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    constexpr std::string_view lineEnd = "\r\n";
     constexpr std::uint32_t maxHeadBytes = 16 * 1024;
-    /// Limit on buffered bytes that the parser has not consumed. The parser limits the header, but neither the length
+    /// Limit on bytes that the parser has not consumed. The parser limits the header, but neither the length
     /// of a chunk-size line nor the trailer fields after the last chunk.
     constexpr std::size_t maxUnparsedBytes = 32 * 1024;
     /// Limit on informational (1xx) responses before the final one; endpoints send at most one.
@@ -53,34 +55,81 @@
         });
 }
 
-Status EndpointExchange::parseBuffered()
+Status EndpointExchange::checkUnfinishedHead(std::string_view input)
 {
-    auto& buffer = m_connection->buffer;
-    while (buffer.size() > 0 && !m_parser->is_done()) {
+    if (input.size() >= maxHeadBytes)
+        return fail(Errc::Protocol, "the response's head exceeds the size limit");
+    std::size_t line = input.find(lineEnd);
+    bool isNewLine = line != std::string_view::npos && line + lineEnd.size() > m_searched;
+    bool isUnchecked = m_searched == 0 || isNewLine;
+    m_searched = input.size() - std::min(input.size(), headEnd.size() - 1);
+    if (!isUnchecked || input.empty())
+        return boost::outcome_v2::success();
+    Parser firstLine;
+    firstLine.header_limit(maxHeadBytes);
+    boost::system::error_code error;
+    firstLine.put(boost::asio::buffer(input.substr(0, line)), error);
+    if (error && error != http::error::need_more)
+        return fail(Errc::Protocol, "the response can't be parsed: " + error.message());
+    return boost::outcome_v2::success();
+}
+
+Status EndpointExchange::parse(std::string_view& input)
+{
+    while (!input.empty() && !m_parser->is_done()) {
+        std::string_view part = input;
+        if (!m_parser->is_header_done()) {
+            std::size_t end = input.find(headEnd, m_searched);
+            if (end == std::string_view::npos)
+                return checkUnfinishedHead(input);
+            part = input.substr(0, end + headEnd.size());
+        }
         boost::system::error_code error;
-        std::size_t used = m_parser->put(buffer.data(), error);
-        buffer.consume(used);
-        if (error == http::error::need_more)
+        std::size_t used = m_parser->put(boost::asio::buffer(part), error);
+        input.remove_prefix(used);
+        m_searched = 0;
+        if (error == http::error::need_more && m_parser->is_header_done())
             break;
-        if (error)
+        if (error && error != http::error::need_more)
             return fail(Errc::Protocol, "the response can't be parsed: " + error.message());
         if (used == 0)
             break;
     }
-    if (!m_parser->is_done() && buffer.size() > maxUnparsedBytes)
+    if (!m_parser->is_done() && input.size() > maxUnparsedBytes)
         return fail(Errc::Protocol, "the response has an unterminated line beyond the size limit");
     return boost::outcome_v2::success();
 }
 
+Status EndpointExchange::parseReceived(std::string_view received)
+{
+    // Received bytes are copied only if they follow others or can't be parsed yet.
+    std::string former = std::move(m_connection->unparsed);
+    m_connection->unparsed = std::string();
+    bool continues = !former.empty();
+    if (continues)
+        former.append(received);
+    std::string_view input = continues ? std::string_view(former) : received;
+    std::size_t size = input.size();
+    Status parsed = parse(input);
+    m_connection->unparsed = continues && input.size() == size ? std::move(former) : std::string(input);
+    // Fields behind the last chunk are not forwarded.
+    if (m_isHeadKept && m_parser->is_done())
+        m_parser->get().base().clear();
+    return parsed ? reserveMemory() : parsed;
+}
+
 awaitable<Status> EndpointExchange::readMore()
 {
-    auto& buffer = m_connection->buffer;
     boost::system::error_code error;
-    auto space = buffer.prepare(readBytes);
-    std::size_t received = co_await m_connection->socket.async_read_some(space, redirect_error(use_awaitable, error));
-    buffer.commit(received);
+    std::size_t received = 0;
+    do {
+        co_await m_connection->socket.async_wait(
+            boost::asio::ip::tcp::socket::wait_read, redirect_error(use_awaitable, error));
+        if (!error)
+            received = m_connection->socket.read_some(boost::asio::buffer(m_receiveBuffer), error);
+    } while (error == boost::asio::error::would_block);
     if (!error)
-        co_return parseBuffered();
+        co_return parseReceived(std::string_view(m_receiveBuffer).substr(0, received));
     if (error == boost::asio::error::eof && m_parser->is_header_done()) {
         boost::system::error_code ended;
         m_parser->put_eof(ended);
@@ -98,7 +147,10 @@
         m_parser->header_limit(maxHeadBytes);
         m_parser->body_limit(boost::none);
         m_parser->skip(m_bodyless);
-        Status parsed = parseBuffered();
+        m_head = EndpointHead();
+        m_isHeadKept = false;
+        m_searched = 0;
+        Status parsed = parseReceived({});
         if (!parsed)
             co_return parsed;
         while (!m_parser->is_header_done()) {
@@ -106,13 +158,35 @@
             if (!read)
                 co_return read;
         }
-        Status sound = checkResponseHead(head());
-        if (!sound || !isInformational(head()))
+        const ResponseHead& fields = m_parser->get().base();
+        Status sound = checkResponseHead(fields);
+        if (!sound || !isInformational(fields)) {
+            m_head = EndpointHead(fields);
+            m_keepAlive = m_parser->get().keep_alive();
             co_return sound;
+        }
     }
     co_return fail(Errc::Protocol, "too many informational responses");
 }
 
+Status EndpointExchange::keepHead()
+{
+    m_parser->get().base().clear();
+    m_isHeadKept = true;
+    return reserveMemory();
+}
+
+Status EndpointExchange::reserveMemory()
+{
+    const std::string& unparsed = m_connection->unparsed;
+    std::size_t size = m_head.lines.size() + (unparsed.empty() ? 0 : unparsed.capacity());
+    Bytes bytes(static_cast<std::int64_t>(size));
+    m_memory.shrinkTo(bytes);
+    if (!m_memory.extendTo(bytes))
+        return fail(Errc::Protocol, "the response's head exceeds the memory for responses");
+    return boost::outcome_v2::success();
+}
+
 awaitable<Result<std::string>> EndpointExchange::readBody()
 {
     while (m_parser->get().body().empty() && !m_parser->is_done()) {
@@ -141,8 +215,8 @@
 
 bool EndpointExchange::isReusable() const
 {
-    return isComplete() && m_parser->get().keep_alive() && !m_parser->need_eof() && !m_connection->writing
-        && m_connection->buffer.size() == 0;
+    return isComplete() && m_keepAlive && !m_parser->need_eof() && !m_connection->writing
+        && m_connection->unparsed.empty();
 }
 
 void EndpointExchange::close()
--- a/src/gateway/endpoint_exchange.h
+++ b/src/gateway/endpoint_exchange.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "endpoint_pool.h"
+#include "http_head.h"
+#include "wisteriayard/byte_budget.h"
 #include "wisteriayard/error.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -10,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace wisteriayard {
 
@@ -18,9 +21,14 @@
 public:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    /// @param receiveBuffer receives bytes; its content is used only until the exchange suspends, so that all exchanges
+    /// can share one
     /// @param bodyless the response has no body regardless of its header, as for HEAD requests
-    EndpointExchange(EndpointConnectionPtr connection, bool bodyless)
+    /// @param memory counts the head of the response and the bytes that are not parsed yet
+    EndpointExchange(EndpointConnectionPtr connection, std::string& receiveBuffer, ByteBudget& memory, bool bodyless)
         : m_connection(std::move(connection))
+        , m_receiveBuffer(receiveBuffer)
+        , m_memory(memory)
         , m_bodyless(bodyless)
     {
     }
@@ -32,7 +40,13 @@
     /// Reads the header of the next final response; informational (1xx) responses are skipped.
     /// @return Protocol if the bytes are not a response that can be forwarded, Unavailable if the connection was lost
     boost::asio::awaitable<Status> readHead();
-    const boost::beast::http::response_header<>& head() const { return m_parser->get().base(); }
+    /// Head of the response that readHead() has read.
+    const EndpointHead& head() const { return m_head; }
+    /// Fields of the response until keepHead().
+    const HttpFields& fields() const { return m_parser->get(); }
+    /// Releases the fields of the response; head() stays.
+    /// @return Protocol if there is no memory for the head
+    Status keepHead();
     /// Reads the next part of the body.
     /// @return the bytes read; empty once the body is complete
     boost::asio::awaitable<Result<std::string>> readBody();
@@ -48,11 +62,24 @@
 
 private:
     boost::asio::awaitable<Status> readMore();
-    Status parseBuffered();
+    Status parseReceived(std::string_view received);
+    /// @param input reduced by the bytes that were parsed
+    Status parse(std::string_view& input);
+    /// Checks the size of an unfinished head, and its first line as soon as it is known.
+    Status checkUnfinishedHead(std::string_view input);
+    Status reserveMemory();
 
     EndpointConnectionPtr m_connection;
+    std::string& m_receiveBuffer;
+    ByteReservation m_memory;
     bool m_bodyless;
+    /// Has no fields after keepHead(): they take many times the size of the head.
     std::optional<Parser> m_parser;
+    EndpointHead m_head;
+    bool m_isHeadKept = false;
+    bool m_keepAlive = false;
+    /// Number of unparsed bytes that contain no end of the head.
+    std::size_t m_searched = 0;
 };
 
 } // namespace wisteriayard
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -5,9 +5,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -27,7 +27,8 @@
     ~EndpointConnection() { --m_open; }
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    /// Received bytes that are not parsed yet.
+    std::string unparsed;
     /// How long the endpoint keeps an idle connection open.
     Duration idleLimit {};
     TimePoint idleSince {};
--- a/src/gateway/http_head.cpp
+++ b/src/gateway/http_head.cpp
@@ -96,25 +96,37 @@
     return text.append("\r\n");
 }
 
-bool isBodyless(const ResponseHead& head, bool isHeadRequest)
+EndpointHead::EndpointHead(const ResponseHead& head)
+    : status(head.result_int())
+    , lines(statusLine(head.result_int(), stdView(head.reason())))
 {
-    return isHeadRequest || head.result() == http::status::no_content || head.result() == http::status::not_modified;
-}
-
-std::string callerResponseHead(const ResponseHead& head, BodyFraming framing, std::size_t bodySize, bool keepAlive)
-{
-    std::string text = statusLine(head.result_int(), stdView(head.reason()));
     std::string_view connection = connectionValue(head);
     for (const auto& field : head) {
         std::string_view name = stdView(field.name_string());
         if (!isHopByHopHeader(name, connection))
-            appendHeader(text, name, stdView(field.value()));
+            appendHeader(lines, name, stdView(field.value()));
     }
-    // The length that a bodyless response states is that of the body which it leaves out. HTTP forbids it with 204.
-    auto stated = head.find(http::field::content_length);
-    bool hasLength = stated != head.end() && head.result() != http::status::no_content;
-    if (framing == BodyFraming::Bodyless && hasLength)
-        appendHeader(text, "Content-Length", stdView(stated->value()));
+    lines.shrink_to_fit();
+    // HTTP forbids a length with 204.
+    auto length = head.find(http::field::content_length);
+    if (length != head.end() && head.result() != http::status::no_content)
+        statedLength = std::string(stdView(length->value()));
+}
+
+bool EndpointHead::isSuccess() const { return http::to_status_class(status) == http::status_class::successful; }
+
+bool EndpointHead::isBodyless(bool isHeadRequest) const
+{
+    auto known = http::int_to_status(status);
+    return isHeadRequest || known == http::status::no_content || known == http::status::not_modified;
+}
+
+std::string callerResponseHead(const EndpointHead& head, BodyFraming framing, std::size_t bodySize, bool keepAlive)
+{
+    std::string text = head.lines;
+    // The length that a bodyless response states is that of the body which it leaves out.
+    if (framing == BodyFraming::Bodyless && head.statedLength)
+        appendHeader(text, "Content-Length", *head.statedLength);
     if (framing == BodyFraming::Length)
         appendHeader(text, "Content-Length", std::to_string(bodySize));
     if (framing == BodyFraming::Chunked)
--- a/src/gateway/http_head.h
+++ b/src/gateway/http_head.h
@@ -38,13 +38,29 @@
     UntilClose,
 };
 
-/// Whether a response has no body regardless of its header.
-/// @param isHeadRequest the request's method is HEAD
-bool isBodyless(const ResponseHead& head, bool isHeadRequest);
+/// Head of an endpoint's response in the form in which it is kept until it is forwarded.
+///
+/// The parser's fields take many times the size of the head (one node per line), and streams last long, so that the
+/// fields are released as soon as the head is decoded.
+struct EndpointHead {
+    EndpointHead() = default;
+    explicit EndpointHead(const ResponseHead& head);
+
+    unsigned status = 0;
+    /// Status line and forwarded fields, without the end of the head.
+    std::string lines;
+    /// Value of the Content-Length field; absent if the response has none or must not have one.
+    std::optional<std::string> statedLength;
+
+    bool isSuccess() const;
+    /// Whether the response has no body regardless of its fields.
+    /// @param isHeadRequest the request's method is HEAD
+    bool isBodyless(bool isHeadRequest) const;
+};
 
 /// Formats the header of an endpoint's response as it is forwarded to the caller.
 /// @param keepAlive the connection stays open for further requests
-std::string callerResponseHead(const ResponseHead& head, BodyFraming framing, std::size_t bodySize, bool keepAlive);
+std::string callerResponseHead(const EndpointHead& head, BodyFraming framing, std::size_t bodySize, bool keepAlive);
 
 /// A response that the gateway generates itself, as opposed to one from an endpoint.
 struct LocalResponse {
--- a/src/gateway/http_head_test.cpp
+++ b/src/gateway/http_head_test.cpp
@@ -59,7 +59,7 @@
     ResponseHead head;
     head.result(each.status);
     head.set(boost::beast::http::field::content_length, "600");
-    std::string text = callerResponseHead(head, BodyFraming::Bodyless, 0, true);
+    std::string text = callerResponseHead(EndpointHead(head), BodyFraming::Bodyless, 0, true);
     BOOST_TEST((text.find("Content-Length") != std::string::npos) == each.keepsLength, text);
 }
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -1,7 +1,6 @@
 // RequestHandler: a single attempt at an endpoint, from the connection to forwarding the response.
 #include "clock.h"
 #include "request_handler.h"
-#include "response_head.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -47,8 +46,6 @@
         return { "invalid response: " + error.message, MayHaveExecuted::Cause::InvalidResponse };
     }
 
-    bool isSuccess(const ResponseHead& head) { return statusClass(head) == http::status_class::successful; }
-
 } // namespace
 
 awaitable<AttemptOutcome> RequestHandler::runAttempt(Placement placement)
@@ -120,6 +117,7 @@
     if (error || !connection->socket.is_open())
         co_return nullptr;
     setTcpOptions(connection->socket);
+    connection->socket.non_blocking(true, error); // EndpointExchange waits before it reads
     co_return connection;
 }
 
@@ -138,7 +136,8 @@
 awaitable<AttemptOutcome> RequestHandler::exchangeWithEndpoint(
     EndpointConnectionPtr connection, const EndpointRecord& record, Placement& placement)
 {
-    EndpointExchange exchange(connection, m_request.head.isHeadRequest());
+    EndpointExchange exchange(
+        connection, m_state.receiveBuffer, m_state.bufferedResponses, m_request.head.isHeadRequest());
     std::optional<std::size_t> bodySize;
     if (m_request.hasBody)
         bodySize = m_request.body->size();
@@ -176,7 +175,7 @@
         recordUsage();
     }
     AttemptOutcome outcome = MayHaveExecuted { "the response has no seal" };
-    bool success = isSuccess(exchange.head());
+    bool success = exchange.head().isSuccess();
     if (traits.execution == ExecutionStatus::Misdirected)
         m_state.directory.removeMisdirected(record.id, bootTimeNow());
     if (statedNotExecuted) {
@@ -252,7 +251,10 @@
         Status read = co_await exchange.readHead();
         if (!read)
             co_return read;
-        traits = m_state.platform.codec().decodeResponse(exchange.head().result_int(), exchange.head());
+        traits = m_state.platform.codec().decodeResponse(exchange.head().status, exchange.fields());
+        Status kept = exchange.keepHead();
+        if (!kept)
+            co_return kept;
         recordAvailability(record, placement, traits);
         bool matches = traits.request.empty() || traits.request == m_traits.id;
         if (matches)
@@ -283,6 +285,10 @@
     }
     m_state.crashGuard.answerBegan(m_sharedSegments, bootTimeNow());
     answerCompleted(bootTimeNow());
+    // The head of a failure is kept beside its body, after the exchange.
+    Bytes kept(static_cast<std::int64_t>(body->text.size() + exchange.head().lines.size()));
+    if (!success && !body->reservation.extendTo(kept))
+        co_return MayHaveExecuted { "the response exceeds the buffer limit" };
     if (!success)
         co_return EndpointFailure { exchange.head(), std::shared_ptr<const std::string>(body, &body->text) };
     m_headSent = true;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -44,7 +44,7 @@
         std::string operator()(const MayHaveExecuted& outcome) const { return "may_have_run: " + outcome.reason; }
         std::string operator()(const EndpointFailure& outcome) const
         {
-            return "endpoint_failure: " + std::to_string(outcome.head.result_int());
+            return "endpoint_failure: " + std::to_string(outcome.head.status);
         }
         std::string operator()(const CallerDisconnected&) const { return "caller_left"; }
         std::string operator()(const TimedOut&) const { return "timed_out"; }
@@ -238,7 +238,7 @@
         co_return false;
     }
     if (failure) {
-        logEnd(Event::RequestFailed, "endpoint_failure", std::to_string(failure->head.result_int()));
+        logEnd(Event::RequestFailed, "endpoint_failure", std::to_string(failure->head.status));
         co_return co_await forwardResponse(failure->head, *failure->body);
     }
     if (!m_mayHaveExecuted) {
@@ -253,10 +253,10 @@
     co_return co_await respond(std::move(response));
 }
 
-awaitable<bool> RequestHandler::forwardResponse(const ResponseHead& head, const std::string& body)
+awaitable<bool> RequestHandler::forwardResponse(const EndpointHead& head, const std::string& body)
 {
     bool keepAlive = m_request.keepAlive && !m_state.isStopping();
-    bool bodyless = isBodyless(head, m_request.head.isHeadRequest());
+    bool bodyless = head.isBodyless(m_request.head.isHeadRequest());
     BodyFraming framing = bodyless ? BodyFraming::Bodyless : BodyFraming::Length;
     std::string text = callerResponseHead(head, framing, body.size(), keepAlive);
     bool written = co_await write(std::move(text), body);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -56,7 +56,7 @@
 };
 /// The endpoint executed the request and responded with an error.
 struct EndpointFailure {
-    ResponseHead head;
+    EndpointHead head;
     std::shared_ptr<const std::string> body;
 };
 /// The caller closed its connection.
@@ -107,7 +107,7 @@
     boost::asio::awaitable<Status> forwardEvents(EndpointExchange& exchange, EventStream& events, Placement& placement);
 
     /// Sends a complete response of an endpoint.
-    boost::asio::awaitable<bool> forwardResponse(const ResponseHead& head, const std::string& body);
+    boost::asio::awaitable<bool> forwardResponse(const EndpointHead& head, const std::string& body);
     boost::asio::awaitable<bool> respond(LocalResponse response);
     /// Refuses a request that is in quarantine, or whose prompt has a segment in quarantine.
     /// @param wait time until such a request can be tried again
