Limit the prompt segments that are remembered for each engine

Cause: CachedSegments removed expired segments at each new one beyond 512, which takes time in proportion to the square of their number, and had no limit. Requests that name 1,600 segments each made the entry unable to answer: 400 of them were not placed within 60 s.

At most 4,096 segments are kept for each engine; loads share a few hundred. Further ones count as not cached, which only costs a coarser estimate. Expired ones are removed when their number has doubled, or once per second at the limit. SegmentRates has the same limit on segments that are not idle, and the queue of hints is a deque, as removing its first element moved up to 1,024 others.

Ruled out: a limit on the segments of a request, which a legal request may reach. prompts_of_many_segments passes (all requests are placed or refused); before, it timed out.

--- a/src/include/wisteriayard/cached_segments.h
+++ b/src/include/wisteriayard/cached_segments.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -31,16 +32,22 @@
     }
 
     bool contains(SegmentTag segment, TimePoint now) const;
+    std::size_t size() const { return m_lastUse.size(); }
     /// Records that a request of this entry uses the segment at this engine.
-    /// @return whether to send a cache hint to other entries, because none was sent or received recently
+    /// @return whether to send a cache hint to other entries, because none was sent or received recently; never for a
+    /// segment beyond the limit, which is not recorded
     bool recordOwnUse(SegmentTag segment, TimePoint now);
     /// Records a cache hint of another entry.
     void recordPeerUse(SegmentTag segment, TimePoint now);
 
 private:
+    /// @return false if the segment is beyond the limit
+    bool record(SegmentTag segment, TimePoint now);
     void removeExpired(TimePoint now);
 
     Duration m_lifetime;
+    std::size_t m_sizeAtNextCleanup = 0;
+    TimePoint m_nextFullCleanup {};
     /// Time of the last use that was announced by a cache hint, sent or received.
     std::unordered_map<SegmentTag, TimePoint> m_lastUse;
 };
@@ -60,7 +67,7 @@
         int timesSent = 0;
     };
 
-    std::vector<Item> m_items;
+    std::deque<Item> m_items;
 };
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/cached_segments_test.cpp
+++ b/src/libwisteriayard/cached_segments_test.cpp
@@ -65,3 +65,21 @@
         hints.add(engine, segmentTag(i));
     BOOST_TEST(hints.nextRound().at(engine).size() <= 1024u);
 }
+
+// Guards against memory, and time for removing expired segments, that grow with the segments that callers name: each
+// request can name thousands.
+BOOST_AUTO_TEST_CASE(number_of_segments_is_limited)
+{
+    constexpr std::size_t limit = 4096;
+    CachedSegments segments { seconds(15) };
+    for (std::uint64_t i = 0; i < 3 * limit; ++i)
+        BOOST_TEST(segments.recordOwnUse(segmentTag(i), start) == (i < limit));
+    BOOST_TEST(segments.size() == limit);
+    BOOST_TEST(!segments.contains(segmentTag(limit), start));
+    BOOST_TEST(segments.recordOwnUse(segmentTag(1), start + seconds(5)));
+    // Segments that have expired make room for others.
+    TimePoint later = start + seconds(16);
+    BOOST_TEST(segments.recordOwnUse(segmentTag(limit), later));
+    BOOST_TEST(segments.contains(segmentTag(1), later));
+    BOOST_TEST(!segments.contains(segmentTag(2), later));
+}
--- a/src/libwisteriayard/segment_rates.cpp
+++ b/src/libwisteriayard/segment_rates.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-    /// Number of segments from which on idle ones are removed.
+    /// Number of segments from which on idle ones are removed. Without any, further segments are not recorded: a caller
+    /// may name a new one in each request.
     constexpr std::size_t maxSegments = 4096;
     /// A segment is idle after this many time constants without a request.
     constexpr int idleTimeConstants = 3;
@@ -22,8 +23,12 @@
 
 void SegmentRates::recordRequest(std::uint64_t segment, Duration work, TimePoint now)
 {
-    if (m_rates.size() >= maxSegments)
+    auto known = m_rates.find(segment);
+    if (known == m_rates.end() && m_rates.size() >= maxSegments) {
         removeIdle(now);
+        if (m_rates.size() >= maxSegments)
+            return;
+    }
     Rate& rate = m_rates[segment];
     rate.value = decayed(rate, now) + toSeconds(work) / toSeconds(timeConstant);
     rate.at = now;
--- a/src/libwisteriayard/segment_rates_test.cpp
+++ b/src/libwisteriayard/segment_rates_test.cpp
@@ -55,3 +55,15 @@
         rates.recordRequest(segment, milliseconds(30), at(milliseconds(5) * static_cast<int>(segment)));
     BOOST_TEST(rates.size() <= 4096u);
 }
+
+// Guards against memory use that grows with segments that are named at the same time.
+BOOST_AUTO_TEST_CASE(number_of_segments_is_limited)
+{
+    SegmentRates rates;
+    for (std::uint64_t segment = 0; segment < 10'000; ++segment)
+        rates.recordRequest(segment, milliseconds(30), at(Duration(0)));
+    BOOST_TEST(rates.size() == 4096u);
+    BOOST_TEST(rates.rate(9'999, at(Duration(0))) == 0);
+    rates.recordRequest(7, milliseconds(30), at(Duration(0)));
+    BOOST_TEST(rates.rate(7, at(Duration(0))) > rates.rate(8, at(Duration(0))));
+}
