Estimate the speed of each engine, and share the estimates

Cause: all engines of a service had one time per token after two seconds and one interval between events.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -209,18 +209,6 @@
         m_records.begin(), m_records.end(), [&zone](const auto& each) { return each.second.zone == zone; }));
 }
 
-template <typename Value>
-std::map<EndpointId, Value> EndpointDirectory::resolveTags(const std::map<EndpointTag, Value>& byTag) const
-{
-    std::map<EndpointId, Value> values;
-    for (const auto& [tag, value] : byTag) {
-        auto known = m_idsByTag.find(tag);
-        if (known != m_idsByTag.end())
-            values[known->second] = value;
-    }
-    return values;
-}
-
 void EndpointDirectory::updatePeerUse(
     const InstanceId& peer, const std::map<EndpointTag, EndpointUse>& reported, TimePoint now)
 {
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -91,6 +91,11 @@
     /// @param source fields that name where the change was observed
     nlohmann::json limitChangeFields(const LimitChange& change, nlohmann::json source);
     /// @}
+    /// @name Speeds of engines, by samples of this entry and of others
+    /// @{
+    std::map<EndpointTag, SpeedReport> speedReports(TimePoint now);
+    void applySpeedReports(const InstanceId& peer, const std::map<EndpointTag, SpeedReport>& reported, TimePoint now);
+    /// @}
     /// @name Cold endpoints
     /// @{
 
@@ -171,4 +176,16 @@
     std::map<EndpointId, StoreItem> m_heldBack;
 };
 
+template <typename Value>
+std::map<EndpointId, Value> EndpointDirectory::resolveTags(const std::map<EndpointTag, Value>& byTag) const
+{
+    std::map<EndpointId, Value> values;
+    for (const auto& [tag, value] : byTag) {
+        auto known = m_idsByTag.find(tag);
+        if (known != m_idsByTag.end())
+            values[known->second] = value;
+    }
+    return values;
+}
+
 } // namespace wisteriayard
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -272,6 +272,7 @@
         loads.cacheHints[endpointTag(id)] = std::move(hints);
     loads.limits = m_state.directory.limitReports(now);
     loads.failing = m_state.directory.failureReports(now);
+    loads.speeds = m_state.directory.speedReports(now);
     loads.quarantine = m_state.crashGuard.report(now);
     return loads;
 }
@@ -525,6 +526,7 @@
     InstanceId source = loads.entryCount > 1 ? InstanceId("region/" + sender.region.value()) : peer;
     m_state.directory.updatePeerUse(source, loads.endpoints, now);
     m_state.directory.updatePeerFailures(source, loads.failing, now);
+    m_state.directory.applySpeedReports(source, loads.speeds, now);
     m_state.directory.applyCacheHints(loads.cacheHints, now);
     m_state.directory.updatePeerWork(source, loads.work, loads.entryCount, now);
 }
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -93,12 +93,23 @@
                 message.add_failing_entries(entries);
             }
             addQuarantine(message, loads.quarantine);
+            addSpeeds(message, loads.speeds);
             if (loads.closedWindow)
                 message.set_closed_window(loads.closedWindow->value());
             message.set_leaving(loads.leaving);
             message.set_entries(loads.entryCount);
         }
 
+        static void addSpeeds(peer::Loads& message, const std::map<EndpointTag, SpeedReport>& speeds)
+        {
+            for (const auto& [endpoint, speed] : speeds) {
+                message.add_speed_endpoints(static_cast<std::uint32_t>(endpoint));
+                message.add_speed_token_us(static_cast<float>(speed.tokenTime));
+                message.add_speed_event_us(static_cast<float>(speed.eventTime));
+                message.add_speed_ages_ms(clampToUint32(speed.age / std::chrono::milliseconds(1)));
+            }
+        }
+
         static void addQuarantine(peer::Loads& message, const QuarantineReport& report)
         {
             constexpr auto millisecond = std::chrono::milliseconds(1);
@@ -235,6 +246,22 @@
         return limits;
     }
 
+    Result<std::map<EndpointTag, SpeedReport>> decodeSpeeds(const peer::Loads& message)
+    {
+        int rows = message.speed_endpoints_size();
+        if (message.speed_token_us_size() != rows || message.speed_event_us_size() != rows
+            || message.speed_ages_ms_size() != rows)
+            return fail(Errc::Protocol, "peer datagram: columns of speeds have different lengths");
+        std::map<EndpointTag, SpeedReport> speeds;
+        for (int i = 0; i < rows; ++i) {
+            if (!isRate(message.speed_token_us(i)) || !isRate(message.speed_event_us(i)))
+                return fail(Errc::Protocol, "peer datagram: time is negative or not finite");
+            speeds[EndpointTag(message.speed_endpoints(i))] = SpeedReport { message.speed_token_us(i),
+                message.speed_event_us(i), std::chrono::milliseconds(message.speed_ages_ms(i)) };
+        }
+        return speeds;
+    }
+
     Result<PeerMessage> decodeLoads(const peer::Loads& message)
     {
         PeerLoads loads;
@@ -287,6 +314,7 @@
         for (int i = 0; i < message.failing_endpoints_size(); ++i)
             loads.failing[EndpointTag(message.failing_endpoints(i))] = message.failing_entries(i);
         BOOST_OUTCOME_TRY(loads.quarantine, decodeQuarantine(message));
+        BOOST_OUTCOME_TRY(loads.speeds, decodeSpeeds(message));
         if (message.has_closed_window())
             loads.closedWindow = WindowId(message.closed_window());
         loads.leaving = message.leaving();
@@ -371,6 +399,12 @@
     quarantine.add(other.quarantine, age);
     for (const auto& [endpoint, entries] : other.failing)
         failing[endpoint] += entries;
+    for (const auto& [endpoint, speed] : other.speeds) {
+        SpeedReport aged { speed.tokenTime, speed.eventTime, speed.age + age };
+        auto [known, inserted] = speeds.try_emplace(endpoint, aged);
+        if (!inserted && aged.age < known->second.age)
+            known->second = aged;
+    }
     for (const auto& [tag, use] : other.endpoints)
         endpoints[tag] += use;
     for (const auto& [endpoint, hints] : other.cacheHints)
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -52,6 +52,8 @@
     std::map<EndpointTag, ReportedLimit> limits;
     /// Number of entries for which requests to an endpoint fail.
     std::map<EndpointTag, std::uint32_t> failing;
+    /// Speeds of engines that answered requests since the last report.
+    std::map<EndpointTag, SpeedReport> speeds;
     /// Observations about prompt segments that may crash engines.
     QuarantineReport quarantine;
     /// Progress of the sender's copies of the store; empty if it is not an observer.
--- a/src/gateway/peer_messages_test.cpp
+++ b/src/gateway/peer_messages_test.cpp
@@ -67,13 +67,20 @@
 /// Loads with a cache hint without an endpoint: one row in field 15.
 const std::string hintWithoutEndpoint("\x0a\x06\x7a\x04\x01\x02\x03\x04", 8);
 
+/// Loads with a speed without an endpoint (field 29), and with a time of NaN.
+const std::string speedWithoutEndpoint("\x0a\x07\xea\x01\x04\x00\x00\x80\x3f", 9);
+const std::string speedNotFinite("\x0a\x19\xe2\x01\x04\x01\x02\x03\x04\xea\x01\x04\x00\x00\xc0\x7f"
+                                 "\xf2\x01\x04\x00\x00\x80\x3f\xfa\x01\x01\x05",
+    27);
+
 /// Loads with a failing endpoint without its number of entries: one row in field 32.
 const std::string failureWithoutEntries("\x0a\x07\x82\x02\x04\x01\x02\x03\x04", 9);
 
-const std::string badDatagrams[] = { failureWithoutEntries, crashWithoutTag, deltaBeforeItsChanges,
-    deltaAfterItsChanges, limitWithoutEndpoint, limitNotFinite, hintWithoutEndpoint, backwardsChanges, changeOutside,
-    unknownView, impossibleProgress, backlogWithoutRow, backlogWithUnknownRank, std::string(), std::string("\x00", 1),
-    "text", std::string("\x0a\xff", 2), unevenColumns, negativeContact, rateNotFinite, invalidRecord };
+const std::string badDatagrams[] = { failureWithoutEntries, speedWithoutEndpoint, speedNotFinite, crashWithoutTag,
+    deltaBeforeItsChanges, deltaAfterItsChanges, limitWithoutEndpoint, limitNotFinite, hintWithoutEndpoint,
+    backwardsChanges, changeOutside, unknownView, impossibleProgress, backlogWithoutRow, backlogWithUnknownRank,
+    std::string(), std::string("\x00", 1), "text", std::string("\x0a\xff", 2), unevenColumns, negativeContact,
+    rateNotFinite, invalidRecord };
 
 /// Version field with the current version, appended to a datagram.
 const std::string versionField("\x78\x02", 2);
@@ -103,6 +110,27 @@
     BOOST_TEST(loads.work.at(TargetId("t1")).shortRanks == 0.75);
 }
 
+// Failure: a speed is taken for that of another engine, or as newer than it is.
+BOOST_AUTO_TEST_CASE(speeds_arrive_as_they_were_sent)
+{
+    EndpointTag engine = endpointTag(EndpointId("e1"));
+    PeerLoads sent;
+    sent.speeds[engine] = SpeedReport { 16.5, 40'000, milliseconds(250) };
+    auto decoded = decodePeerMessage(encodePeerMessage(sent));
+    BOOST_REQUIRE(decoded.has_value());
+    const SpeedReport& received = std::get<PeerLoads>(decoded.value()).speeds.at(engine);
+    BOOST_TEST(received.tokenTime == 16.5);
+    BOOST_TEST(received.eventTime == 40'000);
+    BOOST_TEST((received.age == milliseconds(250)));
+    PeerLoads sum;
+    sum.speeds[engine] = SpeedReport { 20, 50'000, milliseconds(300) };
+    sum.add(sent, milliseconds(40));
+    BOOST_TEST(sum.speeds[engine].tokenTime == 16.5);
+    BOOST_TEST((sum.speeds[engine].age == milliseconds(290)));
+    sum.add(sent, milliseconds(900));
+    BOOST_TEST((sum.speeds[engine].age == milliseconds(290)));
+}
+
 // Guards against usage that the receiver would write for a wrong window or entry.
 BOOST_AUTO_TEST_CASE(usage_arrives_as_it_was_sent)
 {
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -339,7 +339,7 @@
     if (m_headSent)
         m_longestEventGap = std::max(m_longestEventGap, now - m_lastEventAt);
     if (placement.firstEventSeen)
-        m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
+        m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt, now);
     m_lastEventAt = now;
     if (!placement.firstEventSeen)
         m_state.crashGuard.answerBegan(m_sharedSegments, now);
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -6,6 +6,7 @@
 #include "wisteriayard/endpoint_exclusion.h"
 #include "wisteriayard/endpoint_limit.h"
 #include "wisteriayard/endpoint_pause.h"
+#include "wisteriayard/engine_speed.h"
 #include "wisteriayard/ids.h"
 #include "wisteriayard/peer_failures.h"
 #include "wisteriayard/prefill_backlog.h"
@@ -92,6 +93,9 @@
     double maxMemoryShare = 0.85;
     /// Cost of an endpoint without enough free memory for the tokens of the request.
     Duration memoryCost = std::chrono::milliseconds(1500);
+    /// Cost of an engine whose expected time between two events exceeds a stream's objective. More than the distance
+    /// and a short queue, because each event of the stream will be late.
+    Duration gapCost = std::chrono::milliseconds(300);
     /// Cost of a long prompt at an engine for short prompts: it delays the streams there.
     Duration longOutsidePoolCost = std::chrono::milliseconds(150);
     /// Cost of a short prompt at an engine for long prompts: its own stream will be late.
@@ -226,7 +230,7 @@
     /// Records that the first event or the head of the response arrived.
     void firstEvent(Placement& placement, TimePoint now);
     /// Records that whole events arrived, to estimate the decoding speed.
-    void eventsArrived(const Placement& placement, std::size_t count, Duration sincePrevious);
+    void eventsArrived(const Placement& placement, std::size_t count, Duration sincePrevious, TimePoint now);
     /// Records that the endpoint rejected a request and asked for a pause. This doesn't affect its health.
     /// @return whether the pause now ends later than before
     bool pause(const Placement& placement, Duration time, TimePoint now);
@@ -268,6 +272,14 @@
     std::optional<RequestRate> limit(const EndpointId& id) const;
     RequestRate limitShare(const EndpointId& id) const;
     /// @}
+    /// @name Speeds of engines, shared among the entries
+    /// @{
+
+    /// Engines with new samples of this entry; each at most once a second.
+    std::map<EndpointId, SpeedReport> speedReports(TimePoint now);
+    /// Records the report of another entry. It never excludes an engine.
+    void applySpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
+    /// @}
     /// @name Cold endpoints
     /// @{
 
@@ -356,9 +368,8 @@
         EndpointLimit limit;
         ColdStart cold;
         CachedSegments cachedSegments;
-        /// Moving average of the time to compute one prompt token, in microseconds.
-        double tokenTime = 0;
-        TimePoint tokenTimeAt {};
+        EngineSpeed::Engine speed;
+        TimePoint speedReportedAt {};
         /// Moving average of the time of a whole request, in microseconds.
         double requestTime = 0;
     };
@@ -389,6 +400,8 @@
     Candidate evaluate(std::size_t index, const PlacementRequest& request, const std::vector<std::size_t>& preferred,
         std::size_t poolSize, TimePoint now) const;
     void orderEndpoints();
+    /// Cost, in microseconds, of an engine that is too slow for the objective of a stream's pauses.
+    double gapCharge(const State& state, const PlacementRequest& request, TimePoint now) const;
     Duration expectedWork(
         const State& state, std::int64_t uncachedTokens, const PlacementRequest& request, TimePoint now) const;
     static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
@@ -447,7 +460,7 @@
     Refused refusal(const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now);
     /// Tokens, for requests of all entries, that an endpoint computes before a request of this rank.
     static std::int64_t tokensAhead(const State& state, Priority rank);
-    double tokenTime(const State& state, TimePoint now) const;
+    double tokenTime(const State& state, TimePoint now) const { return m_speed.tokenTime(state.speed, now); }
     State* find(const Placement& placement);
     const State* find(const Placement& placement) const;
     void prefillEnded(const Placement& placement);
@@ -486,12 +499,7 @@
     /// Tokens to be computed for waiting requests of this entry, by their last shared segment. Shared tokens are not
     /// counted: one more preferred endpoint would have to compute these too.
     std::unordered_map<std::uint64_t, std::int64_t> m_waitingTokens;
-    /// Moving average of the time between two events of a stream, in microseconds.
-    double m_eventTime;
-    /// Moving average over all endpoints of the time to compute one prompt token, in microseconds.
-    double m_tokenTime;
-    /// Moving average of the time to the first event without prompt tokens to compute, in microseconds.
-    double m_baseTime;
+    EngineSpeed m_speed;
     double m_requestTime;
 };
 
--- /dev/null
+++ b/src/include/wisteriayard/engine_speed.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "wisteriayard/ids.h"
+#include "wisteriayard/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace wisteriayard {
+
+/// Speed of an engine as one entry measured it.
+struct SpeedReport {
+    /// Time to compute one prompt token, and time between two events of a stream, in microseconds; 0 if not known.
+    double tokenTime = 0;
+    double eventTime = 0;
+    /// Age of the latest sample.
+    Duration age {};
+};
+
+/// Estimates how fast the engines of one service are, from the responses to this entry and from reports of others.
+///
+/// Load pattern: some engines run at half the speed of the others, and some responses are slow at random. Each engine
+/// has a factor to the mean of the service. It is 1 until samples show a difference beyond their spread, and returns to
+/// 1 as they age: an engine that was slow gets requests again, which measure it anew.
+class EngineSpeed {
+public:
+    /// Logarithm of the ratio to the mean of the service: mean and variance of samples that lose weight with age.
+    class Ratio {
+    public:
+        void add(double sample, double weight, TimePoint now);
+        double weight(TimePoint now) const;
+        double mean() const { return m_mean; }
+        double variance() const;
+        TimePoint sampledAt() const { return m_at; }
+
+    private:
+        double m_mean = 0;
+        double m_squares = 0;
+        double m_weight = 0;
+        TimePoint m_at {};
+    };
+    /// Reports of other entries about one quantity of an engine.
+    using PeerRatios = std::map<InstanceId, std::pair<double, TimePoint>>;
+    /// What is known of one engine. A new one knows nothing.
+    struct Engine {
+        /// Moving average of the time per token of this entry's recent samples, in microseconds.
+        double tokenTime = 0;
+        TimePoint tokenTimeAt {};
+        Ratio tokens;
+        Ratio events;
+        PeerRatios peerTokens;
+        PeerRatios peerEvents;
+    };
+
+    /// @param tokenTimeLifetime time constant with which the recent samples of an engine decay
+    explicit EngineSpeed(Duration tokenTimeLifetime);
+
+    /// Time to compute one prompt token, in microseconds.
+    double tokenTime(const Engine& engine, TimePoint now) const;
+    /// The mean of the service.
+    double meanTokenTime() const { return m_tokenTime; }
+    /// Time to the first event without prompt tokens to compute, in microseconds.
+    double baseTime() const { return m_baseTime; }
+    /// Time between two events of a stream, in microseconds.
+    double eventTime(const Engine& engine, TimePoint now) const;
+
+    /// The same without regard to how certain the difference to the mean is, to compare with an objective.
+    double pauseTime(const Engine& engine, TimePoint now) const;
+
+    /// Records the first event of a request.
+    /// @param tokens tokens that the engine had to compute before, for all requests that this entry knew
+    /// @param elapsed time since the request was placed
+    void recordFirstEvent(Engine& engine, std::int64_t tokens, Duration elapsed, TimePoint now);
+    /// Records events of a stream after the first one.
+    void recordEvents(Engine& engine, std::size_t count, Duration sincePrevious, TimePoint now);
+
+    /// Estimate from this entry's own samples, if there are recent ones.
+    std::optional<SpeedReport> report(const Engine& engine, TimePoint now) const;
+    /// Records the report of another entry; values out of range are limited.
+    void applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now) const;
+
+private:
+    /// Logarithm of an engine's ratio to the mean from own samples and reports, with its weight in samples.
+    struct Difference {
+        double mean = 0;
+        double weight = 0;
+    };
+    static Difference difference(const Ratio& own, const PeerRatios& peers, TimePoint now);
+    /// Factor to the mean, as far as the difference is certain.
+    static double factor(const Ratio& own, const PeerRatios& peers, TimePoint now);
+
+    Duration m_tokenTimeLifetime;
+    /// Moving averages over all engines, in microseconds. That of the time per token follows the lower samples.
+    double m_tokenTime;
+    double m_baseTime;
+    double m_eventTime;
+    /// Logarithm of the mean sample, from which the ratios of engines are measured.
+    struct Reference {
+        double mean = 0;
+        int samples = 0;
+
+        /// @return logarithm of the ratio of a sample to the mean, which then follows the sample
+        double ratio(double sample);
+    };
+    Reference m_meanTokens;
+    Reference m_meanEvents;
+};
+
+} // namespace wisteriayard
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -3,7 +3,6 @@
 #include "wisteriayard/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <limits>
 #include <tuple>
@@ -13,30 +12,12 @@
 
 namespace {
 
-    /// Time per prompt token that is assumed before the first answer, in microseconds; typical of a mid-size model.
-    constexpr double initialTokenTime = 20;
-    constexpr double minTokenTime = 3;
-    constexpr double maxTokenTime = 300;
-    /// Shorter prompts are no measure of the time per token, because their first event waits for the batch.
-    constexpr std::int64_t minMeasuredTokens = 2000;
-    /// Longest prompt that is a measure of the time to the first event that doesn't depend on the number of tokens.
-    constexpr std::int64_t maxBaseTokens = 1000;
-    /// Time to the first event without prompt tokens to compute, in microseconds.
-    constexpr double initialBaseTime = 60'000;
-    constexpr double minBaseTime = 5'000;
-    constexpr double maxBaseTime = 200'000;
-    constexpr double averageWeight = 0.1;
-    /// Weights of samples of the time per prompt token below and above the average of all endpoints.
-    constexpr double fallWeight = 0.1;
-    constexpr double riseWeight = 0.01;
-    /// Time between two events of a stream, in microseconds.
-    constexpr double initialEventTime = 40'000;
-    constexpr double eventWeight = 0.02;
     /// Share of an engine's slots that are in use at a high utilization.
     constexpr double usedSlots = 0.75;
     /// Time assumed for a request to an endpoint that is not an engine before its first answer, in microseconds.
     constexpr double initialRequestTime = 20'000;
 
+    constexpr double averageWeight = 0.1;
     /// Time after which callers return if no endpoint is usable; that of a first ejection.
     constexpr Duration unusableRetryAfter = std::chrono::milliseconds(1000);
     constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
@@ -110,9 +91,7 @@
     : m_policy(policy)
     , m_zone(std::move(zone))
     , m_region(std::move(region))
-    , m_eventTime(initialEventTime)
-    , m_tokenTime(initialTokenTime)
-    , m_baseTime(initialBaseTime)
+    , m_speed(m_policy.tokenTimeLifetime)
     , m_requestTime(initialRequestTime)
 {
 }
@@ -187,7 +166,7 @@
     auto waiting = m_waitingTokens.find(segment);
     Duration wait = waiting == m_waitingTokens.end()
         ? Duration(0)
-        : Duration(static_cast<std::int64_t>(m_tokenTime * static_cast<double>(waiting->second)));
+        : Duration(static_cast<std::int64_t>(m_speed.meanTokenTime() * static_cast<double>(waiting->second)));
     return 1 + static_cast<std::size_t>(load / m_policy.preferredUtilization)
         + static_cast<std::size_t>(wait / m_policy.prefillPerPreferredEndpoint);
 }
@@ -233,14 +212,6 @@
     return uncached;
 }
 
-double EndpointPlacement::tokenTime(const State& state, TimePoint now) const
-{
-    if (state.tokenTime == 0)
-        return m_tokenTime;
-    double age = microseconds(now - state.tokenTimeAt) / microseconds(m_policy.tokenTimeLifetime);
-    return m_tokenTime + std::exp(-age) * (state.tokenTime - m_tokenTime);
-}
-
 std::int64_t EndpointPlacement::tokensAhead(const State& state, Priority rank)
 {
     PrefillBacklog all = state.own.backlog;
@@ -267,13 +238,13 @@
         candidate.preferred = std::find(preferred.begin(), preferred.end(), index) != preferred.end();
         candidate.uncached = uncachedTokens(state, request, now);
         std::int64_t ahead = tokensAhead(state, request.rank);
-        wait = m_baseTime + tokenTime(state, now) * static_cast<double>(ahead + candidate.uncached);
+        wait = m_speed.baseTime() + tokenTime(state, now) * static_cast<double>(ahead + candidate.uncached);
         std::int64_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens.value();
         candidate.recomputed = std::max<std::int64_t>(0, candidate.uncached - own);
         // A segment has to be computed once at each of its preferred endpoints, so this is no reason to choose another.
         double factor = candidate.preferred ? 0 : m_policy.recomputeFactor;
         charge += (factor - 1) * tokenTime(state, now) * static_cast<double>(candidate.recomputed);
-        charge += microseconds(m_policy.runningCost) * running;
+        charge += microseconds(m_policy.runningCost) * running + gapCharge(state, request, now);
         candidate.queued = ahead > 0 || running >= state.info.slots;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
         if (!isInPool(state, isLong, poolSize))
@@ -469,16 +440,16 @@
 {
     double prefill = tokenTime(state, now) * static_cast<double>(uncachedTokens);
     double events = static_cast<double>(request.output.value()) / std::max(1, state.info.tokensPerEvent);
-    double decode = events * m_eventTime / (usedSlots * state.info.slots);
+    double decode = events * m_speed.eventTime(state.speed, now) / (usedSlots * state.info.slots);
     return Duration(static_cast<std::int64_t>(prefill + decode));
 }
 
-void EndpointPlacement::eventsArrived(const Placement& placement, std::size_t count, Duration sincePrevious)
+void EndpointPlacement::eventsArrived(
+    const Placement& placement, std::size_t count, Duration sincePrevious, TimePoint now)
 {
-    if (!find(placement) || count == 0 || placement.isCold)
-        return;
-    double sample = microseconds(sincePrevious) / static_cast<double>(count);
-    m_eventTime += eventWeight * (sample - m_eventTime);
+    State* state = find(placement);
+    if (state && !placement.isCold)
+        m_speed.recordEvents(state->speed, count, sincePrevious, now);
 }
 
 void EndpointPlacement::firstEvent(Placement& placement, TimePoint now)
@@ -493,20 +464,8 @@
     if (placement.isCold)
         return recordColdResponse(*state, placement, now);
     std::int64_t tokens = placement.uncachedTokens + placement.tokensAhead;
-    double elapsed = microseconds(now - placement.placedAt);
-    if (state->info.memory.value() > 0 && tokens <= maxBaseTokens) {
-        double base = elapsed - tokenTime(*state, now) * static_cast<double>(tokens);
-        average(m_baseTime, std::clamp(base, minBaseTime, maxBaseTime));
-    }
-    if (tokens < minMeasuredTokens)
-        return;
-    double sample = std::max(0.0, elapsed - m_baseTime) / static_cast<double>(tokens);
-    sample = std::clamp(sample, minTokenTime, maxTokenTime);
-    state->tokenTime = tokenTime(*state, now);
-    state->tokenTimeAt = now;
-    average(state->tokenTime, sample);
-    // Samples include the wait behind prompts unknown to this entry, so low samples are closer to the engine's speed.
-    m_tokenTime += (sample < m_tokenTime ? fallWeight : riseWeight) * (sample - m_tokenTime);
+    if (state->info.memory.value() > 0)
+        m_speed.recordFirstEvent(state->speed, tokens, now - placement.placedAt, now);
 }
 
 void EndpointPlacement::prefillEnded(const Placement& placement)
--- a/src/libwisteriayard/endpoint_placement_cold_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_cold_test.cpp
@@ -259,7 +259,7 @@
         BOOST_REQUIRE(placement.has_value());
         TimePoint end = at(time + 6 * warm);
         fleet.firstEvent(*placement, end);
-        fleet.eventsArrived(*placement, 1, seconds(2));
+        fleet.eventsArrived(*placement, 1, seconds(2), end);
         BOOST_TEST((fleet.ended(*placement, EndpointOutcome::Succeeded, end) == HealthChange::None));
     }
     BOOST_TEST((expected(0, at(seconds(50))) == before));
--- /dev/null
+++ b/src/libwisteriayard/endpoint_placement_speed.cpp
@@ -0,0 +1,54 @@
+// EndpointPlacement: speeds of engines.
+#include "wisteriayard/endpoint_placement.h"
+
+#include <algorithm>
+
+namespace wisteriayard {
+
+namespace {
+
+    /// Parts of the pause objective from which on the expected time between two events has a cost, and at which it has
+    /// the whole cost. Single pauses are longer than the mean.
+    constexpr double firstCostAt = 0.95;
+    constexpr double fullCostAt = 1.1;
+
+    /// Speeds change slowly, and a report for each engine in each datagram would be most of its size.
+    constexpr Duration speedReportInterval = std::chrono::seconds(1);
+
+} // namespace
+
+double EndpointPlacement::gapCharge(const State& state, const PlacementRequest& request, TimePoint now) const
+{
+    if (request.gapObjective <= Duration(0))
+        return 0;
+    double objective = static_cast<double>(request.gapObjective.count());
+    double part = m_speed.pauseTime(state.speed, now) / objective;
+    double excess = std::clamp((part - firstCostAt) / (fullCostAt - firstCostAt), 0.0, 1.0);
+    return excess * static_cast<double>(m_policy.gapCost.count());
+}
+
+std::map<EndpointId, SpeedReport> EndpointPlacement::speedReports(TimePoint now)
+{
+    std::map<EndpointId, SpeedReport> reports;
+    for (const auto& [id, index] : m_index) {
+        State& state = m_states[index];
+        if (now - state.speedReportedAt < speedReportInterval)
+            continue;
+        auto report = m_speed.report(state.speed, now);
+        if (!report || now - report->age <= state.speedReportedAt)
+            continue;
+        reports[id] = *report;
+        state.speedReportedAt = now;
+    }
+    return reports;
+}
+
+void EndpointPlacement::applySpeedReport(
+    const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now)
+{
+    State* state = find(id);
+    if (state && state->info.memory.value() > 0)
+        m_speed.applyReport(state->speed, peer, report, now);
+}
+
+} // namespace wisteriayard
--- /dev/null
+++ b/src/libwisteriayard/engine_speed.cpp
@@ -0,0 +1,211 @@
+#include "wisteriayard/engine_speed.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace wisteriayard {
+
+namespace {
+
+    /// Time per prompt token that is assumed before the first answer, in microseconds; typical of a mid-size model.
+    constexpr double initialTokenTime = 20;
+    constexpr double minTokenTime = 3;
+    constexpr double maxTokenTime = 300;
+    /// Shorter prompts are no measure of the time per token, because their first event waits for the batch.
+    constexpr std::int64_t minMeasuredTokens = 2000;
+    /// Longest prompt that is a measure of the time to the first event that doesn't depend on the number of tokens.
+    constexpr std::int64_t maxBaseTokens = 1000;
+    /// Time to the first event without prompt tokens to compute, in microseconds.
+    constexpr double initialBaseTime = 60'000;
+    constexpr double minBaseTime = 5'000;
+    constexpr double maxBaseTime = 200'000;
+    constexpr double averageWeight = 0.1;
+    /// Weights of samples of the time per prompt token below and above the average of all endpoints.
+    constexpr double fallWeight = 0.1;
+    constexpr double riseWeight = 0.01;
+    /// Time between two events of a stream, in microseconds.
+    constexpr double initialEventTime = 40'000;
+    constexpr double eventWeight = 0.02;
+    constexpr double minEventTime = 1'000;
+    constexpr double maxEventTime = 2'000'000;
+
+    /// Time constant with which samples of an engine's ratio lose weight. A busy engine has dozens of samples within
+    /// it, and one that is avoided gets requests again after about one.
+    constexpr Duration ratioLifetime = std::chrono::seconds(15);
+    /// Limit for the logarithm of one sample's ratio, a factor of 3, so that single slow responses count little.
+    constexpr double maxSample = 1.1;
+    /// Weight of a new sample in the mean from which ratios are measured.
+    constexpr double meanWeight = 0.02;
+    /// Events of one stream are alike, so that one of them is less evidence than a first event.
+    constexpr double eventSampleWeight = 0.2;
+    /// Differences below this ratio, and below this many standard errors, have little effect. Engines of equal speed
+    /// differ by this much because of their batches.
+    constexpr double minRatio = 0.15;
+    constexpr double standardErrors = 2;
+    /// Variance that is assumed in addition to that of the samples, with the weight of one sample.
+    constexpr double priorVariance = 0.25;
+    /// Weight of another entry's report, which is recent but may be wrong.
+    constexpr double reportWeight = 0.5;
+    /// The reports of all other entries together weigh as much as this many samples at most.
+    constexpr double maxPeerWeight = 8;
+    constexpr Duration maxReportAge = std::chrono::seconds(15);
+
+    double microseconds(Duration time) { return static_cast<double>(time.count()); }
+
+    void average(double& value, double sample) { value += averageWeight * (sample - value); }
+
+    double clampSample(double ratio) { return std::clamp(ratio, -maxSample, maxSample); }
+
+} // namespace
+
+double EngineSpeed::Reference::ratio(double sample)
+{
+    double logarithm = std::log(sample);
+    double weight = std::max(meanWeight, 1.0 / ++samples);
+    mean += weight * (samples > 1 ? clampSample(logarithm - mean) : logarithm);
+    return clampSample(logarithm - mean);
+}
+
+void EngineSpeed::Ratio::add(double sample, double weight, TimePoint now)
+{
+    double kept = this->weight(now);
+    m_weight = kept + weight;
+    m_mean += weight / m_weight * (sample - m_mean);
+    m_squares += weight / m_weight * (sample * sample - m_squares);
+    m_at = now;
+}
+
+double EngineSpeed::Ratio::weight(TimePoint now) const
+{
+    return m_weight * std::exp(-microseconds(now - m_at) / microseconds(ratioLifetime));
+}
+
+double EngineSpeed::Ratio::variance() const { return std::max(0.0, m_squares - m_mean * m_mean); }
+
+EngineSpeed::EngineSpeed(Duration tokenTimeLifetime)
+    : m_tokenTimeLifetime(tokenTimeLifetime)
+    , m_tokenTime(initialTokenTime)
+    , m_baseTime(initialBaseTime)
+    , m_eventTime(initialEventTime)
+{
+}
+
+EngineSpeed::Difference EngineSpeed::difference(const Ratio& own, const PeerRatios& peers, TimePoint now)
+{
+    Difference difference;
+    difference.weight = own.weight(now);
+    difference.mean = own.mean();
+    std::vector<double> reported;
+    double peerWeight = 0;
+    for (const auto& [peer, report] : peers) {
+        Duration age = now - report.second;
+        if (age >= maxReportAge)
+            continue;
+        reported.push_back(report.first);
+        peerWeight += reportWeight * std::exp(-microseconds(age) / microseconds(ratioLifetime));
+    }
+    if (reported.empty())
+        return difference;
+    // The median, so that one wrong report among several has no effect.
+    auto middle = reported.begin() + static_cast<std::ptrdiff_t>(reported.size() / 2);
+    std::nth_element(reported.begin(), middle, reported.end());
+    peerWeight = std::min(peerWeight, maxPeerWeight);
+    double weight = difference.weight + peerWeight;
+    difference.mean = (difference.weight * difference.mean + peerWeight * *middle) / weight;
+    difference.weight = weight;
+    return difference;
+}
+
+double EngineSpeed::factor(const Ratio& own, const PeerRatios& peers, TimePoint now)
+{
+    auto [mean, weight] = difference(own, peers, now);
+    if (weight <= 0 || mean == 0)
+        return 1;
+    double variance = (weight * own.variance() + priorVariance) / (weight + 1);
+    double margin = std::max(minRatio, standardErrors * std::sqrt(variance / weight));
+    return std::exp(mean * std::max(0.0, 1 - margin * margin / (mean * mean)));
+}
+
+double EngineSpeed::pauseTime(const Engine& engine, TimePoint now) const
+{
+    auto [mean, weight] = difference(engine.events, engine.peerEvents, now);
+    return m_eventTime * std::exp(mean * weight / (weight + 1));
+}
+
+double EngineSpeed::tokenTime(const Engine& engine, TimePoint now) const
+{
+    double usual = m_tokenTime * factor(engine.tokens, engine.peerTokens, now);
+    if (engine.tokenTime == 0)
+        return usual;
+    double age = microseconds(now - engine.tokenTimeAt) / microseconds(m_tokenTimeLifetime);
+    return usual + std::exp(-age) * (engine.tokenTime - usual);
+}
+
+double EngineSpeed::eventTime(const Engine& engine, TimePoint now) const
+{
+    return m_eventTime * factor(engine.events, engine.peerEvents, now);
+}
+
+void EngineSpeed::recordFirstEvent(Engine& engine, std::int64_t tokens, Duration elapsed, TimePoint now)
+{
+    if (tokens <= maxBaseTokens) {
+        double base = microseconds(elapsed) - tokenTime(engine, now) * static_cast<double>(tokens);
+        average(m_baseTime, std::clamp(base, minBaseTime, maxBaseTime));
+    }
+    if (tokens < minMeasuredTokens)
+        return;
+    double sample = std::max(0.0, microseconds(elapsed) - m_baseTime) / static_cast<double>(tokens);
+    sample = std::clamp(sample, minTokenTime, maxTokenTime);
+    engine.tokenTime = tokenTime(engine, now);
+    engine.tokenTimeAt = now;
+    average(engine.tokenTime, sample);
+    // Samples include the wait behind prompts unknown to this entry, so low samples are closer to the engine's speed.
+    double usual = sample / factor(engine.tokens, engine.peerTokens, now);
+    m_tokenTime += (usual < m_tokenTime ? fallWeight : riseWeight) * (usual - m_tokenTime);
+    engine.tokens.add(m_meanTokens.ratio(sample), 1, now);
+}
+
+void EngineSpeed::recordEvents(Engine& engine, std::size_t count, Duration sincePrevious, TimePoint now)
+{
+    if (count == 0)
+        return;
+    double sample = microseconds(sincePrevious) / static_cast<double>(count);
+    double usual = sample / factor(engine.events, engine.peerEvents, now);
+    m_eventTime += eventWeight * (usual - m_eventTime);
+    double limited = std::clamp(sample, minEventTime, maxEventTime);
+    engine.events.add(m_meanEvents.ratio(limited), eventSampleWeight, now);
+}
+
+std::optional<SpeedReport> EngineSpeed::report(const Engine& engine, TimePoint now) const
+{
+    Duration tokenAge = now - engine.tokens.sampledAt();
+    Duration eventAge = now - engine.events.sampledAt();
+    SpeedReport report;
+    if (m_meanTokens.samples > 0 && tokenAge < maxReportAge)
+        report.tokenTime = std::exp(m_meanTokens.mean + engine.tokens.mean());
+    if (m_meanEvents.samples > 0 && eventAge < maxReportAge)
+        report.eventTime = std::exp(m_meanEvents.mean + engine.events.mean());
+    if (report.tokenTime == 0 && report.eventTime == 0)
+        return std::nullopt;
+    report.age = std::min(tokenAge, eventAge);
+    return report;
+}
+
+void EngineSpeed::applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now) const
+{
+    TimePoint at = now - std::clamp(report.age, Duration(0), maxReportAge);
+    if (report.tokenTime > 0 && m_meanTokens.samples > 0) {
+        double time = std::clamp(report.tokenTime, minTokenTime, maxTokenTime);
+        engine.peerTokens[peer] = { clampSample(std::log(time) - m_meanTokens.mean), at };
+    }
+    if (report.eventTime > 0 && m_meanEvents.samples > 0) {
+        double time = std::clamp(report.eventTime, minEventTime, maxEventTime);
+        engine.peerEvents[peer] = { clampSample(std::log(time) - m_meanEvents.mean), at };
+    }
+    auto isOld = [now](const auto& each) { return now - each.second.second >= maxReportAge; };
+    std::erase_if(engine.peerTokens, isOld);
+    std::erase_if(engine.peerEvents, isOld);
+}
+
+} // namespace wisteriayard
