make fuzz: seeded fuzz targets of all that others send

A small mutation driver for request heads, response heads, event streams, peer messages and documents of the store, built with AddressSanitizer and UBSan only when asked. The driver uses no distribution of the standard library, so that a seed gives the same inputs everywhere.

Ruled out: libFuzzer, since clang++ is not among the packages.

Documents are decoded, but no rule is checked on the result.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	libprotobuf-dev protobuf-compiler libspdlog-dev nlohmann-json3-dev prometheus-cpp-dev spin librapidcheck-dev \
 	gnuplot-nox python3-httpx
 
-.PHONY: all deps build check sanitize bench demo lint model format proto clean deploy soak
+.PHONY: all deps build check sanitize bench demo lint model format proto clean deploy soak fuzz
 
 all: build
 
@@ -61,6 +61,14 @@
 soak: build
 	python3 testsuite/soak/run.py --bin $(BUILD)/bin --seeds $$(seq 1 50)
 
+# Runs the fuzz targets with sanitizers. Fixed seeds give the same verdict in each run; more with FUZZ_SEEDS, FUZZ_RUNS.
+FUZZ_SEEDS ?= 1 2
+FUZZ_RUNS ?= 10000
+fuzz: deps
+	@cmake -S . -B $(BUILD)-fuzz -G Ninja -DWISTERIAYARD_SANITIZE=address,undefined >/dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target fuzz_driver
+	@for seed in $(FUZZ_SEEDS); do $(BUILD)-fuzz/bin/fuzz_driver src/fuzz/corpus $$seed $(FUZZ_RUNS) || exit 1; done
+
 format:
 	@clang-format -i $(SOURCES)
 
