The state of one attempt is an object of its own

RequestHandler held the connection, the connect timeout and the time of the send of its only attempt, so two attempts could not run side by side, as hedged requests need (docs/design/locality-and-overload.md, part 7). EndpointAttempt has them now, with the placement and a copy of the endpoint's record; the handler keeps the list of running attempts and closes all of them when the caller leaves, the deadline passes or a suspect is put in quarantine.

No change of behaviour is intended: one attempt runs at a time. Ruled out: a handler for each attempt, since deadline, caller and the record of what may have been executed belong to the request.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -59,35 +59,37 @@
     const EndpointRecord* known = m_state.directory.record(id);
     if (!known)
         co_return NotExecuted { "endpoint_left", false };
-    EndpointRecord record = *known;
+    auto attempt = std::make_shared<EndpointAttempt>(m_state.watchdog, *known, std::move(placement));
+    m_runningAttempts.push_back(attempt);
     TimePoint now = bootTimeNow();
-    endpoints.started(placement, placementRequest(now), now);
-    logAdmitted(placement, id, now);
+    endpoints.started(attempt->placement, placementRequest(now), now);
+    logAdmitted(attempt->placement, id, now);
     AttemptOutcome outcome = NotExecuted { "connect_failed", false };
-    int requestsSentBefore = m_requestsSent;
-    EndpointConnectionPtr connection = co_await connect(record);
+    bool connected = co_await connect(*attempt);
     now = bootTimeNow();
-    if (connection && !endpoints.accepts(placement, placementRequest(now), now))
-        outcome = NotExecuted { endpoints.limit(placement) ? "endpoint_limited" : "endpoint_left_or_paused", false };
-    else if (connection && !interruption())
-        outcome = co_await exchangeWithEndpoint(connection, record, placement);
+    if (connected && !endpoints.accepts(attempt->placement, placementRequest(now), now))
+        outcome = NotExecuted { endpoints.limit(attempt->placement) ? "endpoint_limited" : "endpoint_left_or_paused",
+            false };
+    else if (connected && !interruption())
+        outcome = co_await exchangeWithEndpoint(*attempt);
     now = bootTimeNow();
     auto* broken = std::get_if<MayHaveExecuted>(&outcome);
     bool mayHaveCrashed
         = broken && broken->cause == MayHaveExecuted::Cause::ConnectionLost && !m_quarantined && !interruption();
     if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
         outcome = *interrupted;
-    m_endpoint.reset();
-    if (m_requestsSent == requestsSentBefore)
-        endpoints.notSent(placement, now);
-    HealthChange change = endpoints.ended(placement, healthOutcome(outcome), now);
+    std::erase(m_runningAttempts, attempt);
+    if (!attempt->requestSent)
+        endpoints.notSent(attempt->placement, now);
+    HealthChange change = endpoints.ended(attempt->placement, healthOutcome(outcome), now);
     if (change == HealthChange::Ejected)
         m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
     if (change == HealthChange::Restored)
         m_state.log->write(Event::EndpointTakenBack, { { "endpoint", id.value() } });
-    logAttempt(outcome, id, placement.firstEventSeen, now);
+    bool begun = attempt->placement.firstEventSeen;
+    logAttempt(outcome, id, begun, now);
     if (mayHaveCrashed)
-        co_await m_state.crashGuard.connectionBroke(record, suspects(!placement.firstEventSeen), now);
+        co_await m_state.crashGuard.connectionBroke(attempt->record, suspects(!begun), now);
     co_return outcome;
 }
 
@@ -102,25 +104,23 @@
     return EndpointOutcome::Failed;
 }
 
-awaitable<EndpointConnectionPtr> RequestHandler::connect(const EndpointRecord& record)
+awaitable<bool> RequestHandler::connect(EndpointAttempt& attempt)
 {
     TimePoint now = bootTimeNow();
-    EndpointConnectionPtr connection
-        = m_state.pool.acquire(record.id, m_route->isRetryable() ? maxIdleRepeatable : maxIdleNonRepeatable, now);
-    if (connection) {
-        m_endpoint = connection;
-        co_return connection;
-    }
-    connection = m_state.pool.make();
-    m_endpoint = connection;
-    m_connectExpiry.set(now + connectTimeout);
+    Duration maxIdle = m_route->isRetryable() ? maxIdleRepeatable : maxIdleNonRepeatable;
+    attempt.connection = m_state.pool.acquire(attempt.record.id, maxIdle, now);
+    if (attempt.connection)
+        co_return true;
+    attempt.connection = m_state.pool.make();
+    attempt.expiry.set(now + connectTimeout);
     boost::system::error_code error;
-    co_await connection->socket.async_connect(record.address, redirect_error(use_awaitable, error));
-    m_connectExpiry.clear();
-    if (error || !connection->socket.is_open())
-        co_return nullptr;
-    setTcpOptions(connection->socket);
-    co_return connection;
+    auto& socket = attempt.connection->socket;
+    co_await socket.async_connect(attempt.record.address, redirect_error(use_awaitable, error));
+    attempt.expiry.clear();
+    if (error || !socket.is_open())
+        co_return false;
+    setTcpOptions(socket);
+    co_return true;
 }
 
 ForwardingHeaders RequestHandler::forwardingHeaders(const EndpointRecord& record, TimePoint now) const
@@ -135,25 +135,26 @@
     return headers;
 }
 
-awaitable<AttemptOutcome> RequestHandler::exchangeWithEndpoint(
-    EndpointConnectionPtr connection, const EndpointRecord& record, Placement& placement)
+awaitable<AttemptOutcome> RequestHandler::exchangeWithEndpoint(EndpointAttempt& attempt)
 {
+    const EndpointRecord& record = attempt.record;
     bool bodyless = m_request.head.method() == http::verb::head;
-    EndpointExchange exchange(connection, bodyless);
+    EndpointExchange exchange(attempt.connection, bodyless);
     std::optional<std::size_t> bodySize;
     if (m_request.hasBody)
         bodySize = m_request.body->size();
     ForwardingHeaders headers = forwardingHeaders(record, bootTimeNow());
     ++m_requestsSent;
-    m_sentAt = bootTimeNow();
-    if (m_state.directory.placement(m_target).limit(placement))
+    attempt.requestSent = true;
+    attempt.sentAt = bootTimeNow();
+    if (m_state.directory.placement(m_target).limit(attempt.placement))
         m_state.metrics.limitedRequestSent(m_requestsSent > 1);
     std::optional<CrashGuard::WaitingAttempt> waiting;
     if (!m_headSent)
         waiting.emplace(m_state.crashGuard, [this](SuspectTag tag) { suspectQuarantined(tag); });
     exchange.send(endpointRequestHead(m_request.head, m_state.platform.codec(), headers, bodySize), m_request.body);
     ResponseTraits traits;
-    Status read = co_await readMatchingHead(exchange, record, placement, traits);
+    Status read = co_await readMatchingHead(exchange, attempt, traits);
     if (!read) {
         exchange.close();
         ++m_possibleExecutions;
@@ -162,12 +163,12 @@
         // its first event: not if it was interrupted before, nor if it was still queued at an endpoint that crashed,
         // but it does if only the response was lost.
         bool mayHaveStarted = m_route->kind != RequestKind::Stream
-            || (!interruption() && !m_quarantined && placement.hasProbablyBegun(bootTimeNow()));
+            || (!interruption() && !m_quarantined && attempt.placement.hasProbablyBegun(bootTimeNow()));
         if (mayHaveStarted)
             recordUsage();
         co_return brokenExchange(read.error());
     }
-    connection->idleLimit = traits.idleTimeout.value_or(defaultIdleLimit);
+    attempt.connection->idleLimit = traits.idleTimeout.value_or(defaultIdleLimit);
     bool statedNotExecuted
         = traits.execution == ExecutionStatus::NotExecuted || traits.execution == ExecutionStatus::Misdirected;
     if (!statedNotExecuted) {
@@ -183,17 +184,17 @@
         outcome
             = NotExecuted { traits.execution == ExecutionStatus::NotExecuted ? "endpoint_refused" : "address_reused",
                   true };
-        m_connectExpiry.set(bootTimeNow() + notExecutedBodyTimeout);
+        attempt.expiry.set(bootTimeNow() + notExecutedBodyTimeout);
         // If the body can't be read completely, only the connection is affected: it is not reused.
         (void)co_await exchange.discardBody(maxNotExecutedBody);
-        m_connectExpiry.clear();
+        attempt.expiry.clear();
     } else if (traits.execution == ExecutionStatus::Executed && success && m_route->kind == RequestKind::Stream) {
-        outcome = co_await forwardStream(exchange, placement);
+        outcome = co_await forwardStream(exchange, attempt);
     } else if (traits.execution == ExecutionStatus::Executed) {
-        outcome = co_await forwardBufferedResponse(exchange, placement, success);
+        outcome = co_await forwardBufferedResponse(exchange, attempt, success);
     }
     if (exchange.isReusable() && !interruption())
-        m_state.pool.release(record.id, connection, bootTimeNow());
+        m_state.pool.release(record.id, attempt.connection, bootTimeNow());
     else
         exchange.close();
     co_return outcome;
@@ -210,31 +211,31 @@
         now);
 }
 
-void RequestHandler::recordRateLimit(
-    const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits, TimePoint now)
+void RequestHandler::recordRateLimit(const EndpointAttempt& attempt, const ResponseTraits& traits, TimePoint now)
 {
     // A late response to an earlier request may be older than the limit in force, so it doesn't end it.
     bool isLate = !traits.request.empty() && traits.request != m_traits.id;
     if (!traits.invalidRateLimit.empty() || (isLate && !traits.rateLimit))
         return;
     EndpointPlacement& endpoints = m_state.directory.placement(m_target);
-    std::optional<RequestRate> former = endpoints.limit(placement);
-    if (endpoints.recordLimit(placement, traits.rateLimit, m_sentAt, now))
+    std::optional<RequestRate> former = endpoints.limit(attempt.placement);
+    if (endpoints.recordLimit(attempt.placement, traits.rateLimit, attempt.sentAt, now))
         m_state.logRequest(Event::EndpointLimitChanged,
-            m_state.directory.limitChangeFields({ record.id, former }, { { "request", m_traits.id.value() } }), now);
+            m_state.directory.limitChangeFields({ attempt.record.id, former }, { { "request", m_traits.id.value() } }),
+            now);
 }
 
-void RequestHandler::recordAvailability(
-    const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits)
+void RequestHandler::recordAvailability(const EndpointAttempt& attempt, const ResponseTraits& traits)
 {
     // A misdirected response comes from another endpoint and says nothing about this one.
     if (traits.execution == ExecutionStatus::Misdirected)
         return;
+    const EndpointRecord& record = attempt.record;
     TimePoint now = bootTimeNow();
     logUnreadableField(record, "pause", traits.invalidPause, now);
     logUnreadableField(record, "limit", traits.invalidRateLimit, now);
-    recordRateLimit(record, placement, traits, now);
-    if (traits.pause && m_state.directory.placement(m_target).pause(placement, *traits.pause, now)) {
+    recordRateLimit(attempt, traits, now);
+    if (traits.pause && m_state.directory.placement(m_target).pause(attempt.placement, *traits.pause, now)) {
         m_state.metrics.endpointPaused();
         m_state.logRequest(Event::EndpointPaused,
             { { "request", m_traits.id.value() }, { "endpoint", record.id.value() },
@@ -246,14 +247,14 @@
 }
 
 awaitable<Status> RequestHandler::readMatchingHead(
-    EndpointExchange& exchange, const EndpointRecord& record, const Placement& placement, ResponseTraits& traits)
+    EndpointExchange& exchange, const EndpointAttempt& attempt, ResponseTraits& traits)
 {
     for (int stale = 0; stale <= maxStaleResponses; ++stale) {
         Status read = co_await exchange.readHead();
         if (!read)
             co_return read;
         traits = m_state.platform.codec().decodeResponse(exchange.head().result_int(), exchange.head());
-        recordAvailability(record, placement, traits);
+        recordAvailability(attempt, traits);
         bool matches = traits.request.empty() || traits.request == m_traits.id;
         if (matches)
             co_return boost::outcome_v2::success();
@@ -266,14 +267,14 @@
 }
 
 awaitable<AttemptOutcome> RequestHandler::forwardBufferedResponse(
-    EndpointExchange& exchange, Placement& placement, bool success)
+    EndpointExchange& exchange, EndpointAttempt& attempt, bool success)
 {
     auto body = std::make_shared<ReservedText>(m_state.bufferedResponses);
     while (true) {
         auto part = co_await exchange.readBody();
         if (!part)
             co_return brokenExchange(part.error());
-        m_state.directory.placement(m_target).firstEvent(placement, bootTimeNow());
+        m_state.directory.placement(m_target).firstEvent(attempt.placement, bootTimeNow());
         if (part.value().empty())
             break;
         std::size_t size = body->text.size() + part.value().size();
@@ -292,7 +293,8 @@
     co_return Delivered {};
 }
 
-awaitable<Status> RequestHandler::forwardEvents(EndpointExchange& exchange, EventStream& events, Placement& placement)
+awaitable<Status> RequestHandler::forwardEvents(
+    EndpointExchange& exchange, EventStream& events, EndpointAttempt& attempt)
 {
     std::string text;
     std::size_t count = 0;
@@ -310,20 +312,20 @@
     TimePoint now = bootTimeNow();
     if (m_headSent)
         m_longestEventGap = std::max(m_longestEventGap, now - m_lastEventAt);
-    if (placement.firstEventSeen)
-        m_state.directory.placement(m_target).eventsArrived(placement, count, now - m_lastEventAt);
+    if (attempt.placement.firstEventSeen)
+        m_state.directory.placement(m_target).eventsArrived(attempt.placement, count, now - m_lastEventAt);
     m_lastEventAt = now;
-    if (!placement.firstEventSeen)
+    if (!attempt.placement.firstEventSeen)
         m_state.crashGuard.answerBegan(m_sharedSegments, now);
     if (!m_headSent) {
         m_firstEventDelay = now - m_request.arrivedAt;
         m_state.metrics.firstEventReceived(m_route->name, m_firstEventDelay);
-        m_state.directory.placement(m_target).firstEvent(placement, now);
+        m_state.directory.placement(m_target).firstEvent(attempt.placement, now);
         m_headSent = true;
         BodyFraming framing = m_request.acceptsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose;
         output = callerResponseHead(exchange.head(), framing, 0, m_request.keepAlive && !m_state.isStopping());
     } else {
-        m_state.directory.placement(m_target).firstEvent(placement, now);
+        m_state.directory.placement(m_target).firstEvent(attempt.placement, now);
     }
     output += m_request.acceptsChunked ? chunkText(text) : text;
     bool written = co_await write(std::move(output));
@@ -332,7 +334,7 @@
     co_return boost::outcome_v2::success();
 }
 
-awaitable<AttemptOutcome> RequestHandler::forwardStream(EndpointExchange& exchange, Placement& placement)
+awaitable<AttemptOutcome> RequestHandler::forwardStream(EndpointExchange& exchange, EndpointAttempt& attempt)
 {
     EventStream events;
     while (true) {
@@ -342,7 +344,7 @@
         if (part.value().empty())
             break;
         events.feed(part.value());
-        Status passed = co_await forwardEvents(exchange, events, placement);
+        Status passed = co_await forwardEvents(exchange, events, attempt);
         if (!passed)
             co_return CallerDisconnected {};
         if (events.isOversized())
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -87,7 +87,6 @@
     , m_request(std::move(request))
     , m_routes(state.routes)
     , m_expiry(state.watchdog, [this] { expire(); })
-    , m_connectExpiry(state.watchdog, [this] { closeEndpoint(); })
 {
 }
 
@@ -328,7 +327,7 @@
         if (peekSocket(m_caller) != SocketState::Closed)
             return; // pipelined data of the next request
         m_callerDisconnected = true;
-        closeEndpoint();
+        closeAttempts();
     };
     m_caller.async_wait(boost::asio::ip::tcp::socket::wait_read, readable);
 }
@@ -343,19 +342,17 @@
 void RequestHandler::expire()
 {
     m_timedOut = true;
-    closeEndpoint();
+    closeAttempts();
     if (m_headSent) {
         boost::system::error_code ignored;
         m_caller.close(ignored);
     }
 }
 
-void RequestHandler::closeEndpoint()
+void RequestHandler::closeAttempts()
 {
-    if (!m_endpoint)
-        return;
-    boost::system::error_code ignored;
-    m_endpoint->socket.close(ignored);
+    for (const auto& attempt : m_runningAttempts)
+        attempt->close();
 }
 
 void RequestHandler::suspectQuarantined(SuspectTag tag)
@@ -364,7 +361,7 @@
     if (m_headSent || std::find(own.begin(), own.end(), tag) == own.end())
         return;
     m_quarantined = true;
-    closeEndpoint();
+    closeAttempts();
 }
 
 std::optional<AttemptOutcome> RequestHandler::interruption() const
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endpoint_attempt.h"
 #include "endpoint_exchange.h"
 #include "gateway_state.h"
 #include "http_head.h"
@@ -84,24 +85,25 @@
     std::optional<LocalResponse> classify();
     boost::asio::awaitable<bool> runAttempts();
     boost::asio::awaitable<AttemptOutcome> runAttempt(Placement placement);
-    boost::asio::awaitable<EndpointConnectionPtr> connect(const EndpointRecord& record);
-    boost::asio::awaitable<AttemptOutcome> exchangeWithEndpoint(
-        EndpointConnectionPtr connection, const EndpointRecord& record, Placement& placement);
+    /// Takes an idle connection to the attempt's endpoint, or makes one.
+    /// @return whether the attempt has a usable connection
+    boost::asio::awaitable<bool> connect(EndpointAttempt& attempt);
+    boost::asio::awaitable<AttemptOutcome> exchangeWithEndpoint(EndpointAttempt& attempt);
     boost::asio::awaitable<Status> readMatchingHead(
-        EndpointExchange& exchange, const EndpointRecord& record, const Placement& placement, ResponseTraits& traits);
+        EndpointExchange& exchange, const EndpointAttempt& attempt, ResponseTraits& traits);
     /// Logs a field of a response that can't be decoded; does nothing if the value is empty.
     void logUnreadableField(
         const EndpointRecord& record, std::string_view field, const std::string& value, TimePoint now);
     /// Records the rate limit that a response names, or the end of the limit.
-    void recordRateLimit(
-        const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits, TimePoint now);
+    void recordRateLimit(const EndpointAttempt& attempt, const ResponseTraits& traits, TimePoint now);
     /// Applies a pause, rate limit or shutdown announcement in a response to the state of its endpoint.
-    void recordAvailability(const EndpointRecord& record, const Placement& placement, const ResponseTraits& traits);
+    void recordAvailability(const EndpointAttempt& attempt, const ResponseTraits& traits);
     boost::asio::awaitable<AttemptOutcome> forwardBufferedResponse(
-        EndpointExchange& exchange, Placement& placement, bool success);
-    boost::asio::awaitable<AttemptOutcome> forwardStream(EndpointExchange& exchange, Placement& placement);
+        EndpointExchange& exchange, EndpointAttempt& attempt, bool success);
+    boost::asio::awaitable<AttemptOutcome> forwardStream(EndpointExchange& exchange, EndpointAttempt& attempt);
     /// Forwards the complete events that are buffered.
-    boost::asio::awaitable<Status> forwardEvents(EndpointExchange& exchange, EventStream& events, Placement& placement);
+    boost::asio::awaitable<Status> forwardEvents(
+        EndpointExchange& exchange, EventStream& events, EndpointAttempt& attempt);
 
     /// Sends a complete response of an endpoint.
     boost::asio::awaitable<bool> forwardResponse(const ResponseHead& head, const std::string& body);
@@ -117,7 +119,8 @@
 
     void watchForDisconnect();
     void stopDisconnectWatch();
-    void closeEndpoint();
+    /// Closes the connections of all running attempts, which ends them.
+    void closeAttempts();
     /// Ends the attempt if the request or a segment of its prompt was put in quarantine, unless the answer has begun.
     void suspectQuarantined(SuspectTag tag);
     /// What may make an endpoint crash that runs the request: the request as a whole, and the shared segments of its
@@ -159,8 +162,7 @@
     bool m_isEngine = false;
     TimePoint m_deadline {};
     Deadline m_expiry;
-    Deadline m_connectExpiry;
-    EndpointConnectionPtr m_endpoint;
+    std::vector<std::shared_ptr<EndpointAttempt>> m_runningAttempts;
     /// Set to false to disable the pending disconnect watch, whose handler may run after this object's destruction.
     std::shared_ptr<bool> m_watchActive;
     bool m_callerDisconnected = false;
@@ -182,8 +184,6 @@
     /// Attempts in which the request was sent to an endpoint.
     int m_requestsSent = 0;
     int m_connectFailures = 0;
-    /// Time at which the request was last sent to an endpoint.
-    TimePoint m_sentAt {};
     std::vector<EndpointId> m_triedEndpoints;
 };
 
