--- a/src/include/wisteriayard/retry_budget.h
+++ b/src/include/wisteriayard/retry_budget.h
@@ -22,6 +22,12 @@
 /// only a share of this entry's own requests is allowed
 RetryPolicy sharedRetryPolicy(RetryPolicy total, std::size_t entries);
 
+/// Retries of the last ten seconds.
+struct RetryUse {
+    double made = 0;
+    double allowed = 0;
+};
+
 /// Limits retries to a share of the requests of the last ten seconds.
 class RetryBudget {
 public:
@@ -36,6 +42,7 @@
     /// Counts one retry if the budget allows it.
     /// @return false if the budget is exhausted
     bool tryAcquireRetry(TimePoint now);
+    RetryUse use(TimePoint now) const;
 
 private:
     static constexpr std::size_t windowSeconds = 10;
@@ -46,6 +53,8 @@
         std::int64_t retries = 0;
     };
 
+    /// Counts of the last ten seconds.
+    Bucket sum(TimePoint now) const;
     /// Returns the bucket of the current second, cleared if it holds an earlier one.
     Bucket& bucketAt(TimePoint now);
 
--- a/src/libwisteriayard/retry_budget.cpp
+++ b/src/libwisteriayard/retry_budget.cpp
@@ -1,5 +1,7 @@
 #include "wisteriayard/retry_budget.h"
 
+#include <algorithm>
+
 namespace wisteriayard {
 
 namespace {
@@ -28,22 +30,34 @@
 
 void RetryBudget::recordRequest(TimePoint now) { ++bucketAt(now).requests; }
 
-bool RetryBudget::tryAcquireRetry(TimePoint now)
+RetryBudget::Bucket RetryBudget::sum(TimePoint now) const
 {
-    std::int64_t requests = 0;
-    std::int64_t retries = 0;
+    Bucket total;
     std::int64_t oldest = secondOf(now) - static_cast<std::int64_t>(windowSeconds);
     for (const Bucket& each : m_buckets) {
         if (each.second <= oldest)
             continue;
-        requests += each.requests;
-        retries += each.retries;
+        total.requests += each.requests;
+        total.retries += each.retries;
     }
-    auto next = static_cast<double>(retries + 1);
-    if (next > m_policy.minRetries && next > m_policy.ratio * static_cast<double>(requests))
+    return total;
+}
+
+bool RetryBudget::tryAcquireRetry(TimePoint now)
+{
+    Bucket total = sum(now);
+    auto next = static_cast<double>(total.retries + 1);
+    if (next > m_policy.minRetries && next > m_policy.ratio * static_cast<double>(total.requests))
         return false;
     ++bucketAt(now).retries;
     return true;
 }
 
+RetryUse RetryBudget::use(TimePoint now) const
+{
+    Bucket total = sum(now);
+    return { static_cast<double>(total.retries),
+        std::max(m_policy.minRetries, m_policy.ratio * static_cast<double>(total.requests)) };
+}
+
 } // namespace wisteriayard
