--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,6 +84,7 @@
             , m_quarantine(
                   m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras), m_state.crashGuard, m_state.log)
         {
+            m_state.hedges = HedgePolicy(options.hedgeRatio);
         }
         Gateway(const Gateway&) = delete;
         Gateway& operator=(const Gateway&) = delete;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,8 @@
     std::function<Result<GatewaySettings>()> loadSettings;
     /// Port for metrics at the address for callers; 0 disables them.
     std::uint16_t metricsPort = 0;
+    /// Maximum ratio of hedged requests to the requests of a service; 0 turns hedging off.
+    double hedgeRatio = 0;
     /// Called once the gateway handles SIGTERM, SIGINT and SIGHUP.
     std::function<void()> signalsHandled;
 };
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -50,6 +50,10 @@
           "Attempts in which an endpoint sent bytes that are not a response which can be forwarded"))
     , m_retries(counter(*m_registry, "wisteriayard_gateway_retries_total",
           "Attempts after the first, by whether the budget allowed them"))
+    , m_hedgeDecisions(counter(*m_registry, "wisteriayard_gateway_hedge_decisions_total",
+          "Decisions whether a slow request is sent to a second endpoint, by decision"))
+    , m_hedgedRequests(counter(*m_registry, "wisteriayard_gateway_hedged_requests_total",
+          "Requests sent to a second endpoint while the first was slow to answer, by result"))
     , m_pauses(counter(*m_registry, "wisteriayard_gateway_endpoint_pauses_total",
           "Answers after which an endpoint gets no requests for the time that it named"))
     , m_crashes(counter(*m_registry, "wisteriayard_gateway_waiting_attempts_crashed_total",
@@ -120,6 +124,16 @@
     m_retries.Add({ { "allowed", allowed ? "yes" : "no" } }).Increment();
 }
 
+void GatewayMetrics::hedgeDecided(const std::string& decision)
+{
+    m_hedgeDecisions.Add({ { "decision", decision } }).Increment();
+}
+
+void GatewayMetrics::hedgedRequest(const std::string& result)
+{
+    m_hedgedRequests.Add({ { "result", result } }).Increment();
+}
+
 void GatewayMetrics::endpointPaused() { m_pauses.Add({}).Increment(); }
 
 void GatewayMetrics::endpointCrashed() { m_crashes.Add({}).Increment(); }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -33,6 +33,10 @@
     /// An endpoint sent bytes that are not a response which can be forwarded.
     void invalidResponseReceived();
     void retryRequested(bool allowed);
+    /// @param decision name of a HedgeDecision
+    void hedgeDecided(const std::string& decision);
+    /// @param result `sent`, then `won` or `wasted`
+    void hedgedRequest(const std::string& result);
     void endpointPaused();
     /// An endpoint crashed before it began to answer a request.
     void endpointCrashed();
@@ -72,6 +76,8 @@
     prometheus::Family<prometheus::Counter>& m_brokenAttempts;
     prometheus::Family<prometheus::Counter>& m_invalidResponses;
     prometheus::Family<prometheus::Counter>& m_retries;
+    prometheus::Family<prometheus::Counter>& m_hedgeDecisions;
+    prometheus::Family<prometheus::Counter>& m_hedgedRequests;
     prometheus::Family<prometheus::Counter>& m_pauses;
     prometheus::Family<prometheus::Counter>& m_crashes;
     prometheus::Family<prometheus::Counter>& m_quarantineRefusals;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -23,6 +23,8 @@
     metrics.attemptBroken(false);
     metrics.invalidResponseReceived();
     metrics.retryRequested(true);
+    metrics.hedgeDecided("sent");
+    metrics.hedgedRequest("won");
     metrics.endpointPaused();
     metrics.endpointCrashed();
     metrics.quarantineRefused();
@@ -70,6 +72,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 26u);
+    BOOST_TEST(code.size() == 28u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include "watchdog.h"
 #include "wisteriayard/byte_budget.h"
 #include "wisteriayard/clock_guard.h"
+#include "wisteriayard/hedge_policy.h"
 #include "wisteriayard/log_rate_limiter.h"
 #include "wisteriayard/retry_budget.h"
 #include "wisteriayard/shutdown_plan.h"
@@ -47,6 +48,7 @@
     std::shared_ptr<const RouteTable> routes;
     std::shared_ptr<UsageReporter> usage;
     std::map<TargetId, RetryBudget> retryBudgets;
+    HedgePolicy hedges { 0 };
     LogRateLimiter requestLogBudget;
     ClockGuard clock;
     /// Time of the store's last confirmation of the configuration and of the list of endpoints.
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -51,45 +51,88 @@
 
 } // namespace
 
-awaitable<AttemptOutcome> RequestHandler::runAttempt(Placement placement)
+awaitable<AttemptOutcomes> RequestHandler::runAttempt(Placement placement)
+{
+    TimePoint now = bootTimeNow();
+    if (m_triedEndpoints.empty())
+        m_state.hedges.recordPlaced(m_target, now);
+    AttemptOutcomes outcomes;
+    EndpointAttemptPtr attempt = beginAttempt(placement);
+    if (!attempt) {
+        outcomes.push_back(NotExecuted { "endpoint_left", false });
+        co_return outcomes;
+    }
+    if (isHedgeable() && !m_headSent && !m_hedged) {
+        m_state.hedges.recordWaiting(hedgeClass(), now);
+        if (auto times = m_state.hedges.times(hedgeClass(), now))
+            co_return co_await runRace(attempt, attempt->placement.placedAt + times->delay);
+    }
+    outcomes.push_back(co_await performAttempt(attempt));
+    if (attempt->possibleCrash)
+        co_await m_state.crashGuard.connectionBroke(
+            attempt->record, attempt->possibleCrash->suspects, attempt->possibleCrash->at);
+    co_return outcomes;
+}
+
+EndpointAttemptPtr RequestHandler::beginAttempt(const Placement& placement)
 {
     auto& endpoints = m_state.directory.placement(m_target);
     EndpointId id = endpoints.endpoint(placement.endpoint).id;
     m_triedEndpoints.push_back(id);
-    const EndpointRecord* known = m_state.directory.record(id);
-    if (!known)
-        co_return NotExecuted { "endpoint_left", false };
-    auto attempt = std::make_shared<EndpointAttempt>(m_state.watchdog, *known, std::move(placement));
+    const EndpointRecord* record = m_state.directory.record(id);
+    if (!record)
+        return nullptr;
+    auto attempt = std::make_shared<EndpointAttempt>(m_state.watchdog, *record, placement);
     m_runningAttempts.push_back(attempt);
     TimePoint now = bootTimeNow();
     endpoints.started(attempt->placement, placementRequest(now), now);
     logAdmitted(attempt->placement, id, now);
+    return attempt;
+}
+
+std::optional<std::string> RequestHandler::sendObstacle(EndpointAttempt& attempt, TimePoint now)
+{
+    if (attempt.isHedge && (m_quarantined || isSuspected(now)))
+        return "suspected";
+    if (attempt.isHedge && timeLeft(now) < minTimeForAttempt)
+        return "too_little_time";
+    auto& endpoints = m_state.directory.placement(m_target);
+    if (endpoints.accepts(attempt.placement, placementRequest(now), now))
+        return std::nullopt;
+    return endpoints.limit(attempt.placement) ? "endpoint_limited" : "endpoint_left_or_paused";
+}
+
+awaitable<AttemptOutcome> RequestHandler::performAttempt(EndpointAttemptPtr attempt)
+{
     AttemptOutcome outcome = NotExecuted { "connect_failed", false };
     bool connected = co_await connect(*attempt);
+    TimePoint now = bootTimeNow();
+    if (connected || (attempt->isHedge && m_quarantined)) {
+        if (auto obstacle = sendObstacle(*attempt, now))
+            outcome = NotExecuted { *obstacle, false };
+        else if (!interruption(*attempt))
+            outcome = co_await exchangeWithEndpoint(*attempt);
+    }
     now = bootTimeNow();
-    if (connected && !endpoints.accepts(attempt->placement, placementRequest(now), now))
-        outcome = NotExecuted { endpoints.limit(attempt->placement) ? "endpoint_limited" : "endpoint_left_or_paused",
-            false };
-    else if (connected && !interruption())
-        outcome = co_await exchangeWithEndpoint(*attempt);
-    now = bootTimeNow();
+    auto interrupted = interruption(*attempt);
     auto* broken = std::get_if<MayHaveExecuted>(&outcome);
-    bool mayHaveCrashed
-        = broken && broken->cause == MayHaveExecuted::Cause::ConnectionLost && !m_quarantined && !interruption();
-    if (auto interrupted = interruption(); interrupted && !std::holds_alternative<Delivered>(outcome))
+    bool begun = attempt->placement.firstEventSeen;
+    if (broken && broken->cause == MayHaveExecuted::Cause::ConnectionLost && !m_quarantined && !interrupted)
+        attempt->possibleCrash = PossibleCrash { now, suspects(!begun) };
+    if (interrupted && !std::holds_alternative<Delivered>(outcome))
         outcome = *interrupted;
     std::erase(m_runningAttempts, attempt);
+    auto& endpoints = m_state.directory.placement(m_target);
     if (!attempt->requestSent)
         endpoints.notSent(attempt->placement, now);
+    const EndpointId& id = attempt->record.id;
     HealthChange change = endpoints.ended(attempt->placement, healthOutcome(outcome), now);
     if (change == HealthChange::Ejected)
         m_state.log->write(Event::EndpointEjected, { { "endpoint", id.value() }, { "cause", outcomeName(outcome) } });
     if (change == HealthChange::Restored)
         m_state.log->write(Event::EndpointTakenBack, { { "endpoint", id.value() } });
-    bool begun = attempt->placement.firstEventSeen;
     logAttempt(outcome, id, begun, now);
-    if (mayHaveCrashed)
-        co_await m_state.crashGuard.connectionBroke(attempt->record, suspects(!begun), now);
+    recordHedgeEnd(*attempt, outcome, now);
     co_return outcome;
 }
 
@@ -99,6 +142,8 @@
         return EndpointOutcome::Succeeded;
     if (auto* notExecuted = std::get_if<NotExecuted>(&outcome))
         return notExecuted->reason == "connect_failed" ? EndpointOutcome::Failed : EndpointOutcome::Neutral;
+    if (std::holds_alternative<Cancelled>(outcome))
+        return EndpointOutcome::Cancelled;
     if (std::holds_alternative<CallerDisconnected>(outcome) || m_quarantined)
         return EndpointOutcome::Neutral;
     return EndpointOutcome::Failed;
@@ -106,6 +151,8 @@
 
 awaitable<bool> RequestHandler::connect(EndpointAttempt& attempt)
 {
+    if (interruption(attempt))
+        co_return false;
     TimePoint now = bootTimeNow();
     Duration maxIdle = m_route->isRetryable() ? maxIdleRepeatable : maxIdleNonRepeatable;
     attempt.connection = m_state.pool.acquire(attempt.record.id, maxIdle, now);
@@ -146,6 +193,8 @@
     ForwardingHeaders headers = forwardingHeaders(record, bootTimeNow());
     ++m_requestsSent;
     attempt.requestSent = true;
+    if (attempt.isHedge)
+        m_state.metrics.hedgedRequest("sent");
     attempt.sentAt = bootTimeNow();
     if (m_state.directory.placement(m_target).limit(attempt.placement))
         m_state.metrics.limitedRequestSent(m_requestsSent > 1);
@@ -158,12 +207,13 @@
     if (!read) {
         exchange.close();
         ++m_possibleExecutions;
+        attempt.mayHaveExecuted = true;
         m_mayHaveExecuted = true;
         // Without a response, usage is recorded only if execution has probably started. A stream counts as started with
         // its first event: not if it was interrupted before, nor if it was still queued at an endpoint that crashed,
         // but it does if only the response was lost.
         bool mayHaveStarted = m_route->kind != RequestKind::Stream
-            || (!interruption() && !m_quarantined && attempt.placement.hasProbablyBegun(bootTimeNow()));
+            || (!interruption(attempt) && !m_quarantined && attempt.placement.hasProbablyBegun(bootTimeNow()));
         if (mayHaveStarted)
             recordUsage();
         co_return brokenExchange(read.error());
@@ -173,13 +223,17 @@
         = traits.execution == ExecutionStatus::NotExecuted || traits.execution == ExecutionStatus::Misdirected;
     if (!statedNotExecuted) {
         ++m_possibleExecutions;
+        attempt.mayHaveExecuted = true;
         m_mayHaveExecuted = true;
         recordUsage();
     }
     AttemptOutcome outcome = MayHaveExecuted { "the response has no seal" };
     bool success = isSuccess(exchange.head());
+    attempt.answerBegun = statedNotExecuted || !success || m_route->kind != RequestKind::Stream;
     if (traits.execution == ExecutionStatus::Misdirected)
         m_state.directory.removeMisdirected(record.id, bootTimeNow());
+    if (traits.execution == ExecutionStatus::NotExecuted)
+        m_state.hedges.recordRefused(m_target, bootTimeNow());
     if (statedNotExecuted) {
         outcome
             = NotExecuted { traits.execution == ExecutionStatus::NotExecuted ? "endpoint_refused" : "address_reused",
@@ -193,7 +247,7 @@
     } else if (traits.execution == ExecutionStatus::Executed) {
         outcome = co_await forwardBufferedResponse(exchange, attempt, success);
     }
-    if (exchange.isReusable() && !interruption())
+    if (exchange.isReusable() && !interruption(attempt))
         m_state.pool.release(record.id, attempt.connection, bootTimeNow());
     else
         exchange.close();
@@ -282,10 +336,14 @@
             co_return MayHaveExecuted { "the response exceeds the buffer limit" };
         body->text += part.value();
     }
+    if (attempt.cancelled)
+        co_return Cancelled {};
     m_state.crashGuard.answerBegan(m_sharedSegments, bootTimeNow());
     answerCompleted(bootTimeNow());
     if (!success)
         co_return EndpointFailure { exchange.head(), std::shared_ptr<const std::string>(body, &body->text) };
+    if (!claimAnswer(attempt))
+        co_return Cancelled {};
     m_headSent = true;
     co_await forwardResponse(exchange.head(), body->text);
     if (m_callerDisconnected)
@@ -296,6 +354,8 @@
 awaitable<Status> RequestHandler::forwardEvents(
     EndpointExchange& exchange, EventStream& events, EndpointAttempt& attempt)
 {
+    if (attempt.cancelled)
+        co_return fail(Errc::Unavailable, "another attempt was answered first");
     std::string text;
     std::size_t count = 0;
     while (auto event = events.next()) {
@@ -321,6 +381,8 @@
         m_firstEventDelay = now - m_request.arrivedAt;
         m_state.metrics.firstEventReceived(m_route->name, m_firstEventDelay);
         m_state.directory.placement(m_target).firstEvent(attempt.placement, now);
+        claimAnswer(attempt);
+        attempt.answerBegun = true;
         m_headSent = true;
         BodyFraming framing = m_request.acceptsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose;
         output = callerResponseHead(exchange.head(), framing, 0, m_request.keepAlive && !m_state.isStopping());
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -20,11 +20,7 @@
 
 namespace {
 
-    /// Limit on requests sent to endpoints for one request of a caller, including those that endpoints refuse.
-    constexpr int maxRequestsSent = 3;
     constexpr int maxConnectFailures = 4;
-    /// Least remaining time for a further attempt; with less, it can't succeed.
-    constexpr Duration minTimeForAttempt = std::chrono::milliseconds(30);
     /// Time limit of a request that does not state one, until its route and thereby its timeout is known.
     constexpr Duration defaultTimeLeft = std::chrono::seconds(5);
     /// Retry-After of requests that are refused because the configuration is missing, there is no memory for the body
@@ -48,6 +44,7 @@
         }
         std::string operator()(const CallerDisconnected&) const { return "caller_left"; }
         std::string operator()(const TimedOut&) const { return "timed_out"; }
+        std::string operator()(const Cancelled&) const { return "cancelled"; }
     };
 
     /// Tags of the segments of a prompt that other requests may share: all but the last.
@@ -77,6 +74,29 @@
         return name.substr(0, name.find(':'));
     }
 
+    template <typename Outcome> bool holdsAny(const AttemptOutcomes& outcomes)
+    {
+        return std::any_of(outcomes.begin(), outcomes.end(),
+            [](const AttemptOutcome& each) { return std::holds_alternative<Outcome>(each); });
+    }
+
+    /// Obstacles of an outcome to a further attempt; the greatest of several outcomes decides.
+    int obstacleRank(const AttemptOutcome& outcome)
+    {
+        if (std::holds_alternative<MayHaveExecuted>(outcome))
+            return 3;
+        if (std::holds_alternative<EndpointFailure>(outcome))
+            return 2;
+        auto* notExecuted = std::get_if<NotExecuted>(&outcome);
+        return notExecuted && notExecuted->requestSent ? 1 : 0;
+    }
+
+    const AttemptOutcome& decisiveOutcome(const AttemptOutcomes& outcomes)
+    {
+        return *std::max_element(outcomes.begin(), outcomes.end(),
+            [](const AttemptOutcome& a, const AttemptOutcome& b) { return obstacleRank(a) < obstacleRank(b); });
+    }
+
 } // namespace
 
 std::string outcomeName(const AttemptOutcome& outcome) { return std::visit(OutcomeNameVisitor {}, outcome); }
@@ -159,8 +179,6 @@
 
 awaitable<bool> RequestHandler::runAttempts()
 {
-    std::optional<EndpointFailure> failure;
-    std::optional<NotExecuted> notExecuted;
     m_state.retryBudget(m_target).recordRequest(bootTimeNow());
     while (true) {
         TimePoint now = bootTimeNow();
@@ -171,10 +189,9 @@
         auto decision = placement.choose(placementRequest(now), m_triedEndpoints, now);
         if (auto* refused = std::get_if<Refused>(&decision)) {
             m_state.metrics.requestRefused(refused->reason);
-            if (m_headSent || failure || m_mayHaveExecuted || notExecuted) {
-                co_return co_await respondToFailure(
-                    failure, notExecuted ? &*notExecuted : nullptr, refused->retryAfter);
-            }
+            if (m_headSent || m_failure || m_mayHaveExecuted || m_notExecuted)
+                co_return co_await respondToFailure(refused->retryAfter);
+            m_state.hedges.recordRefused(m_target, now);
             std::string reason(placementRefusalName(refused->reason));
             logEnd(Event::RequestRefused, "refused",
                 reason + ": first event expected in " + millisecondsText(refused->expectedFirstEvent)
@@ -183,25 +200,35 @@
             LocalResponse response { 503, reason, "no endpoint can serve the request in time", refused->retryAfter };
             co_return co_await respond(std::move(response));
         }
-        auto outcome = co_await runAttempt(std::get<Placement>(decision));
+        AttemptOutcomes outcomes = co_await runAttempt(std::get<Placement>(decision));
+        auto done = co_await finishIfDone(outcomes);
+        if (done)
+            co_return *done;
+    }
+}
+
+awaitable<std::optional<bool>> RequestHandler::finishIfDone(const AttemptOutcomes& outcomes)
+{
+    for (const AttemptOutcome& outcome : outcomes) {
         m_state.metrics.attemptEnded(outcomeMetricLabel(outcome));
-        if (std::holds_alternative<Delivered>(outcome)) {
-            logEnd(Event::RequestFinished, "delivered", {});
-            co_return m_request.keepAlive && !m_state.isStopping();
-        }
-        if (std::holds_alternative<CallerDisconnected>(outcome)) {
-            logEnd(Event::RequestFailed, "caller_left", {});
-            co_return false;
-        }
-        if (std::holds_alternative<TimedOut>(outcome))
-            co_return co_await respondToTimeout();
         if (auto* failed = std::get_if<EndpointFailure>(&outcome))
-            failure = std::move(*failed);
+            m_failure = *failed;
         if (auto* refused = std::get_if<NotExecuted>(&outcome))
-            notExecuted = *refused;
-        if (!mayRetry(outcome, bootTimeNow()))
-            co_return co_await respondToFailure(failure, notExecuted ? &*notExecuted : nullptr);
+            m_notExecuted = *refused;
+    }
+    if (holdsAny<Delivered>(outcomes)) {
+        logEnd(Event::RequestFinished, "delivered", {});
+        co_return m_request.keepAlive && !m_state.isStopping();
+    }
+    if (holdsAny<CallerDisconnected>(outcomes)) {
+        logEnd(Event::RequestFailed, "caller_left", {});
+        co_return false;
     }
+    if (holdsAny<TimedOut>(outcomes))
+        co_return co_await respondToTimeout();
+    if (!mayRetry(decisiveOutcome(outcomes), bootTimeNow()))
+        co_return co_await respondToFailure();
+    co_return std::nullopt;
 }
 
 bool RequestHandler::mayRetry(const AttemptOutcome& outcome, TimePoint now)
@@ -225,8 +252,7 @@
     return allowed;
 }
 
-awaitable<bool> RequestHandler::respondToFailure(
-    const std::optional<EndpointFailure>& failure, const NotExecuted* notExecuted, std::optional<Duration> retryAfter)
+awaitable<bool> RequestHandler::respondToFailure(std::optional<Duration> retryAfter)
 {
     if (m_headSent) {
         // The response can't be completed, so the caller must be able to tell that it is truncated. Without chunked
@@ -238,12 +264,12 @@
         }
         co_return false;
     }
-    if (failure) {
-        logEnd(Event::RequestFailed, "endpoint_failure", std::to_string(failure->head.result_int()));
-        co_return co_await forwardResponse(failure->head, *failure->body);
+    if (m_failure) {
+        logEnd(Event::RequestFailed, "endpoint_failure", std::to_string(m_failure->head.result_int()));
+        co_return co_await forwardResponse(m_failure->head, *m_failure->body);
     }
     if (!m_mayHaveExecuted) {
-        std::string reason = notExecuted ? notExecuted->reason : "not_run";
+        std::string reason = m_notExecuted ? m_notExecuted->reason : "not_run";
         logEnd(Event::RequestRefused, "refused", reason);
         LocalResponse response { 503, "not_run", "no endpoint took the request",
             retryAfter.value_or(defaultRetryAfter) };
@@ -267,7 +293,7 @@
 awaitable<bool> RequestHandler::refuseQuarantined(Duration wait)
 {
     if (m_mayHaveExecuted || m_headSent)
-        co_return co_await respondToFailure(std::nullopt, nullptr);
+        co_return co_await respondToFailure();
     LocalResponse response { 503, "prompt_quarantined", "engines crash under a part of this prompt", wait };
     if (m_state.crashGuard.state(requestTag(), bootTimeNow()) != SuspectState::Free) {
         response.code = "request_quarantined";
@@ -364,8 +390,27 @@
     closeAttempts();
 }
 
-std::optional<AttemptOutcome> RequestHandler::interruption() const
+bool RequestHandler::claimAnswer(EndpointAttempt& attempt)
+{
+    if (attempt.cancelled)
+        return false;
+    attempt.answered = true;
+    TimePoint now = bootTimeNow();
+    if (isHedgeable())
+        m_state.hedges.recordTime(hedgeClass(), now - attempt.placement.placedAt, now);
+    for (const auto& other : m_runningAttempts) {
+        if (other.get() == &attempt)
+            continue;
+        other->cancelled = true;
+        other->close();
+    }
+    return true;
+}
+
+std::optional<AttemptOutcome> RequestHandler::interruption(const EndpointAttempt& attempt) const
 {
+    if (attempt.cancelled)
+        return Cancelled {};
     if (m_callerDisconnected)
         return CallerDisconnected {};
     if (m_timedOut)
@@ -421,7 +466,7 @@
 
 void RequestHandler::logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, bool begun, TimePoint now)
 {
-    if (std::holds_alternative<Delivered>(outcome))
+    if (std::holds_alternative<Delivered>(outcome) || std::holds_alternative<Cancelled>(outcome))
         return;
     nlohmann::json tag;
     if (auto* broken = std::get_if<MayHaveExecuted>(&outcome)) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -61,9 +61,13 @@
 struct CallerDisconnected { };
 /// The request's deadline passed.
 struct TimedOut { };
+/// Another attempt of the request, which ran beside this one, was answered first.
+struct Cancelled { };
 
 using AttemptOutcome
-    = std::variant<Delivered, NotExecuted, MayHaveExecuted, EndpointFailure, CallerDisconnected, TimedOut>;
+    = std::variant<Delivered, NotExecuted, MayHaveExecuted, EndpointFailure, CallerDisconnected, TimedOut, Cancelled>;
+/// Outcomes of an attempt and of the one that ran beside it, if any.
+using AttemptOutcomes = std::vector<AttemptOutcome>;
 /// @}
 
 /// Name of an outcome with its reason or status, for log lines.
@@ -80,11 +84,28 @@
     void expire();
 
 private:
+    /// Limit on requests sent to endpoints for one request of a caller, including those that endpoints refuse.
+    static constexpr int maxRequestsSent = 3;
+    /// Least remaining time for a further attempt; with less, it can't succeed.
+    static constexpr Duration minTimeForAttempt = std::chrono::milliseconds(30);
+
+    struct AttemptRace;
+
     /// Determines the route, account, priority, target and deadline.
     /// @return the response to send if the request is refused
     std::optional<LocalResponse> classify();
     boost::asio::awaitable<bool> runAttempts();
-    boost::asio::awaitable<AttemptOutcome> runAttempt(Placement placement);
+    /// Records the outcomes of attempts that ended, and responds if the request is done.
+    /// @return whether the caller's connection can serve another request; none if a further attempt may be made
+    boost::asio::awaitable<std::optional<bool>> finishIfDone(const AttemptOutcomes& outcomes);
+    /// Makes an attempt, and a second one beside it if the first is slow to answer and hedging allows it.
+    boost::asio::awaitable<AttemptOutcomes> runAttempt(Placement placement);
+    /// @return null if the endpoint is no longer known
+    EndpointAttemptPtr beginAttempt(const Placement& placement);
+    /// Runs an attempt that has begun to its end, except for the check of an endpoint that may have crashed.
+    boost::asio::awaitable<AttemptOutcome> performAttempt(EndpointAttemptPtr attempt);
+    /// Reason why the request must not be sent although the attempt is connected, as NotExecuted::reason.
+    std::optional<std::string> sendObstacle(EndpointAttempt& attempt, TimePoint now);
     /// Takes an idle connection to the attempt's endpoint, or makes one.
     /// @return whether the attempt has a usable connection
     boost::asio::awaitable<bool> connect(EndpointAttempt& attempt);
@@ -113,14 +134,16 @@
     boost::asio::awaitable<bool> refuseQuarantined(Duration wait);
     boost::asio::awaitable<bool> write(std::string text, std::string_view body = {});
     /// @param retryAfter when an endpoint will probably have capacity; used if the request was not executed
-    boost::asio::awaitable<bool> respondToFailure(const std::optional<EndpointFailure>& failure,
-        const NotExecuted* notExecuted, std::optional<Duration> retryAfter = {});
+    boost::asio::awaitable<bool> respondToFailure(std::optional<Duration> retryAfter = {});
     boost::asio::awaitable<bool> respondToTimeout();
 
     void watchForDisconnect();
     void stopDisconnectWatch();
     /// Closes the connections of all running attempts, which ends them.
     void closeAttempts();
+    /// Makes an attempt the one whose answer is forwarded, and cancels the others.
+    /// @return false if another attempt was answered first
+    bool claimAnswer(EndpointAttempt& attempt);
     /// Ends the attempt if the request or a segment of its prompt was put in quarantine, unless the answer has begun.
     void suspectQuarantined(SuspectTag tag);
     /// What may make an endpoint crash that runs the request: the request as a whole, and the shared segments of its
@@ -132,8 +155,8 @@
     std::optional<Duration> quarantineTime(TimePoint now);
     /// Records a complete answer, which clears the request.
     void answerCompleted(TimePoint now);
-    /// Outcome of an interrupted attempt, if the caller disconnected or the deadline passed.
-    std::optional<AttemptOutcome> interruption() const;
+    /// Outcome of an interrupted attempt, if the caller disconnected, the deadline passed or the attempt was cancelled.
+    std::optional<AttemptOutcome> interruption(const EndpointAttempt& attempt) const;
     bool mayRetry(const AttemptOutcome& outcome, TimePoint now);
     EndpointOutcome healthOutcome(const AttemptOutcome& outcome) const;
     /// Records the request in the usage of its account, at most once.
@@ -146,6 +169,30 @@
     SuspectTag requestTag();
     /// @param begun whether the endpoint had begun to answer in this attempt
     void logAttempt(const AttemptOutcome& outcome, const EndpointId& endpoint, bool begun, TimePoint now);
+    /// @name Hedged requests
+    /// @{
+
+    HedgeClass hedgeClass() const { return { m_route->name, m_target }; }
+    /// Whether requests of the route may be hedged at all.
+    bool isHedgeable() const;
+    /// Whether the request or a shared segment of its prompt may have crashed endpoints.
+    bool isSuspected(TimePoint now);
+    HedgeState hedgeState(const EndpointAttempt& first, TimePoint now);
+    /// Runs an attempt, and a second one if a decision allows it.
+    /// @param dueAt time of the first decision
+    boost::asio::awaitable<AttemptOutcomes> runRace(EndpointAttemptPtr first, TimePoint dueAt);
+    void spawnAttempt(std::shared_ptr<AttemptRace> race, EndpointAttemptPtr attempt);
+    /// Decides whether the second attempt is made now, and makes it.
+    /// @return time of the next decision; none if there is none
+    std::optional<TimePoint> considerHedge(
+        const std::shared_ptr<AttemptRace>& race, const EndpointAttempt& first, TimePoint now);
+    /// Looks for an endpoint for the second attempt.
+    std::optional<Placement> chooseSecondEndpoint(HedgeState& state, TimePoint now);
+    void logHedgeDecision(const EndpointAttempt& first, const HedgeState& state, HedgeDecision decision,
+        const std::optional<Placement>& second, TimePoint now);
+    /// Records the time of an attempt that ended, for the delay of later hedged requests.
+    void recordHedgeEnd(const EndpointAttempt& attempt, const AttemptOutcome& outcome, TimePoint now);
+    /// @}
     void logEnd(Event event, const std::string& outcome, const std::string& detail);
 
     GatewayState& m_state;
@@ -162,7 +209,7 @@
     bool m_isEngine = false;
     TimePoint m_deadline {};
     Deadline m_expiry;
-    std::vector<std::shared_ptr<EndpointAttempt>> m_runningAttempts;
+    std::vector<EndpointAttemptPtr> m_runningAttempts;
     /// Set to false to disable the pending disconnect watch, whose handler may run after this object's destruction.
     std::shared_ptr<bool> m_watchActive;
     bool m_callerDisconnected = false;
@@ -184,6 +231,12 @@
     /// Attempts in which the request was sent to an endpoint.
     int m_requestsSent = 0;
     int m_connectFailures = 0;
+    std::optional<EndpointFailure> m_failure;
+    std::optional<NotExecuted> m_notExecuted;
+    /// The request exceeded the delay after which it may be hedged.
+    bool m_hedgeDue = false;
+    /// A second attempt was made beside the first.
+    bool m_hedged = false;
     std::vector<EndpointId> m_triedEndpoints;
 };
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -129,6 +129,10 @@
     std::int64_t recomputedTokens = 0;
     /// The endpoint is a preferred one for the last shared segment.
     bool atPreferredEndpoint = false;
+    /// Other requests are processed at the endpoint before this one.
+    bool queued = false;
+    /// The endpoint is ejected: the request is a trial, or nothing else remains.
+    bool atEjectedEndpoint = false;
     /// The last shared segment of the prompt.
     std::optional<std::uint64_t> segment;
     Duration expectedFirstEvent {};
@@ -174,6 +178,8 @@
     Failed,
     /// The endpoint was busy, or the caller disconnected: no evidence of its health.
     Neutral,
+    /// Another attempt was answered first: no evidence either, but the request would have taken longer.
+    Cancelled,
 };
 
 /// Change of an endpoint's health, for the log.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -392,6 +392,8 @@
     placement.placedAt = now;
     placement.recomputedTokens = best->recomputed;
     placement.atPreferredEndpoint = best->preferred;
+    placement.queued = best->queued;
+    placement.atEjectedEndpoint = state.ejected;
     if (state.info.memory.value() > 0 && request.prompt.size() > 1)
         placement.segment = lastSharedSegment(request);
     return placement;
@@ -540,8 +542,15 @@
         return HealthChange::None;
     if (outcome == EndpointOutcome::Failed)
         return recordFailure(*state, now);
+    double sample = microseconds(now - placement.placedAt);
+    if (outcome == EndpointOutcome::Cancelled) {
+        // A slow endpoint whose requests are cancelled would otherwise look as fast as the others.
+        double known = state->requestTime > 0 ? state->requestTime : m_requestTime;
+        if (state->info.memory.value() == 0 && sample > known)
+            state->requestTime = known + averageWeight * (sample - known);
+        return HealthChange::None;
+    }
     if (state->info.memory.value() == 0) {
-        double sample = microseconds(now - placement.placedAt);
         if (state->requestTime == 0)
             state->requestTime = m_requestTime;
         average(state->requestTime, sample);
--- a/src/libwisteriayard/endpoint_placement_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_test.cpp
@@ -73,6 +73,8 @@
     { { EndpointOutcome::Failed, EndpointOutcome::Failed }, false },
     { { EndpointOutcome::Failed, EndpointOutcome::Failed, EndpointOutcome::Failed }, true },
     { { EndpointOutcome::Failed, EndpointOutcome::Neutral, EndpointOutcome::Failed, EndpointOutcome::Neutral }, false },
+    { { EndpointOutcome::Cancelled, EndpointOutcome::Cancelled, EndpointOutcome::Cancelled }, false },
+    { { EndpointOutcome::Failed, EndpointOutcome::Cancelled, EndpointOutcome::Failed, EndpointOutcome::Failed }, true },
     { { EndpointOutcome::Failed, EndpointOutcome::Failed, EndpointOutcome::Succeeded, EndpointOutcome::Failed },
         false },
 };
@@ -237,6 +239,50 @@
     place(fleet, request, at(seconds(300)));
 }
 
+namespace {
+
+struct CancelledCase {
+    const char* name;
+    /// Time after which the attempt was cancelled.
+    Duration time;
+    const char* next;
+};
+std::ostream& operator<<(std::ostream& out, const CancelledCase& each) { return out << each.name; }
+
+const CancelledCase cancelledCases[] = {
+    { "sooner than responses come", milliseconds(5), "e0" },
+    { "later than responses come", milliseconds(200), "e2" },
+};
+
+} // namespace
+
+// Guards against a slow endpoint that looks as fast as the others because its attempts are always cancelled.
+BOOST_DATA_TEST_CASE(cancelled_attempts_are_a_lower_bound_of_the_time, data::make(cancelledCases), each)
+{
+    EndpointPlacement fleet(PlacementPolicy(), ZoneId("near"), RegionId("r"));
+    for (int number : { 0, 2 }) {
+        PlacementEndpoint plain = engine(number);
+        plain.memory = Tokens(0);
+        fleet.put(plain);
+    }
+    PlacementRequest request = makeRequest(1, 0, 0);
+    Placement first = place(fleet, request, at(milliseconds(0)));
+    BOOST_TEST(fleet.endpoint(first.endpoint).id.value() == "e0");
+    BOOST_TEST(!first.queued);
+    fleet.ended(first, EndpointOutcome::Cancelled, at(each.time));
+    Placement next = place(fleet, request, at(seconds(1)));
+    BOOST_TEST(fleet.endpoint(next.endpoint).id.value() == each.next);
+}
+
+// Guards against a second attempt behind a queue, which gains nothing.
+BOOST_AUTO_TEST_CASE(queued_placements_are_marked)
+{
+    EndpointPlacement fleet = makeFleet(1);
+    PlacementRequest request = makeRequest(1, 0, 500);
+    BOOST_TEST(!place(fleet, request, at(milliseconds(0))).queued);
+    BOOST_TEST(place(fleet, request, at(milliseconds(1))).queued);
+}
+
 // Guards against another attempt at an endpoint that has just failed.
 BOOST_AUTO_TEST_CASE(excluded_endpoints_are_not_chosen)
 {
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -52,6 +52,10 @@
         return "endpoint_limit_changed";
     case Event::AnswerFieldUnreadable:
         return "answer_field_unreadable";
+    case Event::HedgeDecided:
+        return "hedge_decided";
+    case Event::HedgeEnded:
+        return "hedge_ended";
     case Event::ContractInForce:
         return "contract_in_force";
     case Event::KeyWithdrawnInForce:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -38,6 +38,8 @@
     EndpointPaused = 213,
     AnswerFieldUnreadable = 214,
     EndpointLimitChanged = 215,
+    HedgeDecided = 230,
+    HedgeEnded = 231,
     ContractInForce = 300,
     KeyWithdrawnInForce = 301,
     ConfigRejected = 302,
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -59,6 +59,7 @@
                        "report_window_s": WINDOW_S, "usage_delay_s": 10, "require_fence": True},
             "platform": {"address": store_address},
             "cloud_api": {"address": deployment.reports.address, "duties": ["metering"]}}
+        self.arguments = list(deployment.arguments)
         self.file = os.path.join(deployment.folder, name + ".json")
         self.log = os.path.join(deployment.folder, name + ".log")
         self.process = None
@@ -78,8 +79,8 @@
         self.write_settings()
         environment = dict(os.environ, WISTERIAYARD_CONFIG=file or self.file)
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen([os.path.join(self.deployment.bin, "wisteriayard-gateway")],
-                                            env=environment, stdout=log, stderr=log)
+            program = os.path.join(self.deployment.bin, "wisteriayard-gateway")
+            self.process = subprocess.Popen([program] + self.arguments, env=environment, stdout=log, stderr=log)
         return self
 
     def ready(self):
@@ -159,8 +160,9 @@
 class Deployment:
     """The store, endpoints of a plain and a model service, the receiver of usage reports, and gateways."""
 
-    def __init__(self, bin_folder, linked=False, memory_mb=128):
-        self.bin, self.memory_mb = bin_folder, memory_mb
+    def __init__(self, bin_folder, linked=False, memory_mb=128, arguments=()):
+        """`arguments` are those of the gateways' command lines."""
+        self.bin, self.memory_mb, self.arguments = bin_folder, memory_mb, arguments
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.store, self.reports = Store(), Reports()
