wisteriayardctl where: where a gateway would send a request now

Operators could see in logs why a request was placed, but not where the next one would go, nor why an endpoint is left out.

EndpointPlacement::explain() runs choose() on a copy, since choose() keeps averages and the turns of refused callers, which a question must not change. Ruled out: a second evaluation beside choose(), which would drift from it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway_state.h"
 #include "http_server.h"
 #include "peer_exchange.h"
+#include "placement_query.h"
 #include "quarantine_store.h"
 #include "store_follower.h"
 #include "wisteriayard/store_numbers.h"
@@ -158,6 +159,10 @@
             sources.ready = [this] { return m_state.isReady(); };
             sources.metrics = [this] { return m_state.metrics.text(); };
             sources.status = [this] { return statusJson(); };
+            sources.where = [this](const std::string& query) -> Result<std::string> {
+                BOOST_OUTCOME_TRY(nlohmann::json report, explainPlacement(m_state, query, bootTimeNow()));
+                return report.dump();
+            };
             return sources;
         }
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -171,6 +171,31 @@
 
 using PlacementDecision = std::variant<Placement, Refused>;
 
+/// An endpoint as a candidate for a request.
+struct CandidateReport {
+    EndpointId id;
+    ZoneId zone;
+    /// Absent for a candidate.
+    std::optional<EndpointExclusion> exclusion;
+    Duration cost {};
+    Duration expectedFirstEvent {};
+    std::int64_t uncachedTokens = 0;
+    /// Uncached tokens that the endpoint has to compute before those of the request.
+    std::int64_t tokensAhead = 0;
+    /// Requests of all entries.
+    int running = 0;
+    /// It is a preferred endpoint for the last shared segment.
+    bool preferred = false;
+    bool queued = false;
+};
+
+/// Where a request would be sent, and why.
+struct PlacementReport {
+    PlacementDecision decision;
+    /// All endpoints: the candidates by cost, then the excluded ones.
+    std::vector<CandidateReport> candidates;
+};
+
 /// Result of an attempt, as evidence of the endpoint's health.
 enum class EndpointOutcome {
     Succeeded,
@@ -209,6 +234,8 @@
     /// Chooses an endpoint.
     /// @param excluded endpoints of earlier attempts of the request
     PlacementDecision choose(const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now);
+    /// What choose() would decide for a request that has not been sent yet. Changes nothing.
+    PlacementReport explain(const PlacementRequest& request, TimePoint now) const;
     /// Records that the request is being sent to its endpoint. Takes credit if the endpoint has a rate limit.
     void started(Placement& placement, const PlacementRequest& request, TimePoint now);
     /// Records that the request of a started placement was not sent, which returns its credit.
--- a/src/wisteriayardctl/commands.cpp
+++ b/src/wisteriayardctl/commands.cpp
@@ -44,6 +44,9 @@
         { "status", "", "state of each entry named with --entry", "--entry 10.0.0.7:9100 status", status, 0, 0, false },
         { "usage", "", "usage by window, account and class, final and not yet final", "usage --account jordan", usage,
             0, 0, true },
+        { "where", "ROUTE", "say where a gateway would send a request of a route now, and why",
+            "--entry 10.0.0.7:9464 where chat --account jordan --prompt 4f00aa:900,51d2:120 --output-tokens 200", where,
+            1, 1, false },
     };
     return table;
 }
--- a/src/wisteriayardctl/commands.h
+++ b/src/wisteriayardctl/commands.h
@@ -50,6 +50,10 @@
     std::string contractsFolder;
     std::string usageReportsFile;
     std::string exportFolder;
+    /// Segments of a prompt as `ID:TOKENS,...`.
+    std::string prompt;
+    std::optional<std::int64_t> outputTokens;
+    std::optional<std::int64_t> timeLeftMs;
 };
 
 /// Exit code of a completed command, or its error.
@@ -67,6 +71,7 @@
 Command keyList(Context& context, const Arguments& arguments);
 Command status(Context& context, const Arguments& arguments);
 Command explain(Context& context, const Arguments& arguments);
+Command where(Context& context, const Arguments& arguments);
 Command usage(Context& context, const Arguments& arguments);
 Command auditVerify(Context& context, const Arguments& arguments);
 Command completion(Context& context, const Arguments& arguments);
--- a/src/wisteriayardctl/completion_command.cpp
+++ b/src/wisteriayardctl/completion_command.cpp
@@ -13,7 +13,7 @@
 {
     local current="${COMP_WORDS[COMP_CWORD]}" previous="${COMP_WORDS[COMP_CWORD-1]}" words=""
     if [[ "$current" == -* ]]; then
-        words="--account --contracts --entry --export --help --if-revision --json --last --log --platform --replay --reports --store --wait-ms"
+        words="--account --contracts --entry --export --help --if-revision --json --last --log --output-tokens --platform --prompt --replay --reports --store --time-left-ms --wait-ms"
     else
         case "$previous" in
 )";
--- a/src/wisteriayardctl/main.cpp
+++ b/src/wisteriayardctl/main.cpp
@@ -19,6 +19,8 @@
     std::vector<std::string> entries;
     std::int64_t waitMs = 5000;
     std::int64_t ifRevision = -1;
+    std::int64_t outputTokens = -1;
+    std::int64_t timeLeftMs = -1;
     bool json = false;
     bool help = false;
     ctl::Arguments arguments;
@@ -37,7 +39,8 @@
     add("json", po::bool_switch(&line.json), "print JSON");
     add("wait-ms", po::value(&line.waitMs), "how long to wait for every entry to confirm");
     add("if-revision", po::value(&line.ifRevision), "contract put: refuse unless the contract is at this revision");
-    add("account", po::value(&line.arguments.account), "key list, usage: only this account");
+    add("account", po::value(&line.arguments.account),
+        "key list, usage: only this account; where: the account of the request");
     add("log", po::value(&line.arguments.logFiles)->composing()->multitoken(), "explain: log files");
     add("last", po::value(&line.arguments.logAnchors)->composing(),
         "audit verify: [INCARNATION:]SEQUENCE[:HASH] that a log must reach, see status --json; may be repeated");
@@ -47,6 +50,10 @@
     add("reports", po::value(&line.arguments.usageReportsFile),
         "audit verify: JSON list of usage reports to reconcile");
     add("export", po::value(&line.arguments.exportFolder), "contract history: folder to write the contracts to");
+    add("prompt", po::value(&line.arguments.prompt),
+        "where: segments of the prompt, ID:TOKENS,... with ID hexadecimal");
+    add("output-tokens", po::value(&line.outputTokens), "where: expected length of the answer");
+    add("time-left-ms", po::value(&line.timeLeftMs), "where: time left for the request; the route's timeout if absent");
     return options;
 }
 
@@ -81,6 +88,10 @@
     line.arguments.wait = std::chrono::milliseconds(line.waitMs);
     if (line.ifRevision >= 0)
         line.arguments.ifRevision = line.ifRevision;
+    if (line.outputTokens >= 0)
+        line.arguments.outputTokens = line.outputTokens;
+    if (line.timeLeftMs >= 0)
+        line.arguments.timeLeftMs = line.timeLeftMs;
     return boost::outcome_v2::success();
 }
 
--- a/src/wisteriayardd/admin_server.cpp
+++ b/src/wisteriayardd/admin_server.cpp
@@ -6,8 +6,23 @@
 
 namespace {
 
+    HttpResponse answerWhere(const AdminSources& sources, const std::string& query)
+    {
+        Result<std::string> report = sources.where(query);
+        if (report)
+            return makeHttpResponse(http::status::ok, report.value());
+        auto status = http::status::bad_request;
+        if (report.error().code == Errc::NotFound)
+            status = http::status::not_found;
+        else if (report.error().code == Errc::Unavailable)
+            status = http::status::service_unavailable;
+        return makeHttpResponse(status, report.error().message, "text/plain");
+    }
+
     HttpResponse answer(const AdminSources& sources, const HttpRequest& request)
     {
+        if (sources.where && request.method() == http::verb::post && request.target() == "/where")
+            return answerWhere(sources, request.body());
         if (request.method() != http::verb::get)
             return makeHttpResponse(http::status::method_not_allowed, "only GET is allowed\n", "text/plain");
         if (request.target() == "/healthz")
