--- a/src/gateway/caller_head_test.cpp
+++ b/src/gateway/caller_head_test.cpp
@@ -62,7 +62,7 @@
 // Guards against fields that are lost, changed or taken over from callers when a head is kept as text.
 BOOST_DATA_TEST_CASE(fields_are_kept_as_they_are_forwarded, data::make(lineCases), each)
 {
-    ByteBudget budget(Bytes(std::numeric_limits<std::int64_t>::max()));
+    ByteBudget budget { Bytes(std::numeric_limits<std::int64_t>::max()) };
     RequestHead fields = sampleHead();
     fields.insert(each.field, each.value);
     CallerHead head(fields, TestCodec(), budget);
@@ -77,7 +77,7 @@
 // Guards against values that are read from the wrong part of the text.
 BOOST_AUTO_TEST_CASE(decoded_values_are_those_of_the_head)
 {
-    ByteBudget budget(Bytes(std::numeric_limits<std::int64_t>::max()));
+    ByteBudget budget { Bytes(std::numeric_limits<std::int64_t>::max()) };
     CallerHead head(sampleHead(), TestCodec(), budget);
     BOOST_TEST(head.method() == "FETCH");
     BOOST_TEST(head.target() == "/a/b?c=d");
@@ -89,7 +89,7 @@
 // Guards against memory that is not counted: the text, copies of its values, and what is decoded from them.
 BOOST_AUTO_TEST_CASE(size_includes_what_is_decoded)
 {
-    ByteBudget budget(Bytes(std::numeric_limits<std::int64_t>::max()));
+    ByteBudget budget { Bytes(std::numeric_limits<std::int64_t>::max()) };
     RequestHead fields = sampleHead();
     CallerHead head(fields, TestCodec(), budget);
     std::size_t least = head.lines()->size() + std::string("h.examplesecret").size() + 3 * sizeof(PromptSegment);
