Ask for the time of past moments without shifting the guarded clock

Cause: EndpointDirectory computes the age of an endpoint's start with the time at which the store confirmed the record, and passed it to the guarded clock as the present time. The clock took the difference for drift and was shifted by up to 1.3 s at 12 entries of 28, until their peers corrected them; usage was counted in wrong windows.

Ruled out: lapsed registrations of entries that are cut off, and datagrams of usage records; both behave as before.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -16,7 +16,7 @@
 }
 
 EndpointDirectory::EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform,
-    std::shared_ptr<EventLog> log, std::function<std::int64_t(TimePoint now)> wallClock,
+    std::shared_ptr<EventLog> log, std::function<std::int64_t(TimePoint at)> wallClock,
     std::function<void(const EndpointId&)> onRemoved)
     : m_settings(settings)
     , m_platform(platform)
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -26,10 +26,10 @@
 /// The endpoints that may receive requests, by service, as listed in the platform's store.
 class EndpointDirectory {
 public:
-    /// @param wallClock returns the guarded wall-clock time in milliseconds since 1970
+    /// @param wallClock returns the guarded wall-clock time of a past or present moment, in milliseconds since 1970
     /// @param onRemoved called for each endpoint that may no longer receive requests
     EndpointDirectory(const GatewaySettings& settings, const PlatformPort& platform, std::shared_ptr<EventLog> log,
-        std::function<std::int64_t(TimePoint now)> wallClock, std::function<void(const EndpointId&)> onRemoved);
+        std::function<std::int64_t(TimePoint at)> wallClock, std::function<void(const EndpointId&)> onRemoved);
 
     /// Replaces the content by a complete read of the list.
     void replace(const StoreRange& range, TimePoint now);
@@ -149,7 +149,7 @@
     const GatewaySettings& m_settings;
     const PlatformPort& m_platform;
     std::shared_ptr<EventLog> m_log;
-    std::function<std::int64_t(TimePoint now)> m_wallClock;
+    std::function<std::int64_t(TimePoint at)> m_wallClock;
     std::function<void(const EndpointId&)> m_onRemoved;
     Membership m_membership;
     std::unordered_map<EndpointId, EndpointRecord> m_records;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -82,7 +82,7 @@
     , pool(loop)
     , directory(
           settings, platform, log,
-          [this](TimePoint now) { return clock.guardedMilliseconds(wallClockMilliseconds(), now); },
+          [this](TimePoint at) { return clock.guardedMillisecondsAt(wallClockMilliseconds(), bootTimeNow(), at); },
           [this](const EndpointId& id) { pool.drop(id); })
     , crashGuard(loop, log, metrics)
     , requestLogBudget(requestLogLinesPerSecond, requestLogLinesBurst)
--- a/src/include/wisteriayard/clock_guard.h
+++ b/src/include/wisteriayard/clock_guard.h
@@ -18,6 +18,9 @@
     /// @param wallMilliseconds the machine's wall clock, in milliseconds since 1970
     /// @return the guarded time in milliseconds since 1970
     std::int64_t guardedMilliseconds(std::int64_t wallMilliseconds, TimePoint now);
+    /// @param now the present time, at which the wall clock was read
+    /// @return the guarded time of an earlier moment
+    std::int64_t guardedMillisecondsAt(std::int64_t wallMilliseconds, TimePoint now, TimePoint earlier);
     /// Records the guarded time of another entry.
     /// @return the resulting correction in milliseconds; 0 if none
     std::int64_t recordPeerTime(const InstanceId& peer, std::int64_t peerMilliseconds, TimePoint now);
--- a/src/libwisteriayard/clock_guard.cpp
+++ b/src/libwisteriayard/clock_guard.cpp
@@ -39,6 +39,11 @@
     return monotonic + *m_offset;
 }
 
+std::int64_t ClockGuard::guardedMillisecondsAt(std::int64_t wallMilliseconds, TimePoint now, TimePoint earlier)
+{
+    return guardedMilliseconds(wallMilliseconds, now) - (monotonicMilliseconds(now) - monotonicMilliseconds(earlier));
+}
+
 std::int64_t ClockGuard::recordPeerTime(const InstanceId& peer, std::int64_t peerMilliseconds, TimePoint now)
 {
     if (!m_offset)
--- a/src/libwisteriayard/clock_guard_test.cpp
+++ b/src/libwisteriayard/clock_guard_test.cpp
@@ -79,3 +79,18 @@
     }
     BOOST_TEST(guard.recordPeerTime(InstanceId("0"), wall + 9700, woken + milliseconds(2100)) == 0);
 }
+
+// Guards against a clock that drifts because the time of an earlier moment was asked for: records of endpoints are
+// applied up to seconds after the store confirmed them, and usage was counted in wrong windows.
+BOOST_AUTO_TEST_CASE(time_of_an_earlier_moment_does_not_shift_the_clock)
+{
+    ClockGuard guard;
+    guard.guardedMilliseconds(wall, start);
+    for (int step = 1; step <= 40; ++step) {
+        TimePoint now = start + milliseconds(100 * step);
+        std::int64_t earlier = guard.guardedMillisecondsAt(wall + 100 * step, now, now - milliseconds(200));
+        BOOST_TEST(earlier == wall + 100 * step - 200);
+        BOOST_TEST(guard.guardedMilliseconds(wall + 100 * step, now) == wall + 100 * step);
+    }
+    BOOST_TEST(!guard.takeJump().has_value());
+}
