--- a/src/libwisteriayard/engine_speed.cpp
+++ b/src/libwisteriayard/engine_speed.cpp
@@ -50,8 +50,8 @@
     /// The reports of all other entries together weigh as much as this many samples at most.
     constexpr double maxPeerWeight = 8;
     constexpr Duration maxReportAge = std::chrono::seconds(15);
-    /// Time for which the summary of the reports is used again. In a fleet of 103 entries, a new summary for each engine
-    /// and placement took 30% of the processor time.
+    /// Time for which the summary of the reports is used again. In a fleet of 103 entries, a new summary for each
+    /// engine and placement took 30% of the processor time.
     constexpr Duration summaryLifetime = std::chrono::milliseconds(500);
 
     double microseconds(Duration time) { return static_cast<double>(time.count()); }
