--- a/src/include/wisteriayard/share_activation.h
+++ b/src/include/wisteriayard/share_activation.h
@@ -17,7 +17,7 @@
 /// which the registrations lapsed, entries register again within this time.
 inline constexpr Duration missingPeerGrace = 2 * registrationRenewalInterval;
 
-/// What an entry hears from the other registered ones.
+/// Contact of an entry with the other registered ones.
 struct PeerContact {
     bool isAlone = true;
     bool anyLive = false;
--- a/src/libwisteriayard/engine_speed_test.cpp
+++ b/src/libwisteriayard/engine_speed_test.cpp
@@ -76,7 +76,7 @@
 
 } // namespace
 
-// Failure: slow engines are taken for fast ones, or equal ones are told apart by single slow responses.
+// Guards against slow engines that count as fast, and equal ones that differ because of single slow responses.
 BOOST_DATA_TEST_CASE(engines_are_told_apart_by_their_speed, data::make(fleetCases), each)
 {
     Samples samples(each.tokenTimes.size());
@@ -87,7 +87,7 @@
     BOOST_TEST(ratio <= each.high);
 }
 
-// Failure: an engine that was slow gets no requests, so that nobody notices that it is fast again.
+// Guards against an engine that was slow and gets no requests, so that its recovery is not measured.
 BOOST_AUTO_TEST_CASE(estimate_without_samples_returns_to_the_mean)
 {
     Samples samples(4);
--- a/testsuite/client_crowds/run.py
+++ b/testsuite/client_crowds/run.py
@@ -17,7 +17,7 @@
 from platform_deployment import Deployment, run_cases, wait_until  # noqa: E402
 
 MEBIBYTE = 1024 * 1024
-# The limits that the gateway is told, which are the bounds of the cases.
+# Limits in the settings of the gateway, which are the bounds of the cases.
 MEMORY_MB = 48
 MAX_DESCRIPTORS = 900
 CROWD = 400
