Reserve memory of uploads in steps and end stalled ones first

A head that stated a large body reserved all of it, and the parser allocated it, so that four callers which sent nothing used up the memory for bodies of a process with a limit of 48 MiB for 10 s.

The reservation now doubles with the bytes that arrive, and the string grows by the same steps. When the budget is used up, uploads without a byte for a second are ended with 503 no_memory, the longest stalled first.

The receive buffer of connections to endpoints is limited to 64 KiB, doubled by the kernel.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -24,29 +24,21 @@
     constexpr std::size_t maxUnparsedBytes = 32 * 1024;
     /// Time allowed for receiving the body after the header.
     constexpr Duration bodyTimeout = std::chrono::seconds(10);
-    /// Size limit of a small body, and the memory that larger ones leave to them, so that uploads don't stop all other
-    /// requests.
-    constexpr Bytes maxSmallBody { 64 * 1024 };
-    constexpr Bytes smallBodyMemory { 2 * 1024 * 1024 };
+    /// Size limit of a small body, which may use the memory that larger ones leave to it.
+    constexpr std::uint64_t maxSmallBody = std::uint64_t { 64 } * 1024;
     /// Limit on input that is discarded after a refusal, as a multiple of the size limit of a body.
     constexpr std::int64_t maxDiscardedBodies = 2;
     /// Idle time after which a connection is closed at shutdown: a caller that has just connected sends its request
     /// within a round trip between regions.
     constexpr Duration minIdleTimeToClose = std::chrono::milliseconds(200);
 
-    /// Extends the reservation to the size of the body: the stated one, or that of the part received so far.
-    template <typename Parser> bool reserveBody(const Parser& parser, ByteReservation& reservation)
-    {
-        const std::string& received = parser.get().body();
-        std::uint64_t stated = parser.content_length().value_or(0);
-        Bytes size(static_cast<std::int64_t>(received.empty() ? stated : std::max(stated, received.capacity())));
-        return reservation.extendTo(size, size > maxSmallBody ? smallBodyMemory : Bytes(0));
-    }
+    Bytes bytes(std::uint64_t size) { return Bytes(static_cast<std::int64_t>(size)); }
 
 } // namespace
 
-CallerSession::Reading::Reading(const CallerLimits& limits, ByteBudget& bodies)
-    : body(std::make_shared<ReservedText>(bodies))
+CallerSession::Reading::Reading(const CallerLimits& limits, GatewayState& state, std::function<void()> endUpload)
+    : body(std::make_shared<ReservedText>(state.requestBodies))
+    , upload(state.uploads, std::move(endUpload))
 {
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(static_cast<std::uint64_t>(limits.maxBody.value()));
@@ -206,6 +198,10 @@
 CallerSession::ReadResult CallerSession::parseBody(Reading& reading, std::string_view& input)
 {
     Parser& parser = reading.parser;
+    if (parser.is_done())
+        return ReadResult::Complete;
+    if (!reserveBody(reading, input.size()))
+        return ReadResult::NoMemory;
     while (!input.empty() && !parser.is_done()) {
         boost::system::error_code error;
         std::size_t used = parser.put(boost::asio::buffer(input), error);
@@ -221,7 +217,53 @@
     }
     if (!parser.is_done() && input.size() > limits().maxHeaderBytes + maxUnparsedBytes)
         return ReadResult::Malformed;
-    return reserveBody(parser, reading.body->reservation) ? ReadResult::Complete : ReadResult::NoMemory;
+    if (parser.is_done()) {
+        reading.upload.remove();
+        reading.body->reservation.shrinkTo(bytes(parser.get().body().capacity()));
+    } else {
+        recordProgress(reading, bootTimeNow());
+    }
+    return ReadResult::Complete;
+}
+
+bool CallerSession::reserveBody(Reading& reading, std::size_t input)
+{
+    ByteReservation& reservation = reading.body->reservation;
+    TimePoint now = bootTimeNow();
+    // Input has arrived, so that the upload itself is not the one to end.
+    if (reading.upload.isListed())
+        recordProgress(reading, now);
+    auto stated = reading.parser.content_length();
+    std::uint64_t size = bodyMemory(reading.parser.get().body().size() + input, stated);
+    return m_state.reserveBody(reservation, bytes(size), reading.upload, stated.value_or(size) <= maxSmallBody, now);
+}
+
+void CallerSession::recordProgress(Reading& reading, TimePoint now)
+{
+    const std::string& received = reading.parser.get().body();
+    Bytes held = reading.body->reservation.size();
+    Bytes next(0);
+    if (!received.empty())
+        next = bytes(bodyMemory(static_cast<std::uint64_t>(held.value()) + 1, reading.parser.content_length()));
+    reading.upload.progressed(held, now, std::max(Bytes(0), next - held));
+}
+
+void CallerSession::endUpload(Reading& reading)
+{
+    reading.isEnded = true;
+    m_state.metrics.slowClientEnded(SlowClientCause::StalledUpload);
+    auto& traits = reading.head.traits();
+    m_state.logRequest(Event::SlowClientEnded,
+        { { "cause", slowClientCauseName(SlowClientCause::StalledUpload) },
+            { "request", traits ? traits.value().id.value() : std::string() },
+            { "held_bytes", reading.body->reservation.size().value() },
+            { "received_bytes", reading.parser.get().body().size() } },
+        bootTimeNow());
+    reading.parser.get().body() = std::string();
+    reading.body->reservation.shrinkTo(Bytes(0));
+    releaseUnparsed();
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
 }
 
 CallerSession::ReadResult CallerSession::parse(Reading& reading, std::string_view& input)
@@ -291,9 +333,13 @@
 awaitable<CallerSession::ReadResult> CallerSession::readMore(Reading& reading)
 {
     boost::system::error_code error;
-    std::string_view received = co_await receiveSome(error);
+    std::string_view received;
+    if (!reading.isEnded)
+        received = co_await receiveSome(error);
     if (m_closedForOthers)
         co_return ReadResult::Closed;
+    if (reading.isEnded)
+        co_return ReadResult::NoMemory;
     if (!error)
         co_return parseReceived(reading, received);
     if (m_ending && !m_idleSince)
@@ -303,7 +349,7 @@
 
 awaitable<CallerSession::ReadResult> CallerSession::readRequest(CallerRequest& request)
 {
-    Reading reading(limits(), m_state.requestBodies);
+    Reading reading(limits(), m_state, [this, &reading] { endUpload(reading); });
     ReadResult result = co_await receive(reading);
     if (result != ReadResult::Complete && result != ReadResult::NoMemory)
         co_return result;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "gateway_state.h"
+#include "request_body.h"
 #include "request_handler.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,7 +31,7 @@
     void end();
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<RequestBody>;
 
     /// Result of reading a request; the values other than Complete, NoMemory and Closed are answered with an error
     /// response.
@@ -48,11 +49,16 @@
 
     /// A request that is being read.
     struct Reading {
-        explicit Reading(const CallerLimits& limits, ByteBudget& bodies);
+        /// @param endUpload ends the upload in favour of others
+        Reading(const CallerLimits& limits, GatewayState& state, std::function<void()> endUpload);
 
         /// Has no fields once the head is complete: they take many times the size of the head.
         Parser parser;
         std::shared_ptr<ReservedText> body;
+        /// Listed while a part of the body is missing.
+        StalledTransfers::Entry upload;
+        /// The upload was ended in favour of others.
+        bool isEnded = false;
         CallerHead head;
         bool isHeadDropped = false;
         bool keepAlive = false;
@@ -81,6 +87,12 @@
     /// protocol is refused at once.
     ReadResult checkUnfinishedHead(Reading& reading, std::string_view input) const;
     ReadResult parseBody(Reading& reading, std::string_view& input);
+    /// Extends the reservation of a body to hold the input.
+    bool reserveBody(Reading& reading, std::size_t input);
+    /// Records that bytes of an incomplete body have arrived.
+    static void recordProgress(Reading& reading, TimePoint now);
+    /// Ends an upload in favour of others: its memory is released, and the request is refused.
+    void endUpload(Reading& reading);
     /// Keeps a complete head in its compact form.
     /// @return false if there is no memory for it
     bool keepHead(Reading& reading);
--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -19,6 +19,9 @@
     constexpr int tcpUserTimeoutMilliseconds = 1200;
     constexpr int keepAliveSeconds = 1;
     constexpr int keepAliveProbes = 2;
+    /// SO_RCVBUF of connections to endpoints, which the kernel doubles. It must be set before the connection is made,
+    /// as the window is agreed upon then.
+    constexpr int endpointReceiveBufferBytes = 64 * 1024;
 
     void setOption(boost::asio::ip::tcp::socket& socket, int level, int name, int value)
     {
@@ -38,6 +41,14 @@
     setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, tcpUserTimeoutMilliseconds);
 }
 
+void openWithLimitedBuffer(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol)
+{
+    boost::system::error_code error;
+    socket.open(protocol, error); // without descriptors, connecting reports it
+    if (!error)
+        setOption(socket, SOL_SOCKET, SO_RCVBUF, endpointReceiveBufferBytes);
+}
+
 EndpointConnectionPtr EndpointPool::acquire(const EndpointId& endpoint, Duration maxIdle, TimePoint now)
 {
     auto found = m_idle.find(endpoint);
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -44,6 +44,10 @@
 /// Disables Nagle's algorithm and sets keep-alive and user timeouts that detect an unresponsive peer within seconds.
 void setTcpOptions(boost::asio::ip::tcp::socket& socket);
 
+/// Opens the socket of a connection to an endpoint with a limited receive buffer: the kernel would otherwise hold
+/// several MiB of each response whose caller doesn't read.
+void openWithLimitedBuffer(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol);
+
 /// Pool of idle connections to endpoints. Not thread-safe; used from the event loop's thread only.
 class EndpointPool {
 public:
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -93,6 +93,8 @@
     , m_connections(gauge(*m_registry, "wisteriayard_gateway_connections", "Open connections, by peer"))
     , m_closedClients(counter(*m_registry, "wisteriayard_gateway_clients_closed_total",
           "Callers' connections without a complete request that were closed in favour of others, by cause"))
+    , m_slowClients(counter(*m_registry, "wisteriayard_gateway_slow_clients_ended_total",
+          "Requests of callers that did not send or read and were ended in favour of others, by cause"))
     , m_viewAge(
           gauge(*m_registry, "wisteriayard_gateway_view_age_seconds", "Time since the store was last heard, by view"))
     , m_storeEra(gauge(*m_registry, "wisteriayard_gateway_store_era", "Era that the store names in its responses"))
@@ -229,6 +231,11 @@
     m_closedClients.Add({ { "cause", clientCloseCauseName(cause) } }).Increment();
 }
 
+void GatewayMetrics::slowClientEnded(SlowClientCause cause)
+{
+    m_slowClients.Add({ { "cause", slowClientCauseName(cause) } }).Increment();
+}
+
 void GatewayMetrics::setViewAge(const std::string& view, Duration age)
 {
     m_viewAge.Add({ { "view", view } }).Set(toSeconds(age));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -3,6 +3,7 @@
 #include "wisteriayard/client_connections.h"
 #include "wisteriayard/endpoint_placement.h"
 #include "wisteriayard/ids.h"
+#include "wisteriayard/stalled_transfers.h"
 #include "wisteriayard/units.h"
 
 #include <prometheus/registry.h>
@@ -63,6 +64,8 @@
     void setConnections(std::size_t callers, std::size_t endpoints);
     /// A caller's connection without a complete request was closed in favour of others.
     void clientClosed(ClientCloseCause cause);
+    /// A caller that did not send or read was ended in favour of others.
+    void slowClientEnded(SlowClientCause cause);
     /// @param view `config` or `endpoints`
     void setViewAge(const std::string& view, Duration age);
     /// @param cause reason for reading the store: `watch`, `not_loaded`, `gap` or `stale`
@@ -110,6 +113,7 @@
     prometheus::Family<prometheus::Gauge>& m_headMemory;
     prometheus::Family<prometheus::Gauge>& m_connections;
     prometheus::Family<prometheus::Counter>& m_closedClients;
+    prometheus::Family<prometheus::Counter>& m_slowClients;
     prometheus::Family<prometheus::Gauge>& m_viewAge;
     prometheus::Family<prometheus::Gauge>& m_storeEra;
     prometheus::Family<prometheus::Counter>& m_restorations;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -45,6 +45,7 @@
     metrics.setRequestHeadMemory(Bytes(1));
     metrics.setConnections(1, 1);
     metrics.clientClosed(ClientCloseCause::Descriptors);
+    metrics.slowClientEnded(SlowClientCause::StalledUpload);
     metrics.setViewAge("config", Duration(1));
     metrics.viewRead("config", "gap");
     metrics.setStoreEra(StoreEra(1));
@@ -79,6 +80,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 35u);
+    BOOST_TEST(code.size() == 36u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -28,6 +28,10 @@
     /// crowd of large heads doesn't stop all other requests.
     constexpr Bytes maxSmallHead { 4 * 1024 };
     constexpr double smallHeadMemoryShare = 0.25;
+    /// Memory for bodies that larger ones leave to small ones, so that uploads don't stop all other requests.
+    constexpr Bytes smallBodyMemory { 2 * 1024 * 1024 };
+    /// Time without a byte after which an upload may be ended for others: several retransmissions between regions.
+    constexpr Duration minUploadStall = std::chrono::seconds(1);
     constexpr std::size_t receiveBufferBytes = 16 * 1024;
     /// Descriptors that accepting connections leaves free, as a share of all and at most: for listeners, the store,
     /// other entries, readiness, metrics, and the connections to endpoints of requests that are being accepted.
@@ -163,6 +167,21 @@
     return true;
 }
 
+bool GatewayState::reserveBody(
+    ByteReservation& reservation, Bytes size, const StalledTransfers::Entry& upload, bool isSmall, TimePoint now)
+{
+    if (size <= reservation.size())
+        return true;
+    Bytes spare(0);
+    if (!isSmall)
+        spare = smallBodyMemory + uploads.expectedBefore(upload, minUploadStall, now);
+    while (!reservation.extendTo(size, spare)) {
+        if (!uploads.endLongestStalled(minUploadStall, now))
+            return false;
+    }
+    return true;
+}
+
 bool GatewayState::makeRoomForConnection()
 {
     auto share = static_cast<int>(reservedDescriptorShare * settings.descriptors);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "wisteriayard/log_rate_limiter.h"
 #include "wisteriayard/retry_budget.h"
 #include "wisteriayard/shutdown_plan.h"
+#include "wisteriayard/stalled_transfers.h"
 
 #include <memory>
 #include <optional>
@@ -67,6 +68,8 @@
     std::size_t busyConnections = 0;
     /// Memory for the bodies of callers' requests, which are kept for retries until the requests end.
     ByteBudget requestBodies;
+    /// Bodies that are being received.
+    StalledTransfers uploads;
     /// Memory for the heads of callers' requests, unfinished and complete ones, and for other bytes that are received
     /// and not parsed.
     ByteBudget requestHeads;
@@ -88,6 +91,14 @@
     /// oldest first.
     /// @return false if there is not enough memory even then
     [[nodiscard]] bool reserveHead(ByteReservation& reservation, Bytes size);
+    /// Extends a reservation for a body. Uploads that have received nothing for at least a second are ended for it, the
+    /// longest first.
+    /// @param upload the body, which leaves memory to those in progress that began before
+    /// @param isSmall the body may use the memory that larger ones leave to small ones, and the
+    /// memory that uploads in progress will need
+    /// @return false if there is not enough memory even then
+    [[nodiscard]] bool reserveBody(
+        ByteReservation& reservation, Bytes size, const StalledTransfers::Entry& upload, bool isSmall, TimePoint now);
     /// Closes callers' connections without a complete request, and then idle ones to endpoints, until one more
     /// connection of a caller is within the limit of descriptors.
     /// @return false if there are too few such connections
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -175,6 +175,7 @@
     attempt.expiry.set(now + connectTimeout);
     boost::system::error_code error;
     auto& socket = attempt.connection->socket;
+    openWithLimitedBuffer(socket, attempt.record.address.protocol());
     co_await socket.async_connect(attempt.record.address, redirect_error(use_awaitable, error));
     attempt.expiry.clear();
     if (error || !socket.is_open())
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -52,6 +52,8 @@
         return "endpoint_limit_changed";
     case Event::ClientClosed:
         return "client_closed";
+    case Event::SlowClientEnded:
+        return "slow_client_ended";
     case Event::AnswerFieldUnreadable:
         return "answer_field_unreadable";
     case Event::HedgeDecided:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -39,6 +39,7 @@
     AnswerFieldUnreadable = 214,
     EndpointLimitChanged = 215,
     ClientClosed = 216,
+    SlowClientEnded = 217,
     HedgeDecided = 230,
     HedgeEnded = 231,
     ContractInForce = 300,
