Measure the first times per token before refusing requests

Cause: all entries start with an assumed time of 20 us per prompt token, and each corrects it with its own samples only, by a tenth per sample.

Before: the mean follows own samples slowly, and a queue is refused because of the assumed time. After, where the settings' contracts contain "pool": the mean is the median of the own samples and the mean reports of other entries until there are eight own samples; until three samples or reporting entries are known, a queue is admitted up to the remaining time. Without the setting nothing changes.

The lower quartile was ruled out as the first estimate: a quarter of the samples are below 9 us, probably because segments were cached that the entry did not know of.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -358,6 +358,13 @@
     }
 }
 
+void EndpointDirectory::settingsChanged()
+{
+    updateEndpoints();
+    for (auto& [target, placement] : m_placements)
+        placement->setSharesCapacity(m_settings.sharesCapacity);
+}
+
 EndpointPlacement& EndpointDirectory::placement(const TargetId& target)
 {
     auto& placement = m_placements[target];
@@ -366,6 +373,7 @@
         placement->setLimitEntries(m_limitEntries, TimePoint());
         placement->setEvacuatedZones(m_evacuatedZones);
         placement->setColdPolicy(coldPolicy(target), TimePoint());
+        placement->setSharesCapacity(m_settings.sharesCapacity);
     }
     return *placement;
 }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -52,7 +52,7 @@
     /// Applies the engine parameters of a new configuration.
     void configure(const RoutingConfig& config);
     /// Applies changed zones of the settings to the endpoints.
-    void settingsChanged() { updateEndpoints(); }
+    void settingsChanged();
     /// Sets the zones to whose endpoints nothing may be sent.
     void setEvacuatedZones(const std::set<ZoneId>& zones, TimePoint now);
     /// Number of endpoints in a zone.
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -145,6 +145,8 @@
     bool reportsUsage = false;
     /// Entries tell each other at which endpoints their requests fail, because health checks may be wrong.
     bool sharesFailures = false;
+    /// Entries decide together which callers are served first when capacity is short.
+    bool sharesCapacity = false;
     /// In any second, all entries together may send this multiple of the rate that a cold endpoint accepts, plus
     /// coldSlack requests.
     double coldExcess = 1;
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -313,6 +313,12 @@
     /// Records the report of another entry. It never excludes an engine.
     void applySpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
     /// @}
+    /// @name Capacity shared among competing callers
+    /// @{
+
+    /// Sets whether the rules for competing callers apply. Without them, every request is admitted by itself.
+    void setSharesCapacity(bool shares);
+    /// @}
     /// @name Cold endpoints
     /// @{
 
@@ -439,6 +445,8 @@
         const State& state, std::int64_t uncachedTokens, const PlacementRequest& request, TimePoint now) const;
     static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
     bool isBetter(const Candidate& candidate, const std::optional<Candidate>& best) const;
+    /// Latest expected time to the first event, in microseconds, at which a request is placed behind others.
+    double latestFirstEvent(const PlacementRequest& request, TimePoint now);
     void sumPeerLoads(TimePoint now);
     /// @name Reasons why an endpoint is no candidate
     /// @{
@@ -503,6 +511,7 @@
     HealthChange recordSuccess(State& state, TimePoint now);
 
     PlacementPolicy m_policy;
+    bool m_sharesCapacity = false;
     ZoneId m_zone;
     RegionId m_region;
     std::vector<State> m_states;
--- a/src/include/wisteriayard/engine_speed.h
+++ b/src/include/wisteriayard/engine_speed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wisteriayard/first_token_times.h"
 #include "wisteriayard/ids.h"
 #include "wisteriayard/units.h"
 
@@ -72,12 +73,17 @@
     };
 
     /// @param tokenTimeLifetime time constant with which the recent samples of an engine decay
-    explicit EngineSpeed(Duration tokenTimeLifetime);
+    /// @param sharesFirstTimes the mean time per token follows the reports of other entries until there are enough own
+    /// samples
+    explicit EngineSpeed(Duration tokenTimeLifetime, bool sharesFirstTimes = false);
 
     /// Time to compute one prompt token, in microseconds.
     double tokenTime(const Engine& engine, TimePoint now) const;
     /// The mean of the service.
     double meanTokenTime() const { return m_tokenTime; }
+    /// Whether the mean would follow the first samples, and no entry has reported any: it is an assumption.
+    bool isAssumed() const { return m_sharesFirstTimes && m_isAssumed; }
+    void setSharesFirstTimes(bool shares) { m_sharesFirstTimes = shares; }
     /// Time to the first event without prompt tokens to compute, in microseconds.
     double baseTime() const { return m_baseTime; }
     /// Time between two events of a stream, in microseconds.
@@ -96,14 +102,22 @@
     /// Estimate from this entry's own samples, if there are recent ones.
     std::optional<SpeedReport> report(const Engine& engine, TimePoint now) const;
     /// Records the report of another entry; values out of range are limited.
-    void applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now) const;
+    void applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now);
 
 private:
     static Difference difference(const Ratio& own, PeerRatios& peers, TimePoint now);
     /// Factor to the mean, as far as the difference is certain.
     static double factor(const Ratio& own, PeerRatios& peers, TimePoint now);
 
+    /// Whether the mean time per token is that of the first samples and reports.
+    bool usesFirstTimes() const { return m_sharesFirstTimes && !m_firstTimes.isComplete(); }
+    /// Sets the mean time per token from the first samples and reports, if there are enough of them.
+    void applyFirstTimes(TimePoint now);
+
     Duration m_tokenTimeLifetime;
+    bool m_sharesFirstTimes;
+    bool m_isAssumed = true;
+    FirstTokenTimes m_firstTimes;
     /// Moving averages over all engines, in microseconds. That of the time per token follows the lower samples.
     double m_tokenTime;
     double m_baseTime;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -332,8 +332,7 @@
     sumPeerLoads(now);
     std::size_t poolSize = m_pool.size(m_pooledEndpoints, now);
     std::vector<std::size_t> preferred = preferredEndpoints(request, poolSize, now);
-    double latest = std::min(m_policy.maxTimeLeftShare * microseconds(request.timeLeft),
-        m_policy.maxObjectiveShare * microseconds(request.objective));
+    double latest = latestFirstEvent(request, now);
     std::optional<Candidate> best;
     std::optional<Candidate> spill;
     bool unlimitedInTime = false;
--- a/src/libwisteriayard/engine_speed.cpp
+++ b/src/libwisteriayard/engine_speed.cpp
@@ -86,8 +86,9 @@
 
 double EngineSpeed::Ratio::variance() const { return std::max(0.0, m_squares - m_mean * m_mean); }
 
-EngineSpeed::EngineSpeed(Duration tokenTimeLifetime)
+EngineSpeed::EngineSpeed(Duration tokenTimeLifetime, bool sharesFirstTimes)
     : m_tokenTimeLifetime(tokenTimeLifetime)
+    , m_sharesFirstTimes(sharesFirstTimes)
     , m_tokenTime(initialTokenTime)
     , m_baseTime(initialBaseTime)
     , m_eventTime(initialEventTime)
@@ -149,7 +150,8 @@
 double EngineSpeed::tokenTime(const Engine& engine, TimePoint now) const
 {
     double usual = m_tokenTime * factor(engine.tokens, engine.peerTokens, now);
-    if (engine.tokenTime == 0)
+    // Averages over an engine's few samples still begin with the assumed time.
+    if (engine.tokenTime == 0 || usesFirstTimes())
         return usual;
     double age = microseconds(now - engine.tokenTimeAt) / microseconds(m_tokenTimeLifetime);
     return usual + std::exp(-age) * (engine.tokenTime - usual);
@@ -175,10 +177,22 @@
     average(engine.tokenTime, sample);
     // Samples include the wait behind prompts unknown to this entry, so low samples are closer to the engine's speed.
     double usual = sample / factor(engine.tokens, engine.peerTokens, now);
-    m_tokenTime += (usual < m_tokenTime ? fallWeight : riseWeight) * (usual - m_tokenTime);
+    if (usesFirstTimes()) {
+        m_firstTimes.addOwn(usual);
+        applyFirstTimes(now);
+    } else
+        m_tokenTime += (usual < m_tokenTime ? fallWeight : riseWeight) * (usual - m_tokenTime);
     engine.tokens.add(m_meanTokens.ratio(sample), 1, now);
 }
 
+void EngineSpeed::applyFirstTimes(TimePoint now)
+{
+    if (auto median = m_firstTimes.median(now)) {
+        m_tokenTime = *median;
+        m_isAssumed = false;
+    }
+}
+
 void EngineSpeed::recordEvents(Engine& engine, std::size_t count, Duration sincePrevious, TimePoint now)
 {
     if (count == 0)
@@ -205,9 +219,13 @@
     return report;
 }
 
-void EngineSpeed::applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now) const
+void EngineSpeed::applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now)
 {
     TimePoint at = now - std::clamp(report.age, Duration(0), maxReportAge);
+    if (report.tokenTime > 0 && usesFirstTimes()) {
+        m_firstTimes.addReport(peer, std::clamp(report.tokenTime, minTokenTime, maxTokenTime), at);
+        applyFirstTimes(now);
+    }
     if (report.tokenTime > 0 && m_meanTokens.samples > 0) {
         double time = std::clamp(report.tokenTime, minTokenTime, maxTokenTime);
         engine.peerTokens.set(peer, clampSample(std::log(time) - m_meanTokens.mean), at);
