Divide the engine time among accounts while requests are refused

Cause: under overload every account was refused in proportion to its requests, so that an account with ten times its usual load took the capacity of the others.

Where the settings' contracts contain "pool": each entry sums up the engine time that accounts requested and got in the last 3 s. While requests are refused, an account above its max-min fair share is refused at half of its objective instead of 0.85, and leaves half of the budget for late retries to the others. Accounts below their share and times without refusals are not affected.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -193,6 +193,7 @@
     request.gapObjective = m_route->gapObjective;
     request.rank = m_priority;
     request.allowedRegions = m_regions.allowed(*m_state.routes);
+    request.account = m_account.value_or(AccountId());
     return request;
 }
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wisteriayard/account_shares.h"
 #include "wisteriayard/allowed_regions.h"
 #include "wisteriayard/cached_segments.h"
 #include "wisteriayard/cold_start.h"
@@ -48,6 +49,8 @@
     AllowedRegions allowedRegions;
     /// The request was refused as overloaded before, and is retried at the time that was named or later.
     bool isReturning = false;
+    /// Empty if the caller has none.
+    AccountId account;
 };
 
 /// An endpoint that requests may be sent to.
@@ -111,6 +114,8 @@
     /// longer queue delays all later requests too. Under high load, first events come a fifth later than expected. No
     /// request is refused at an endpoint without a queue: only new answers correct an estimate that is too high.
     double maxObjectiveShare = 0.85;
+    /// The same for accounts that get more than their share of the engine time while requests are being refused.
+    double maxObjectiveShareAbove = 0.5;
     /// A request that would be refused at the endpoint of the lowest cost goes to another one that can begin in time,
     /// provided that at most this many shared tokens, one prefill chunk, have to be recomputed there. Longer segments
     /// would fill the queues there.
@@ -456,6 +461,8 @@
     double latestFirstEvent(const PlacementRequest& request, TimePoint now);
     /// Whether a retry is placed although its first event will be late. Takes engine time from the budget for that.
     bool admitsReturning(const PlacementRequest& request, const Candidate& best, TimePoint now);
+    /// Records the engine time of a placed request for the rules of competing callers.
+    void recordPlaced(const PlacementRequest& request, Duration work, TimePoint now);
     /// @param latest result of latestFirstEvent()
     Refused overloadedRefusal(const PlacementRequest& request, const Candidate& best, double latest, TimePoint now);
     /// Time in which the engines can compute one more request of this entry.
@@ -527,6 +534,7 @@
     bool m_sharesCapacity = false;
     ReturnBudget m_returnBudget;
     ReturnTimes m_returnTimes;
+    AccountShares m_accounts;
     ZoneId m_zone;
     RegionId m_region;
     std::vector<State> m_states;
--- a/src/include/wisteriayard/refused_callers.h
+++ b/src/include/wisteriayard/refused_callers.h
@@ -82,8 +82,9 @@
     /// Records engine time of placed requests, a share of which may be spent on late retries.
     void recordWork(Duration work);
     /// Takes the engine time of a late retry.
+    /// @param leavesHalf the account gets more than its share, so that half of the budget is left to others
     /// @return false if the budget is exhausted
-    [[nodiscard]] bool tryTake(Duration work);
+    [[nodiscard]] bool tryTake(Duration work, bool leavesHalf = false);
 
 private:
     /// Share of the entry's work that late retries may be.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -421,7 +421,7 @@
         return;
     Duration work = expectedWork(*state, placement.uncachedTokens, request, now);
     m_pool.recordWork(Tokens(promptTokens(request)), work, request.rank, now);
-    m_returnBudget.recordWork(work);
+    recordPlaced(request, work, now);
     if (placement.segment) {
         std::int64_t ownTokens = placement.uncachedTokens - placement.recomputedTokens;
         m_segmentRates.recordRequest(*placement.segment, expectedWork(*state, ownTokens, request, now), now);
--- a/src/libwisteriayard/endpoint_placement_admission.cpp
+++ b/src/libwisteriayard/endpoint_placement_admission.cpp
@@ -25,7 +25,16 @@
         return false;
     if (best.firstEvent > m_policy.maxTimeLeftShare * microseconds(request.timeLeft))
         return false;
-    return m_returnBudget.tryTake(expectedWork(m_states[best.index], best.uncached, request, now));
+    bool isAboveShare = m_accounts.isAboveShare(request.account, now);
+    return m_returnBudget.tryTake(expectedWork(m_states[best.index], best.uncached, request, now), isAboveShare);
+}
+
+void EndpointPlacement::recordPlaced(const PlacementRequest& request, Duration work, TimePoint now)
+{
+    if (!m_sharesCapacity)
+        return;
+    m_returnBudget.recordWork(work);
+    m_accounts.recordPlaced(request.account, work, now);
 }
 
 Duration EndpointPlacement::returnSpacing(const PlacementRequest& request, const Candidate& best, TimePoint now)
@@ -49,13 +58,17 @@
         refused.retryAfter = std::max(minRetryAfter, refused.expectedFirstEvent - request.objective);
         return refused;
     }
+    bool isOverload = best.firstEvent > m_policy.maxObjectiveShare * microseconds(request.objective)
+        || best.firstEvent > m_policy.maxTimeLeftShare * microseconds(request.timeLeft);
+    m_accounts.recordRefused(
+        request.account, expectedWork(m_states[best.index], best.uncached, request, now), isOverload, now);
     Duration backlog(static_cast<std::int64_t>(best.firstEvent - latest));
     refused.retryAfter = m_returnTimes.next(std::max(minRetryAfter, backlog), returnSpacing(request, best, now),
         scaled(request.timeLeft, m_policy.maxRetryShare), now);
     return refused;
 }
 
-double EndpointPlacement::latestFirstEvent(const PlacementRequest& request, TimePoint)
+double EndpointPlacement::latestFirstEvent(const PlacementRequest& request, TimePoint now)
 {
     double inTime = m_policy.maxTimeLeftShare * microseconds(request.timeLeft);
     bool hasEngines = std::any_of(
@@ -63,7 +76,9 @@
     // An assumed time is no reason to refuse a request that the engines may be able to answer in time.
     if (m_sharesCapacity && hasEngines && m_speed.isAssumed())
         return inTime;
-    return std::min(inTime, m_policy.maxObjectiveShare * microseconds(request.objective));
+    bool isAboveShare = m_sharesCapacity && m_accounts.isAboveShare(request.account, now);
+    double share = isAboveShare ? m_policy.maxObjectiveShareAbove : m_policy.maxObjectiveShare;
+    return std::min(inTime, share * microseconds(request.objective));
 }
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/refused_callers.cpp
+++ b/src/libwisteriayard/refused_callers.cpp
@@ -105,9 +105,9 @@
     m_left = std::min(most, m_left + scaled(std::max(Duration(0), work), share));
 }
 
-bool ReturnBudget::tryTake(Duration work)
+bool ReturnBudget::tryTake(Duration work, bool leavesHalf)
 {
-    if (m_left <= Duration(0))
+    if (m_left <= (leavesHalf ? most / 2 : Duration(0)))
         return false;
     m_left -= work;
     return true;
--- a/src/libwisteriayard/refused_callers_test.cpp
+++ b/src/libwisteriayard/refused_callers_test.cpp
@@ -113,6 +113,20 @@
     BOOST_TEST(toSeconds(taken) < 0.2 * toSeconds(work) + 0.6);
 }
 
+// Guards against a large account whose late retries leave nothing to those of others.
+BOOST_AUTO_TEST_CASE(accounts_above_their_share_leave_half_of_the_budget)
+{
+    ReturnBudget budget;
+    int large = 0;
+    int others = 0;
+    while (budget.tryTake(milliseconds(50), true))
+        ++large;
+    while (budget.tryTake(milliseconds(50)))
+        ++others;
+    BOOST_TEST(large == 5);
+    BOOST_TEST(others == 5);
+}
+
 namespace {
 
 struct SpreadCase {
