--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -61,7 +61,8 @@
             "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_slack": 50, "lease_ttl_ms": 1500,
                        "report_window_s": WINDOW_S, "usage_delay_s": 10, "require_fence": True, **deployment.bounds},
             "platform": {"address": store_address},
-            "cloud_api": {"address": deployment.reports.address, "duties": ["metering"]}}
+            "cloud_api": {"address": deployment.reports.address, "duties": ["metering"]},
+            **deployment.further_settings}
         self.arguments = list(deployment.arguments)
         self.file = os.path.join(deployment.folder, name + ".json")
         self.log = os.path.join(deployment.folder, name + ".log")
@@ -181,6 +182,8 @@
         self.versions = itertools.count(1)
         # Further fields of the settings' bounds, and of the plain service.
         self.bounds, self.plain_rules = {}, {}
+        # Further fields of the settings.
+        self.further_settings = {}
         self.routes = [
             {"name": "lookup", "prefix": "/lookup/", "kind": "idempotent", "service": "plain", "max_attempts": 2},
             {"name": "charge", "prefix": "/charge/", "kind": "non_idempotent", "service": "plain"},
