--- a/src/libwisteriayard/competing_callers_test.cpp
+++ b/src/libwisteriayard/competing_callers_test.cpp
@@ -46,8 +46,10 @@
 /// five retries immediately, the others when they are told to.
 class Burst {
 public:
-    Burst(bool shares, unsigned seed)
+    /// @param connected entries receive each other's reports
+    Burst(bool shares, unsigned seed, bool connected = true)
         : m_shares(shares)
+        , m_connected(connected)
         , m_random(seed)
         , m_engines(engineCount)
         , m_callers(entryCount)
@@ -77,7 +79,7 @@
             }
             for (int i = m_now < start + seconds(5) ? arrivals(m_random) : 0; i > 0; --i)
                 send(Caller { m_now, m_now, ++m_number, static_cast<std::size_t>(accounts(m_random)), false });
-            if (steps % 20 == 0)
+            if (m_connected && steps % 20 == 0)
                 exchange();
         }
         return result();
@@ -212,6 +214,7 @@
     }
 
     bool m_shares;
+    bool m_connected;
     std::mt19937 m_random;
     TimePoint m_now { seconds(100) };
     std::vector<EndpointPlacement> m_entries;
@@ -223,6 +226,14 @@
     std::uint64_t m_number = 1000;
 };
 
+void report(const Result& each)
+{
+    BOOST_TEST_MESSAGE("requests " << each.all.requests << ", in time " << each.all.inTime << ", late " << each.all.late
+                                   << ", refused twice " << each.all.refusedTwice << ", smallest share of an account "
+                                   << each.smallestShare << ", share of the large account "
+                                   << each.large.servedShare());
+}
+
 } // namespace
 
 // Guards against callers that are refused although they return at their time, and against small accounts that are
@@ -232,14 +243,25 @@
     for (unsigned seed : { 3u, 4u, 5u }) {
         Result before = Burst(false, seed).run();
         Result after = Burst(true, seed).run();
-        for (const Result& each : { before, after })
-            BOOST_TEST_MESSAGE("requests " << each.all.requests << ", in time " << each.all.inTime << ", late "
-                                           << each.all.late << ", refused twice " << each.all.refusedTwice
-                                           << ", smallest share of an account " << each.smallestShare
-                                           << ", share of the large account " << each.large.servedShare());
+        report(before);
+        report(after);
         BOOST_TEST(after.all.requests == after.all.inTime + after.all.late + after.all.refusedTwice);
         BOOST_TEST(after.all.refusedTwice < before.all.refusedTwice);
         BOOST_TEST(after.smallestShare > before.smallestShare);
         BOOST_TEST(after.large.servedShare() > 0.2);
     }
 }
+
+// Guards against rules that need reports of other entries to do no harm.
+BOOST_AUTO_TEST_CASE(disconnected_entries_refuse_no_more_callers)
+{
+    for (unsigned seed : { 3u, 4u, 5u }) {
+        Result before = Burst(false, seed, false).run();
+        Result after = Burst(true, seed, false).run();
+        report(before);
+        report(after);
+        BOOST_TEST(after.all.requests == after.all.inTime + after.all.late + after.all.refusedTwice);
+        BOOST_TEST(after.all.refusedTwice <= before.all.refusedTwice);
+        BOOST_TEST(after.smallestShare >= before.smallestShare);
+    }
+}
