Add EngineMemory: what an entry may place on an engine

Where engines crash when their requests exceed their memory, each entry has to know what the others placed.

The margin is the larger of two estimates: the measured growth of the reported use with three standard deviations, and as many requests of mean size at each other entry as this one placed in the same time, at most a quarter of the memory. The first doesn't know requests that all entries place at the same moment.

--- /dev/null
+++ b/src/libwisteriayard/engine_memory_test.cpp
@@ -0,0 +1,205 @@
+#define BOOST_TEST_MODULE engine_memory
+#include "wisteriayard/engine_memory.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace wisteriayard;
+namespace data = boost::unit_test::data;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const RegionId home("home");
+constexpr std::int64_t capacity = 100'000;
+constexpr Duration lifetime = milliseconds(1500);
+
+TimePoint at(Duration time) { return TimePoint(seconds(1000) + time); }
+InstanceId entryId(int number) { return InstanceId("entry-" + std::to_string(number)); }
+MemoryNeed plain(std::int64_t tokens) { return { {}, tokens }; }
+
+LimitEntries makeEntries(int count)
+{
+    LimitEntries entries;
+    entries.self = entryId(0);
+    entries.active = true;
+    for (int i = 0; i < count; ++i)
+        entries.regions[entryId(i)] = home;
+    return entries;
+}
+
+struct AdmissionCase {
+    const char* name;
+    /// Entries of the deployment, including the tested one.
+    int entries;
+    std::int64_t own;
+    /// Use that each other entry reported, if it did.
+    std::optional<std::int64_t> reported;
+    Duration reportAge;
+    std::int64_t size;
+    bool isAdmitted;
+};
+std::ostream& operator<<(std::ostream& out, const AdmissionCase& each) { return out << each.name; }
+
+// Mean size of requests is 1,000 tokens in all cases, without spread.
+const std::vector<AdmissionCase> admissionCases {
+    { "the only entry uses all of the memory", 1, 90'000, {}, {}, 10'000, true },
+    { "but not more", 1, 90'000, {}, {}, 10'001, false },
+    { "far from full", 5, 10'000, 8'000, milliseconds(100), 7'000, true },
+    { "far from full with many entries", 200, 1'000, 200, milliseconds(100), 5'000, true },
+    { "reported use counts", 5, 10'000, 21'000, milliseconds(50), 1'000, true },
+    { "reported use and margin leave no room", 5, 10'000, 21'600, milliseconds(50), 1'000, false },
+    { "last report within its lifetime", 5, 50'000, 0, milliseconds(1500), 10'000, true },
+    { "reports have stopped: within the own share", 5, 10'000, 0, milliseconds(1501), 10'000, true },
+    { "reports have stopped: above the own share", 5, 10'000, 0, milliseconds(1501), 10'001, false },
+    { "no reports yet: within the own share", 5, 19'000, {}, {}, 1'000, true },
+    { "no reports yet: above the own share", 5, 19'000, {}, {}, 1'001, false },
+    { "no reports: one request larger than the share", 200, 0, {}, {}, 60'000, true },
+    { "no reports: not a second one", 200, 60'000, {}, {}, 1'000, false },
+    { "larger than the memory", 1, 0, {}, {}, 100'001, false },
+};
+
+} // namespace
+
+// Guards against a sum of all entries above the memory, and against shares that apply although reports arrive.
+BOOST_DATA_TEST_CASE(requests_are_admitted_up_to_the_expected_sum, data::make(admissionCases), each)
+{
+    MemoryPeers peers(lifetime);
+    peers.setEntries(makeEntries(each.entries), home);
+    RequestSizes sizes;
+    sizes.record(1000);
+    EngineMemory memory;
+    TimePoint now = at(seconds(100));
+    if (each.own > 0)
+        memory.reserve(plain(each.own), at(seconds(0)));
+    for (int i = 1; each.reported && i < each.entries; ++i) {
+        // The use has been the same for long, so it doesn't grow.
+        auto source = peers.reported(entryId(i), false, at(seconds(0)));
+        memory.applyReport(*source, *each.reported, at(seconds(0)));
+        peers.reported(entryId(i), false, now - each.reportAge);
+    }
+    BOOST_TEST(memory.admits(plain(each.size), capacity, peers, sizes, now) == each.isAdmitted);
+    memory.reserve(plain(each.size), now);
+    BOOST_TEST(memory.admitsReserved(plain(each.size), capacity, peers, sizes, now) == each.isAdmitted);
+}
+
+// Guards against segments that count once for each request, which would make popular segments fill the engine, and
+// against segments that stop counting while another request still uses them.
+BOOST_AUTO_TEST_CASE(shared_segments_count_once)
+{
+    EngineMemory memory;
+    MemoryNeed first { { { 1, 5000 }, { 2, 700 } }, 300 };
+    MemoryNeed second { { { 1, 5000 }, { 3, 900 } }, 100 };
+    memory.reserve(first, at(seconds(0)));
+    BOOST_TEST(memory.own() == 6000);
+    BOOST_TEST(memory.added(second) == 1000);
+    memory.reserve(second, at(seconds(0)));
+    BOOST_TEST(memory.own() == 7000);
+    memory.release(first);
+    BOOST_TEST(memory.own() == 6000);
+    memory.release(second);
+    BOOST_TEST(memory.own() == 0);
+}
+
+// Guards against the use of memory that the others fill faster than they report.
+BOOST_AUTO_TEST_CASE(margin_follows_the_growth_of_reports)
+{
+    MemoryPeers peers(lifetime);
+    peers.setEntries(makeEntries(3), home);
+    RequestSizes sizes;
+    sizes.record(100);
+    EngineMemory memory;
+    TimePoint now = at(seconds(0));
+    for (int i = 0; i < 10; ++i) {
+        now += milliseconds(100);
+        for (int peer = 1; peer < 3; ++peer)
+            memory.applyReport(*peers.reported(entryId(peer), false, now), 2000 * (i + 1), now);
+    }
+    EngineMemory::Others others = memory.others(capacity, peers, sizes, now);
+    BOOST_TEST(others.reported == 40'000);
+    // 40,000 tokens a second, during the 200 ms that a report may be old.
+    BOOST_TEST(others.margin > 5'000);
+    BOOST_TEST(others.margin < 25'000);
+    EngineMemory::Others later = memory.others(capacity, peers, sizes, now + milliseconds(300));
+    BOOST_TEST(later.margin > others.margin);
+    for (int i = 0; i < 50; ++i) {
+        now += milliseconds(100);
+        for (int peer = 1; peer < 3; ++peer)
+            memory.applyReport(*peers.reported(entryId(peer), false, now), 20'000, now);
+    }
+    BOOST_TEST(memory.others(capacity, peers, sizes, now).margin < 1'000);
+}
+
+// Guards against a full use of the memory by an entry that doesn't know the others yet.
+BOOST_AUTO_TEST_CASE(unknown_entries_are_assumed)
+{
+    MemoryPeers peers(lifetime);
+    RequestSizes sizes;
+    EngineMemory memory;
+    BOOST_TEST(memory.admits(plain(12'500), capacity, peers, sizes, at(seconds(0))));
+    memory.reserve(plain(12'500), at(seconds(0)));
+    BOOST_TEST(!memory.admits(plain(1), capacity, peers, sizes, at(seconds(0))));
+    LimitEntries alone = makeEntries(1);
+    alone.active = false;
+    peers.setEntries(alone, home);
+    BOOST_TEST(!memory.admits(plain(1), capacity, peers, sizes, at(seconds(0))));
+    alone.active = true;
+    peers.setEntries(alone, home);
+    BOOST_TEST(memory.admits(plain(80'000), capacity, peers, sizes, at(seconds(0))));
+}
+
+// Guards against entries of another region that count as idle although only their observer reports their use.
+BOOST_AUTO_TEST_CASE(entries_of_other_regions_are_covered_by_their_region)
+{
+    LimitEntries entries = makeEntries(2);
+    entries.regions[entryId(2)] = entries.regions[entryId(3)] = RegionId("far");
+    entries.regions[entryId(4)] = RegionId("single");
+    MemoryPeers peers(lifetime);
+    peers.setEntries(entries, home);
+    RequestSizes sizes;
+    EngineMemory memory;
+    TimePoint now = at(seconds(0));
+    auto silent = [&] { return memory.others(capacity, peers, sizes, now).silent; };
+    BOOST_TEST(silent() == 80'000);
+    BOOST_TEST(!peers.reported(entryId(2), true, now));
+    BOOST_TEST(silent() == 80'000);
+    BOOST_TEST(peers.reported(regionSource(RegionId("far")), false, now).has_value());
+    BOOST_TEST(silent() == 40'000);
+    BOOST_TEST(peers.reported(entryId(4), true, now).has_value());
+    BOOST_TEST(silent() == 20'000);
+    BOOST_TEST(peers.reported(entryId(1), true, now).has_value());
+    BOOST_TEST(silent() == 0);
+}
+
+// Guards against the memory of an entry that is cut off being given to others while its requests still run.
+BOOST_AUTO_TEST_CASE(silent_entries_keep_their_last_use)
+{
+    MemoryPeers peers(lifetime);
+    peers.setEntries(makeEntries(3), home);
+    RequestSizes sizes;
+    EngineMemory memory;
+    for (int peer = 1; peer < 3; ++peer)
+        memory.applyReport(*peers.reported(entryId(peer), false, at(seconds(0))), peer * 25'000, at(seconds(0)));
+    EngineMemory::Others others = memory.others(capacity, peers, sizes, at(seconds(2)));
+    BOOST_TEST(others.reported == 0);
+    // An equal share of a third, and 50,000.
+    BOOST_TEST(others.silent == 83'333);
+    LimitEntries one = makeEntries(1);
+    peers.setEntries(one, home);
+    BOOST_TEST(memory.others(capacity, peers, sizes, at(seconds(2))).silent == 0);
+}
+
+// Guards against a list of sources that grows with each entry that was ever started.
+BOOST_AUTO_TEST_CASE(numbers_of_unlisted_sources_are_used_again)
+{
+    MemoryPeers peers(lifetime);
+    peers.setEntries(makeEntries(2), home);
+    for (int i = 0; i < 100; ++i)
+        peers.reported(entryId(100 + i), false, at(seconds(100 * i)));
+    BOOST_TEST(peers.sources().size() <= 3U);
+}
