--- a/src/libwisteriayard/engine_memory.cpp
+++ b/src/libwisteriayard/engine_memory.cpp
@@ -17,9 +17,10 @@
     constexpr Duration reportDelay = std::chrono::milliseconds(200);
     /// Standard deviations of the growth in the margin.
     constexpr double marginDeviations = 3;
-    /// The margin for entries that place requests at the same moment is limited to this share of the memory. With many
-    /// entries it would otherwise exclude engines that are nearly empty.
-    constexpr double maxSimultaneousShare = 0.25;
+    /// Limit, as a share of the memory, of the margin for requests that other entries place at the same moment as the
+    /// first one of this entry. Without it, many entries or large requests would exclude engines that are half empty.
+    /// Further requests have no limit: with one, bursts filled engines up to 1.8 times their memory.
+    constexpr double maxSimultaneousShare = 0.5;
     /// Time after which the number of a source that is not listed is used for another one.
     constexpr Duration sourceRetention = std::chrono::seconds(60);
     /// Placements that are remembered for the margin; more change nothing, because the margin has reached its limit.
@@ -183,9 +184,11 @@
     // is decided.
     auto end = m_placedAt.begin() + static_cast<std::ptrdiff_t>(placements);
     auto recent = std::find_if(m_placedAt.begin(), end, [&](TimePoint placedAt) { return now - placedAt <= window; });
-    auto requests = static_cast<double>(reporting * static_cast<std::size_t>(1 + (end - recent)));
+    auto placed = static_cast<std::size_t>(end - recent);
+    auto requests = static_cast<double>(reporting * (1 + placed));
     double simultaneous = meanPlusSpread(requests * sizes.mean(), requests * sizes.variance());
-    simultaneous = std::min(simultaneous, maxSimultaneousShare * static_cast<double>(capacity));
+    if (placed == 0)
+        simultaneous = std::min(simultaneous, maxSimultaneousShare * static_cast<double>(capacity));
     others.margin = static_cast<std::int64_t>(std::max(measured, simultaneous));
     return others;
 }
