Exclude engines without memory where they crash otherwise

Where the contracts of the settings contain pressure, an engine crashes when its requests exceed its memory; memory was only a cost. The exclusion reason Memory is now part of exclusion(), which all kinds of sends use, and is checked again in accepts(). If it is the only obstacle, the request is refused with engine_memory and a time at which memory is probably free.

Reservations are reported in the existing field for memory.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -364,6 +364,7 @@
     if (!placement) {
         placement = std::make_unique<EndpointPlacement>(PlacementPolicy(), m_settings.zone, m_settings.region);
         placement->setLimitEntries(m_limitEntries, TimePoint());
+        placement->setEnforcesMemory(m_settings.enginesEnforceMemory);
         placement->setEvacuatedZones(m_evacuatedZones);
         placement->setColdPolicy(coldPolicy(target), TimePoint());
     }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -523,7 +523,7 @@
     }
     // Each observer of a region reports the sum of the whole region, so its report replaces those of the other
     // observers.
-    InstanceId source = loads.entryCount > 1 ? InstanceId("region/" + sender.region.value()) : peer;
+    InstanceId source = loads.entryCount > 1 ? regionSource(sender.region) : peer;
     m_state.directory.updatePeerUse(source, loads.endpoints, now);
     m_state.directory.updatePeerFailures(source, loads.failing, now);
     m_state.directory.applySpeedReports(source, loads.speeds, now);
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -145,6 +145,8 @@
     bool reportsUsage = false;
     /// Entries tell each other at which endpoints their requests fail, because health checks may be wrong.
     bool sharesFailures = false;
+    /// Engines crash if the requests that they hold exceed their memory.
+    bool enginesEnforceMemory = false;
     /// In any second, all entries together may send this multiple of the rate that a cold endpoint accepts, plus
     /// coldSlack requests.
     double coldExcess = 1;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -139,7 +139,8 @@
     auto reason = endpoints.sendExclusion(placement, placementRequest(now), now);
     if (reason)
         m_state.metrics.sendWithheld(std::string(endpointExclusionName(*reason)));
-    if (reason == EndpointExclusion::Evacuated || reason == EndpointExclusion::OtherRegion)
+    if (reason == EndpointExclusion::Evacuated || reason == EndpointExclusion::OtherRegion
+        || reason == EndpointExclusion::Memory)
         return "endpoint_" + std::string(endpointExclusionName(*reason));
     if (endpoints.isCold(placement, now))
         return "endpoint_cold";
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -28,6 +28,9 @@
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Retry-After of requests that no region of the deployment may serve: only another configuration ends that.
     constexpr Duration regionRetryAfter = std::chrono::seconds(2);
+    /// Upper estimate of an output whose maximum the caller doesn't state, as a multiple of the stated expected length.
+    /// That is right at the median only.
+    constexpr std::int64_t outputLimitFactor = 4;
     /// Limit of Retry-After as a share of the caller's remaining time.
     constexpr double retryAfterShare = 1.0 / 3;
 
@@ -184,6 +187,10 @@
     request.gapObjective = m_route->gapObjective;
     request.rank = m_priority;
     request.allowedRegions = m_regions.allowed(*m_state.routes);
+    request.statedPrompt = m_traits.promptTokens;
+    request.outputLimit = m_traits.maxOutput;
+    if (request.outputLimit.value() == 0)
+        request.outputLimit = Tokens(outputLimitFactor * request.output.value());
     return request;
 }
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -6,6 +6,7 @@
 #include "wisteriayard/endpoint_exclusion.h"
 #include "wisteriayard/endpoint_limit.h"
 #include "wisteriayard/endpoint_pause.h"
+#include "wisteriayard/engine_memory.h"
 #include "wisteriayard/engine_speed.h"
 #include "wisteriayard/ids.h"
 #include "wisteriayard/peer_failures.h"
@@ -45,6 +46,10 @@
     /// Objective for the longest gap between two events of a stream; 0 if there is none.
     Duration gapObjective {};
     AllowedRegions allowedRegions;
+    /// Length of the whole prompt as the caller states it; 0 if it doesn't.
+    Tokens statedPrompt { 0 };
+    /// Upper estimate of the length of the answer; 0 if it is the expected one.
+    Tokens outputLimit { 0 };
 };
 
 /// An endpoint that requests may be sent to.
@@ -153,6 +158,8 @@
     bool reservedCold = false;
     /// Factor by which the expected time exceeds that of a warm endpoint.
     double slowdown = 1;
+    /// Memory reserved at an engine; empty until started().
+    MemoryNeed memoryNeed;
 
     /// Whether the endpoint has probably started to process the request, although no part of its response has arrived.
     bool hasProbablyBegun(TimePoint now) const;
@@ -176,6 +183,8 @@
     RegionNotAvailable,
     /// All endpoints in the regions that may serve the request are being evacuated.
     Evacuated,
+    /// No engine that could be used has memory for the request.
+    EngineMemory,
 };
 std::string_view placementRefusalName(PlacementRefusal refusal);
 
@@ -313,6 +322,14 @@
     /// Records the report of another entry. It never excludes an engine.
     void applySpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
     /// @}
+    /// @name Memory of engines
+    /// @{
+
+    /// Sets whether memory excludes engines, because they crash if their requests exceed it. It is a cost otherwise.
+    void setEnforcesMemory(bool enforces) { m_enforcesMemory = enforces; }
+    /// Number of engines that have no memory for a request of mean size.
+    std::size_t fullEngines(TimePoint now) const;
+    /// @}
     /// @name Cold endpoints
     /// @{
 
@@ -403,6 +420,7 @@
         CachedSegments cachedSegments;
         EngineSpeed::Engine speed;
         TimePoint speedReportedAt {};
+        EngineMemory memory;
         /// Moving average of the time of a whole request, in microseconds.
         double requestTime = 0;
     };
@@ -454,6 +472,8 @@
     /// @param onlyEjected ejected endpoints are used, because no others remain
     std::optional<EndpointExclusion> exclusion(const State& state, const PlacementRequest& request,
         const std::vector<EndpointId>& tried, bool onlyEjected, TimePoint now) const;
+    /// Whether the engine has no memory for a request that is not placed yet.
+    bool isFull(const State& state, const PlacementRequest& request, TimePoint now) const;
     bool onlyEjectedRemain(const PlacementRequest& request, TimePoint now) const;
     bool isEvacuated(const State& state) const { return m_evacuatedZones.count(state.info.zone) > 0; }
     /// Whether another endpoint may be ejected; evacuated ones don't count, since they take no requests either.
@@ -481,6 +501,16 @@
     bool sendCold(State& state, Placement& placement, TimePoint now);
     void recordColdResponse(State& state, const Placement& placement, TimePoint now);
     Refused coldRefusal(const PlacementRequest& request, TimePoint now);
+    /// @name Memory of engines
+    /// @{
+    MemoryNeed memoryNeed(const State& state, const PlacementRequest& request) const;
+    void reserveMemory(State& state, Placement& placement, const PlacementRequest& request, TimePoint now);
+    void releaseMemory(State& state, const Placement& placement, TimePoint now);
+    /// Whether the memory that was reserved for a placement is still there.
+    bool hasMemory(const State& state, const Placement& placement, TimePoint now) const;
+    void recordPeerMemory(const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now);
+    Refused memoryRefusal(const PlacementRequest& request, TimePoint now);
+    /// @}
     /// Applies a changed limit to this entry's share and to the pools of engines.
     void limitChanged(State& state, TimePoint now);
     void takeCredit(State& state, Placement& placement, TimePoint now);
@@ -533,6 +563,12 @@
     /// counted: one more preferred endpoint would have to compute these too.
     std::unordered_map<std::uint64_t, std::int64_t> m_waitingTokens;
     EngineSpeed m_speed;
+    bool m_enforcesMemory = false;
+    MemoryPeers m_memoryPeers;
+    RequestSizes m_requestSizes;
+    /// Moving average of the time for which requests hold memory, in microseconds; 0 until one has ended.
+    double m_memoryTime = 0;
+    ReturnSchedule m_memoryReturns;
     double m_requestTime;
 };
 
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -77,6 +77,8 @@
         return "region_not_available";
     case PlacementRefusal::Evacuated:
         return "evacuated";
+    case PlacementRefusal::EngineMemory:
+        return "engine_memory";
     }
     return "unknown";
 }
@@ -92,6 +94,7 @@
     , m_zone(std::move(zone))
     , m_region(std::move(region))
     , m_speed(m_policy.tokenTimeLifetime)
+    , m_memoryPeers(m_policy.peerLoadLifetime)
     , m_requestTime(initialRequestTime)
 {
 }
@@ -295,6 +298,7 @@
     std::optional<TimePoint> pauseEnd;
     bool limited = false;
     bool cold = false;
+    bool full = false;
     for (const auto& [id, index] : m_index) {
         const State& state = m_states[index];
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
@@ -308,6 +312,8 @@
             cold = true;
         else if (state.limit.rate())
             limited = true;
+        else if (isFull(state, request, now))
+            full = true;
         else
             refused.reason = PlacementRefusal::AllEjected;
     }
@@ -319,6 +325,8 @@
         refused.retryAfter = limitedRetryAfter();
         return refused;
     }
+    if (full)
+        return memoryRefusal(request, now);
     if (refused.reason == PlacementRefusal::AllEjected || !pauseEnd)
         return refused;
     refused.reason = PlacementRefusal::Paused;
@@ -420,6 +428,7 @@
     ++state->own.running;
     state->own.backlog.add(placement.rank, Tokens(placement.uncachedTokens));
     state->own.memoryTokens += placement.memoryTokens;
+    reserveMemory(*state, placement, request, now);
     state->probing = state->ejected;
     if (state->info.memory.value() == 0)
         return;
@@ -491,7 +500,7 @@
 bool EndpointPlacement::accepts(Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     State* state = find(placement);
-    if (!state || sendExclusion(*state, request, now))
+    if (!state || sendExclusion(placement, request, now))
         return false;
     if (state->limit.rate() && !placement.tookCredit)
         takeCredit(*state, placement, now);
@@ -507,6 +516,7 @@
         return HealthChange::None;
     --state->own.running;
     state->own.memoryTokens -= placement.memoryTokens;
+    releaseMemory(*state, placement, now);
     if (!placement.firstEventSeen)
         state->own.backlog.remove(placement.rank, Tokens(placement.uncachedTokens));
     state->probing = false;
--- a/src/libwisteriayard/endpoint_placement_exclusion.cpp
+++ b/src/libwisteriayard/endpoint_placement_exclusion.cpp
@@ -21,7 +21,11 @@
     const Placement& placement, const PlacementRequest& request, TimePoint now) const
 {
     const State* state = find(placement);
-    return state ? sendExclusion(*state, request, now) : std::nullopt;
+    if (!state)
+        return std::nullopt;
+    if (auto reason = sendExclusion(*state, request, now))
+        return reason;
+    return hasMemory(*state, placement, now) ? std::nullopt : std::optional(EndpointExclusion::Memory);
 }
 
 std::optional<EndpointExclusion> EndpointPlacement::availabilityExclusion(
@@ -49,6 +53,8 @@
         return EndpointExclusion::ColdStart;
     if (!state.limit.admits(now))
         return EndpointExclusion::RateLimit;
+    if (isFull(state, request, now))
+        return EndpointExclusion::Memory;
     return std::nullopt;
 }
 
--- a/src/libwisteriayard/endpoint_placement_limits.cpp
+++ b/src/libwisteriayard/endpoint_placement_limits.cpp
@@ -58,6 +58,7 @@
 void EndpointPlacement::setLimitEntries(const LimitEntries& entries, TimePoint now)
 {
     m_limitEntries = entries;
+    m_memoryPeers.setEntries(entries, m_region);
     for (std::size_t index : m_limited) {
         State& state = m_states[index];
         state.limit.updateShare(state.info.id, state.info.region, entries, now);
--- a/src/libwisteriayard/endpoint_placement_peers.cpp
+++ b/src/libwisteriayard/endpoint_placement_peers.cpp
@@ -25,6 +25,8 @@
     for (const auto& [id, index] : m_index) {
         if (m_states[index].own.running > 0)
             use[id] = m_states[index].own;
+        if (m_enforcesMemory && m_states[index].own.running > 0)
+            use[id].memoryTokens = m_states[index].memory.own();
     }
     return use;
 }
@@ -33,6 +35,7 @@
     const InstanceId& peer, const std::map<EndpointId, EndpointUse>& use, TimePoint now)
 {
     m_peerLoads[peer] = { use, now };
+    recordPeerMemory(peer, use, now);
 }
 
 void EndpointPlacement::applyCacheHints(const std::map<EndpointId, std::vector<SegmentTag>>& hints, TimePoint now)
