--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -109,6 +109,15 @@
     /// Number of cold endpoints at the last updateCold().
     std::size_t coldEndpointCount() const { return m_loggedCold.size(); }
     /// @}
+    /// @name Memory of engines as a bound, if the settings ask for it
+    /// @{
+
+    /// Logs the services that got their first engine without memory for a request of mean size, or lost their last one,
+    /// since the last call.
+    void updateFullEngines(TimePoint now);
+    /// Number of these engines at the last updateFullEngines().
+    std::size_t fullEngineCount() const;
+    /// @}
     /// Logs the services whose number of engines reserved for long prompts changed since the last call.
     void logPrefillPools(TimePoint now);
     /// Load by requests of this entry on all endpoints.
@@ -158,6 +167,7 @@
     std::map<TargetId, std::unique_ptr<EndpointPlacement>> m_placements;
     std::map<TargetId, TargetInfo> m_targets;
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
+    std::map<TargetId, std::size_t> m_fullEngines;
     LimitEntries m_limitEntries;
     std::set<ZoneId> m_evacuatedZones;
     bool m_loggedColdShares = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -399,6 +399,7 @@
                 m_state.crashGuard.expire(now);
                 m_state.directory.logPrefillPools(now);
                 m_state.directory.updateCold(now);
+                m_state.directory.updateFullEngines(now);
                 std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
                 std::uint64_t suppressed = m_state.requestLogBudget.takeSuppressedCount();
                 if (suppressed > 0 || m_sink->dropped() > dropped)
@@ -417,6 +418,7 @@
         {
             m_state.metrics.setEndpointCount(m_state.directory.size());
             m_state.metrics.setColdEndpointCount(m_state.directory.coldEndpointCount());
+            m_state.metrics.setFullEngineCount(m_state.directory.fullEngineCount());
             m_state.metrics.setActiveRequests(m_state.activeRequests);
             m_state.metrics.setRequestBodyMemory(m_state.requestBodies.reserved());
             m_state.metrics.setRequestHeadMemory(m_state.requestHeads.reserved());
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -68,6 +68,8 @@
           "Requests sent to endpoints that were cold, by attempt"))
     , m_coldEndpoints(
           gauge(*m_registry, "wisteriayard_gateway_cold_endpoints", "Endpoints that count as cold at this entry"))
+    , m_fullEngines(gauge(*m_registry, "wisteriayard_gateway_full_engines",
+          "Engines that have no memory for a request of mean size of this entry"))
     , m_peerDatagrams(counter(*m_registry, "wisteriayard_gateway_peer_datagrams_refused_total",
           "Datagrams of registered entries that could not be decoded"))
     , m_viewReads(counter(*m_registry, "wisteriayard_gateway_view_reads_total",
@@ -168,6 +170,8 @@
     m_coldRequests.Add({ { "attempt", further ? "further" : "first" } }).Increment();
 }
 
+void GatewayMetrics::setFullEngineCount(std::size_t count) { m_fullEngines.Add({}).Set(static_cast<double>(count)); }
+
 void GatewayMetrics::setColdEndpointCount(std::size_t count)
 {
     m_coldEndpoints.Add({}).Set(static_cast<double>(count));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -48,6 +48,8 @@
     /// @param further whether the request had been sent to an endpoint before
     void coldRequestSent(bool further);
     void setColdEndpointCount(std::size_t count);
+    /// Sets the number of engines without memory for a request of mean size.
+    void setFullEngineCount(std::size_t count);
     void peerDatagramRefused();
     /// A request was not sent to the chosen endpoint, because it was excluded meanwhile.
     void sendWithheld(const std::string& reason);
@@ -96,6 +98,7 @@
     prometheus::Family<prometheus::Counter>& m_limitedRequests;
     prometheus::Family<prometheus::Counter>& m_coldRequests;
     prometheus::Family<prometheus::Gauge>& m_coldEndpoints;
+    prometheus::Family<prometheus::Gauge>& m_fullEngines;
     prometheus::Family<prometheus::Counter>& m_peerDatagrams;
     prometheus::Family<prometheus::Counter>& m_viewReads;
     prometheus::Family<prometheus::Counter>& m_supersededChanges;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -32,6 +32,7 @@
     metrics.limitedRequestSent(false);
     metrics.coldRequestSent(false);
     metrics.setColdEndpointCount(1);
+    metrics.setFullEngineCount(1);
     metrics.peerDatagramRefused();
     metrics.sendWithheld("evacuated");
     metrics.setEvacuatedZones(1);
@@ -79,6 +80,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 35u);
+    BOOST_TEST(code.size() == 36u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -152,6 +152,8 @@
         return "view_role_changed";
     case Event::ViewRead:
         return "view_read";
+    case Event::EnginesFullChanged:
+        return "engines_full_changed";
     case Event::EndpointColdChanged:
         return "endpoint_cold_changed";
     case Event::EndpointFieldInvalid:
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -59,6 +59,7 @@
     AgentLost = 402,
     EndpointHeldBack = 404,
     EndpointColdChanged = 410,
+    EnginesFullChanged = 414,
     EndpointFieldInvalid = 411,
     ColdSharesChanged = 412,
     DocumentFieldInvalid = 413,
