--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -147,6 +147,8 @@
     bool sharesFailures = false;
     /// Entries decide together which callers are served first when capacity is short.
     bool sharesCapacity = false;
+    /// Engines crash if the requests that they hold exceed their memory.
+    bool enginesEnforceMemory = false;
     /// In any second, all entries together may send this multiple of the rate that a cold endpoint accepts, plus
     /// coldSlack requests.
     double coldExcess = 1;
