--- a/src/libwisteriayard/engine_memory_test.cpp
+++ b/src/libwisteriayard/engine_memory_test.cpp
@@ -4,8 +4,11 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <ostream>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace wisteriayard;
@@ -88,6 +91,87 @@
     BOOST_TEST(memory.admitsReserved(plain(each.size), capacity, peers, sizes, now) == each.isAdmitted);
 }
 
+namespace {
+
+struct SaturationCase {
+    const char* name;
+    int entries;
+    std::int64_t memory;
+    std::int64_t leastSize;
+    std::int64_t largestSize;
+    /// Mean share of the memory that has to be used.
+    double leastUse;
+};
+std::ostream& operator<<(std::ostream& out, const SaturationCase& each) { return out << each.name; }
+
+const std::vector<SaturationCase> saturationCases {
+    { "one entry", 1, 100'000, 200, 2000, 0.95 },
+    { "few entries", 4, 100'000, 200, 2000, 0.8 },
+    { "many entries, large engine", 21, 400'000, 200, 2000, 0.8 },
+    { "many entries, small engine", 21, 100'000, 200, 2000, 0.7 },
+    { "many entries, long prompts", 21, 400'000, 2000, 6000, 0.7 },
+    { "many entries, long prompts, small engine", 21, 100'000, 2000, 6000, 0.45 },
+};
+
+} // namespace
+
+// Guards against a rule under which many entries can use little of an engine.
+BOOST_DATA_TEST_CASE(competing_entries_fill_an_engine, data::make(saturationCases), each)
+{
+    struct Entry {
+        MemoryPeers peers { lifetime };
+        RequestSizes sizes;
+        EngineMemory memory;
+        std::vector<std::pair<TimePoint, MemoryNeed>> running;
+    };
+    std::mt19937 random(1);
+    std::uniform_int_distribution<std::int64_t> size(each.leastSize, each.largestSize);
+    std::vector<Entry> entries(static_cast<std::size_t>(each.entries));
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        LimitEntries list = makeEntries(each.entries);
+        list.self = entryId(static_cast<int>(i));
+        entries[i].peers.setEntries(list, home);
+    }
+    double use = 0;
+    double largest = 0;
+    constexpr int steps = 1000;
+    for (int step = 0; step < steps; ++step) {
+        TimePoint now = at(milliseconds(10 * step));
+        std::int64_t sum = 0;
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            Entry& entry = entries[i];
+            std::erase_if(entry.running, [&](const auto& request) {
+                if (request.first <= now)
+                    entry.memory.release(request.second);
+                return request.first <= now;
+            });
+            MemoryNeed need = plain(size(random));
+            if (entry.memory.admits(need, each.memory, entry.peers, entry.sizes, now)) {
+                entry.sizes.record(need.own);
+                entry.memory.reserve(need, now);
+                auto time = milliseconds(std::uniform_int_distribution<int>(1000, 5000)(random));
+                entry.running.emplace_back(now + time, need);
+            }
+            sum += entry.memory.own();
+            if (step % 10 != static_cast<int>(i) % 10)
+                continue;
+            for (std::size_t peer = 0; peer < entries.size(); ++peer) {
+                if (peer == i)
+                    continue;
+                auto source = entries[peer].peers.reported(entryId(static_cast<int>(i)), false, now);
+                entries[peer].memory.applyReport(*source, entry.memory.own(), now);
+            }
+        }
+        double share = static_cast<double>(sum) / static_cast<double>(each.memory);
+        largest = std::max(largest, share);
+        if (step >= steps / 2)
+            use += 2 * share / steps;
+    }
+    BOOST_TEST_MESSAGE(each.name << ": mean use " << use << ", largest " << largest);
+    BOOST_TEST(use >= each.leastUse);
+    BOOST_TEST(largest <= 1);
+}
+
 // Guards against segments that count once for each request, which would make popular segments fill the engine, and
 // against segments that stop counting while another request still uses them.
 BOOST_AUTO_TEST_CASE(shared_segments_count_once)
