Test with stand-ins that engines survive more requests than they hold

The stand-in of an engine can have a memory, and crashes when the tokens of the requests that it holds exceed it.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -370,6 +370,8 @@
         self.crashing_segments, self.crashing_arrivals, self.crashes = set(), [], []
         # Bodies of requests under which the endpoint crashes, a stream after this many events.
         self.crashing_bodies, self.events_before_crash = set(), 0
+        # With a limit, an engine crashes when the tokens of the requests that it holds exceed it.
+        self.memory, self.held_tokens, self.most_held, self.memory_lock = None, 0, 0, threading.Lock()
         self.connections, self.crash_lock = [], threading.Lock()
         self.is_down = False
         self.crashed, self.restarted = lambda endpoint: None, lambda endpoint: None
@@ -381,6 +383,17 @@
         self.connections = [each for each in self.connections if each.fileno() >= 0] + [connection]
         return connection, address
 
+    def hold(self, tokens):
+        """Holds tokens of a request. Returns whether the memory suffices."""
+        with self.memory_lock:
+            self.held_tokens += tokens
+            self.most_held = max(self.most_held, self.held_tokens)
+            return self.memory is None or self.held_tokens <= self.memory
+
+    def release(self, tokens):
+        with self.memory_lock:
+            self.held_tokens -= tokens
+
     def crash(self, down_s=0.7):
         """Ends all connections and refuses new ones for a while. Calls `crashed` before it and `restarted` after it."""
         with self.crash_lock:
@@ -417,6 +430,16 @@
     sent_raw = False
 
     def handle_request(self):
+        tokens = sum(int(count) for count in self.headers.get("Token-Count", "0").split(","))
+        try:
+            if self.server.hold(tokens):
+                return self.execute()
+            self.close_connection = True
+            return self.server.crash()
+        finally:
+            self.server.release(tokens)
+
+    def execute(self):
         endpoint, headers = self.server, self.headers
         body = self.body()
         request = headers.get("Request-Id")
