Read streams independently of their callers within a common budget

An entry read from the endpoint as fast as the caller read, and the kernel reset the connection of a caller whose window stayed closed for 1.2 s. The kernel's send buffer took a stream of 512 KiB as a whole, which was logged as delivered and then lost.

What a caller does not accept at once is now kept, up to 1 MiB for each caller and an eighth of the memory limit for all, as a part of the memory for bodies. When it is used up, callers that have read nothing for a second are reset, the longest first; if there are none, the endpoint is read as fast as the caller reads, as before. While events are kept, TCP_USER_TIMEOUT is 10 s. The send buffer of connections to callers is limited to 64 KiB.

A budget beside that for bodies was ruled out: it leaves bodies less than half of 110 MiB, the bound of request_bodies.

--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -17,6 +17,9 @@
     constexpr double usableShareOfIdleLimit = 0.7;
     /// TCP_USER_TIMEOUT: time without acknowledgement of sent data or keep-alive probes until the connection is closed.
     constexpr int tcpUserTimeoutMilliseconds = 1200;
+    /// The same for a caller with unread events. The kernel counts the time in which the window is closed as well: with
+    /// the shorter one, callers that pause are reset after about 1.5 s.
+    constexpr int slowReaderTimeoutMilliseconds = 10'000;
     constexpr int keepAliveSeconds = 1;
     constexpr int keepAliveProbes = 2;
     /// SO_RCVBUF of connections to endpoints, which the kernel doubles. It must be set before the connection is made,
@@ -41,6 +44,12 @@
     setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, tcpUserTimeoutMilliseconds);
 }
 
+void allowSlowReading(boost::asio::ip::tcp::socket& socket, bool allowed)
+{
+    setOption(
+        socket, IPPROTO_TCP, TCP_USER_TIMEOUT, allowed ? slowReaderTimeoutMilliseconds : tcpUserTimeoutMilliseconds);
+}
+
 void openWithLimitedBuffer(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol)
 {
     boost::system::error_code error;
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -44,6 +44,10 @@
 /// Disables Nagle's algorithm and sets keep-alive and user timeouts that detect an unresponsive peer within seconds.
 void setTcpOptions(boost::asio::ip::tcp::socket& socket);
 
+/// Sets for how long the kernel keeps the connection of a caller whose window is closed.
+/// @param allowed the longer time, for callers that pause; otherwise that of setTcpOptions()
+void allowSlowReading(boost::asio::ip::tcp::socket& socket, bool allowed);
+
 /// Opens the socket of a connection to an endpoint with a limited receive buffer: the kernel would otherwise hold
 /// several MiB of each response whose caller doesn't read.
 void openWithLimitedBuffer(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,6 +57,9 @@
     /// some platforms. It is the size that connections have at first by default; without a limit the kernel lets it
     /// grow to megabytes. The kernel doubles the value for its own overhead.
     constexpr int callerReceiveBufferBytes = 64 * 1024;
+    /// The same for responses. The kernel would hold up to 4 MiB for a caller that doesn't read, and reset the
+    /// connection because of it, while the process takes the response for delivered.
+    constexpr int callerSendBufferBytes = 64 * 1024;
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
     /// Interval at which an entry writes its partial usage records. A killed process loses the usage of up to one
     /// interval.
@@ -102,6 +105,7 @@
             BOOST_OUTCOME_TRY(openListener(m_acceptor, m_state.settings.callerAddress));
             boost::system::error_code ignored; // the kernel's own limits apply otherwise
             m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(callerReceiveBufferBytes), ignored);
+            m_acceptor.set_option(boost::asio::socket_base::send_buffer_size(callerSendBufferBytes), ignored);
             m_readinessServer = makeReadinessServer();
             BOOST_OUTCOME_TRY(m_readinessServer->listen(m_state.settings.readyAddress));
             if (m_options.metricsPort != 0) {
@@ -418,7 +422,8 @@
             m_state.metrics.setEndpointCount(m_state.directory.size());
             m_state.metrics.setColdEndpointCount(m_state.directory.coldEndpointCount());
             m_state.metrics.setActiveRequests(m_state.activeRequests);
-            m_state.metrics.setRequestBodyMemory(m_state.requestBodies.reserved());
+            m_state.metrics.setRequestBodyMemory(m_state.requestBodies.reserved() - m_state.streamBuffers.reserved());
+            m_state.metrics.setStreamBufferMemory(m_state.streamBuffers.reserved());
             m_state.metrics.setRequestHeadMemory(m_state.requestHeads.reserved());
             m_state.metrics.setConnections(m_state.clients.size(), m_state.pool.connections());
             m_state.metrics.setViewAge("config", now - m_state.configConfirmedAt);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -90,6 +90,8 @@
           *m_registry, "wisteriayard_gateway_request_body_bytes", "Memory reserved for bodies of callers' requests"))
     , m_headMemory(gauge(*m_registry, "wisteriayard_gateway_request_head_bytes",
           "Memory reserved for heads of callers' requests and unparsed bytes"))
+    , m_streamMemory(gauge(*m_registry, "wisteriayard_gateway_stream_buffer_bytes",
+          "Memory reserved for events of streams that their callers have not read"))
     , m_connections(gauge(*m_registry, "wisteriayard_gateway_connections", "Open connections, by peer"))
     , m_closedClients(counter(*m_registry, "wisteriayard_gateway_clients_closed_total",
           "Callers' connections without a complete request that were closed in favour of others, by cause"))
@@ -220,6 +222,11 @@
     m_headMemory.Add({}).Set(static_cast<double>(reserved.value()));
 }
 
+void GatewayMetrics::setStreamBufferMemory(Bytes reserved)
+{
+    m_streamMemory.Add({}).Set(static_cast<double>(reserved.value()));
+}
+
 void GatewayMetrics::setConnections(std::size_t callers, std::size_t endpoints)
 {
     m_connections.Add({ { "peer", "caller" } }).Set(static_cast<double>(callers));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -61,6 +61,7 @@
     void setActiveRequests(int count);
     void setRequestBodyMemory(Bytes reserved);
     void setRequestHeadMemory(Bytes reserved);
+    void setStreamBufferMemory(Bytes reserved);
     void setConnections(std::size_t callers, std::size_t endpoints);
     /// A caller's connection without a complete request was closed in favour of others.
     void clientClosed(ClientCloseCause cause);
@@ -111,6 +112,7 @@
     prometheus::Family<prometheus::Gauge>& m_active;
     prometheus::Family<prometheus::Gauge>& m_bodyMemory;
     prometheus::Family<prometheus::Gauge>& m_headMemory;
+    prometheus::Family<prometheus::Gauge>& m_streamMemory;
     prometheus::Family<prometheus::Gauge>& m_connections;
     prometheus::Family<prometheus::Counter>& m_closedClients;
     prometheus::Family<prometheus::Counter>& m_slowClients;
--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -43,6 +43,7 @@
     metrics.setActiveRequests(1);
     metrics.setRequestBodyMemory(Bytes(1));
     metrics.setRequestHeadMemory(Bytes(1));
+    metrics.setStreamBufferMemory(Bytes(1));
     metrics.setConnections(1, 1);
     metrics.clientClosed(ClientCloseCause::Descriptors);
     metrics.slowClientEnded(SlowClientCause::StalledUpload);
@@ -80,6 +81,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 36u);
+    BOOST_TEST(code.size() == 37u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -24,6 +24,9 @@
     /// Share of the memory limit that heads of requests may use, unless the settings state a size. With a limit of 110
     /// MiB that is enough for 400 heads of the greatest permitted size, or several thousand usual ones.
     constexpr double requestHeadMemoryShare = 0.0625;
+    /// Share of the memory limit that unread events of streams may use, out of the memory for request bodies: a share
+    /// of their own would leave bodies less than half of a limit of 110 MiB.
+    constexpr double streamBufferMemoryShare = 0.125;
     /// Size limit of a small head, and the share of the memory for heads that larger ones leave to them, so that a
     /// crowd of large heads doesn't stop all other requests.
     constexpr Bytes maxSmallHead { 4 * 1024 };
@@ -32,6 +35,8 @@
     constexpr Bytes smallBodyMemory { 2 * 1024 * 1024 };
     /// Time without a byte after which an upload may be ended for others: several retransmissions between regions.
     constexpr Duration minUploadStall = std::chrono::seconds(1);
+    /// Time without reading after which a caller may be closed for others; with less, its endpoint is read more slowly.
+    constexpr Duration minReadStall = std::chrono::seconds(1);
     constexpr std::size_t receiveBufferBytes = 16 * 1024;
     /// Descriptors that accepting connections leaves free, as a share of all and at most: for listeners, the store,
     /// other entries, readiness, metrics, and the connections to endpoints of requests that are being accepted.
@@ -94,6 +99,7 @@
     , requestHeads(requestHeadMemory(settings))
     , receiveBuffer(receiveBufferBytes, '\0')
     , bufferedResponses(shareOf(settings.memory, bufferedResponseMemoryShare))
+    , streamBuffers(shareOf(settings.memory, streamBufferMemoryShare), requestBodies, smallBodyMemory)
 {
 }
 
@@ -182,6 +188,15 @@
     return true;
 }
 
+bool GatewayState::reserveStream(ByteReservation& reservation, Bytes size, TimePoint now)
+{
+    while (!reservation.extendTo(size)) {
+        if (!unreadStreams.endLongestStalled(minReadStall, now))
+            return false;
+    }
+    return true;
+}
+
 bool GatewayState::makeRoomForConnection()
 {
     auto share = static_cast<int>(reservedDescriptorShare * settings.descriptors);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -66,7 +66,8 @@
     /// Connections of callers on which a request is being read, served or refused. The process must not end before
     /// they are idle.
     std::size_t busyConnections = 0;
-    /// Memory for the bodies of callers' requests, which are kept for retries until the requests end.
+    /// Memory for streamBuffers and for the bodies of callers' requests, which are kept for retries until the requests
+    /// end.
     ByteBudget requestBodies;
     /// Bodies that are being received.
     StalledTransfers uploads;
@@ -79,6 +80,10 @@
     std::string receiveBuffer;
     /// Memory for buffered responses, which are forwarded only when complete.
     ByteBudget bufferedResponses;
+    /// Memory for events of streams that their callers have not read; a part of requestBodies.
+    ByteBudget streamBuffers;
+    /// Streams with such events.
+    StalledTransfers unreadStreams;
 
     /// Applies a configuration unless its version is not newer than the current one.
     void configure(RoutingConfig config, const ConfigOrigin& origin);
@@ -99,6 +104,10 @@
     /// @return false if there is not enough memory even then
     [[nodiscard]] bool reserveBody(
         ByteReservation& reservation, Bytes size, const StalledTransfers::Entry& upload, bool isSmall, TimePoint now);
+    /// Extends a reservation for unread events. Connections of callers that have read nothing for at least a second are
+    /// closed for it, the longest first.
+    /// @return false if there is not enough memory even then
+    [[nodiscard]] bool reserveStream(ByteReservation& reservation, Bytes size, TimePoint now);
     /// Closes callers' connections without a complete request, and then idle ones to endpoints, until one more
     /// connection of a caller is within the limit of descriptors.
     /// @return false if there are too few such connections
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -418,7 +418,7 @@
         m_state.directory.placement(m_target).firstEvent(attempt.placement, now);
     }
     output += m_request.acceptsChunked ? chunkText(text) : text;
-    bool written = co_await write(std::move(output));
+    bool written = co_await writeStream(std::move(output));
     if (!written)
         co_return fail(Errc::Unavailable, "connection to the caller lost");
     co_return boost::outcome_v2::success();
@@ -445,7 +445,7 @@
             MayHaveExecuted::Cause::ConnectionLost };
     answerCompleted(bootTimeNow());
     if (m_request.acceptsChunked) {
-        bool written = co_await write(std::string(lastChunk));
+        bool written = co_await writeStream(std::string(lastChunk));
         if (!written)
             co_return CallerDisconnected {};
     }
--- a/src/gateway/request_body.h
+++ b/src/gateway/request_body.h
@@ -21,6 +21,7 @@
 struct RequestBody {
     using value_type = std::string;
 
+    // NOLINTNEXTLINE(readability-identifier-naming): the parser requires this name
     class reader {
     public:
         template <bool isRequest, typename Fields>
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -233,7 +233,15 @@
         if (auto* refused = std::get_if<NotExecuted>(&outcome))
             m_notExecuted = *refused;
     }
-    if (holdsAny<Delivered>(outcomes)) {
+    // The endpoint's connection and slot are free already.
+    bool isDelivered = holdsAny<Delivered>(outcomes);
+    if (isDelivered && !co_await writeBacklog()) {
+        if (m_timedOut)
+            co_return co_await respondToTimeout();
+        logEnd(Event::RequestFailed, "caller_left", {});
+        co_return false;
+    }
+    if (isDelivered) {
         logEnd(Event::RequestFinished, "delivered", {});
         co_return m_request.keepAlive && !m_state.isStopping();
     }
@@ -274,6 +282,7 @@
     if (m_headSent) {
         // The response can't be completed, so the caller must be able to tell that it is truncated. Without chunked
         // encoding only a reset shows that.
+        (void)co_await writeBacklog(); // the caller gets the events before the break if it reads them
         logEnd(Event::RequestFailed, "broken_stream", {});
         if (!m_request.acceptsChunked) {
             boost::system::error_code ignored;
@@ -352,6 +361,50 @@
     co_return !error;
 }
 
+std::optional<std::size_t> RequestHandler::writeNow(std::string_view text)
+{
+    boost::system::error_code error;
+    std::size_t written = m_caller.write_some(boost::asio::buffer(text), error);
+    if (!error || error == boost::asio::error::would_block)
+        return written;
+    m_callerDisconnected = true;
+    return std::nullopt;
+}
+
+awaitable<bool> RequestHandler::writeStream(std::string text)
+{
+    std::size_t written = 0;
+    if (!m_backlog || m_backlog->isEmpty()) {
+        auto accepted = writeNow(text);
+        if (!accepted)
+            co_return false;
+        if (*accepted == text.size())
+            co_return true;
+        written = *accepted;
+    }
+    if (!m_backlog)
+        m_backlog = std::make_shared<CallerBacklog>(m_state, m_caller, m_traits.id, [this] { callerLost(); });
+    if (m_backlog->keep(text, written, bootTimeNow()))
+        co_return true;
+    if (!co_await writeBacklog())
+        co_return false;
+    co_return co_await write(text.substr(written));
+}
+
+awaitable<bool> RequestHandler::writeBacklog()
+{
+    if (!m_backlog)
+        co_return true;
+    co_return co_await m_backlog->drained();
+}
+
+void RequestHandler::callerLost()
+{
+    // At the deadline the connection is closed here.
+    m_callerDisconnected = m_callerDisconnected || !m_timedOut;
+    closeAttempts();
+}
+
 awaitable<bool> RequestHandler::respond(LocalResponse response)
 {
     if (response.retryAfter && m_traits.timeLeft) {
@@ -374,6 +427,8 @@
             return; // pipelined data of the next request
         m_callerDisconnected = true;
         closeAttempts();
+        if (m_backlog)
+            m_backlog->stop();
     };
     m_caller.async_wait(boost::asio::ip::tcp::socket::wait_read, readable);
 }
@@ -381,6 +436,8 @@
 void RequestHandler::stopDisconnectWatch()
 {
     *m_watchActive = false;
+    if (m_backlog)
+        m_backlog->stop();
     boost::system::error_code ignored;
     m_caller.cancel(ignored);
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller_backlog.h"
 #include "caller_head.h"
 #include "endpoint_attempt.h"
 #include "endpoint_exchange.h"
@@ -139,6 +140,17 @@
     /// @param wait time until such a request can be tried again
     boost::asio::awaitable<bool> refuseQuarantined(Duration wait);
     boost::asio::awaitable<bool> write(std::string text, std::string_view body = {});
+    /// Writes a part of a stream, or keeps it for a caller that does not read. Waits for the caller only if there is no
+    /// memory for that.
+    /// @return false if the caller has disconnected
+    boost::asio::awaitable<bool> writeStream(std::string text);
+    /// Writes what the connection accepts at once.
+    /// @return bytes that were written; none if the caller has disconnected
+    std::optional<std::size_t> writeNow(std::string_view text);
+    /// Waits until the caller has accepted all of the stream that is kept for it.
+    /// @return false if the caller has disconnected
+    boost::asio::awaitable<bool> writeBacklog();
+    void callerLost();
     /// @param refused why there is no further attempt, if no endpoint was chosen; used if the request was not executed
     boost::asio::awaitable<bool> respondToFailure(const Refused* refused = nullptr);
     boost::asio::awaitable<bool> respondToTimeout();
@@ -221,6 +233,8 @@
     std::vector<EndpointAttemptPtr> m_runningAttempts;
     /// Set to false to disable the pending disconnect watch, whose handler may run after this object's destruction.
     std::shared_ptr<bool> m_watchActive;
+    /// Null until the caller does not read a part of a stream at once.
+    std::shared_ptr<CallerBacklog> m_backlog;
     bool m_callerDisconnected = false;
     bool m_timedOut = false;
     /// The attempt was ended because the request or a segment of its prompt was put in quarantine.
--- a/src/include/wisteriayard/byte_budget.h
+++ b/src/include/wisteriayard/byte_budget.h
@@ -14,13 +14,28 @@
     {
     }
 
-    /// Total of all reservations.
+    /// A budget that is a part of another one, whose reservations count in both.
+    /// @param outer must live longer
+    /// @param outerSpare part of the outer budget that reservations of this one leave free
+    ByteBudget(Bytes limit, ByteBudget& outer, Bytes outerSpare)
+        : m_limit(limit)
+        , m_outer(&outer)
+        , m_outerSpare(outerSpare)
+    {
+    }
+
+    /// Total of all reservations, including those of budgets that are a part of this one.
     Bytes reserved() const { return m_reserved; }
 
 private:
     friend class ByteReservation;
 
+    bool hasRoom(Bytes more, Bytes spare) const;
+    void add(Bytes more);
+
     Bytes m_limit;
+    ByteBudget* m_outer = nullptr;
+    Bytes m_outerSpare { 0 };
     Bytes m_reserved { 0 };
 };
 
@@ -33,7 +48,7 @@
     }
     ByteReservation(const ByteReservation&) = delete;
     ByteReservation& operator=(const ByteReservation&) = delete;
-    ~ByteReservation() { m_budget.m_reserved -= m_size; }
+    ~ByteReservation() { shrinkTo(Bytes(0)); }
 
     /// Extends the reservation to at least the given size.
     /// @param spare part of the budget that the extension must leave free
--- a/src/libwisteriayard/byte_budget_test.cpp
+++ b/src/libwisteriayard/byte_budget_test.cpp
@@ -79,3 +79,43 @@
     BOOST_TEST(reservation.size().value() == 20);
     BOOST_TEST(budget.reserved().value() == 20);
 }
+
+namespace {
+
+struct PartCase {
+    const char* name;
+    Bytes outerReserved;
+    Bytes size;
+    bool granted;
+};
+std::ostream& operator<<(std::ostream& out, const PartCase& each) { return out << each.name; }
+
+const PartCase partCases[] = {
+    { "whole part", Bytes(0), Bytes(30), true },
+    { "more than the part", Bytes(0), Bytes(31), false },
+    { "rest of the outer budget without its spare part", Bytes(80), Bytes(10), true },
+    { "into the spare part of the outer budget", Bytes(80), Bytes(11), false },
+    { "outer budget is used up", Bytes(100), Bytes(1), false },
+};
+
+} // namespace
+
+// Guards against a sum of both kinds above the limit of the outer budget, and against a refusal that counts in one.
+BOOST_DATA_TEST_CASE(reservations_of_a_part_count_in_both, data::make(partCases), each)
+{
+    ByteBudget outer(limit);
+    ByteBudget part(Bytes(30), outer, Bytes(10));
+    ByteReservation others(outer);
+    BOOST_REQUIRE(others.extendTo(each.outerReserved));
+    {
+        ByteReservation reservation(part);
+        BOOST_TEST(reservation.extendTo(each.size) == each.granted);
+        Bytes reserved = each.granted ? each.size : Bytes(0);
+        BOOST_TEST(part.reserved().value() == reserved.value());
+        BOOST_TEST((outer.reserved() - others.size()).value() == reserved.value());
+        reservation.shrinkTo(Bytes(1));
+        BOOST_TEST((outer.reserved() - others.size()).value() == part.reserved().value());
+    }
+    BOOST_TEST(part.reserved().value() == 0);
+    BOOST_TEST(outer.reserved().value() == others.size().value());
+}
