Add a slow reader to slow_readers, and a case for closed callers

stalled_callers_are_closed_for_others: an earlier form, in which 60 callers arrived at once, found no closed caller: each had been refused memory, so that the kernel reset it after 1.2 s, as before. The callers now arrive in sequence.

--- a/testsuite/slow_readers/run.py
+++ b/testsuite/slow_readers/run.py
@@ -42,6 +42,10 @@
 EVENT_BYTES = 4096
 # Streams of the crowd, together above the memory limit, and one that an entry can hold for its caller.
 CROWD_EVENTS, HELD_EVENTS = 400, 128
+# Pause after each two events of a caller that reads slowly.
+SLOW_READ_PAUSE_S = 0.01
+# Streams that fit the limit for one caller, and callers whose streams together don't fit the memory for streams.
+STALLED_EVENTS, STALLED_CALLERS, ARRIVAL_PAUSE_S = 200, 16, 0.1
 # Callers that read much, so that the kernel enlarges the receive buffer of the endpoint's connection, and then stop.
 READERS, READ_BYTES, LONG_EVENTS = 10, 6_000_000, 8000
 # 64 KiB, doubled by the kernel.
@@ -217,16 +221,52 @@
         client.close()
 
 
-def caller_that_pauses(deployment):
-    """A caller that pauses lost its stream: the entry stopped reading from the endpoint, which cut the stream off."""
-    client = StreamClient(deployment.gateways[0], HELD_EVENTS)
+def check_pausing_caller(deployment, events):
+    client = StreamClient(deployment.gateways[0], events)
     wait_until(client.has_answer, "the first bytes")
     time.sleep(READ_PAUSE_S)
     client.read()
-    client.check_complete(HELD_EVENTS)
+    client.check_complete(events)
+    check_limits(deployment)
+
+
+def caller_that_pauses(deployment):
+    """A caller that pauses lost its stream: the entry stopped reading from the endpoint, which cut the stream off."""
+    check_pausing_caller(deployment, HELD_EVENTS)
+
+
+def slow_reader_gets_all_events_in_order(deployment):
+    """A stream above the limit for one caller: a part is kept, and the rest is read from the endpoint as the caller
+    reads. No byte may be lost, repeated or reordered between the two.
+    """
+    client = StreamClient(deployment.gateways[0], CROWD_EVENTS)
+    for size in range(2 * EVENT_BYTES, 2 * CROWD_EVENTS * EVENT_BYTES, 2 * EVENT_BYTES):
+        client.read(size)
+        if client.received.endswith(b"0\r\n\r\n"):
+            break
+        time.sleep(SLOW_READ_PAUSE_S)
+    client.check_complete(CROWD_EVENTS)
     check_limits(deployment)
 
 
+def stalled_callers_are_closed_for_others(deployment):
+    """Streams that nobody reads must not use up the memory for a caller that pauses later."""
+    gateway = deployment.gateways[0]
+    clients = []
+    for _ in range(STALLED_CALLERS):
+        # In sequence, so that the first ones are held completely.
+        clients.append(StreamClient(gateway, STALLED_EVENTS))
+        wait_until(clients[-1].has_answer, "the first bytes")
+        time.sleep(ARRIVAL_PAUSE_S)
+    time.sleep(STALL_S)
+    check_pausing_caller(deployment, STALLED_EVENTS)
+    closed = [event for event in gateway.events("slow_client_ended") if event["cause"] == "unread_response"]
+    assert closed, "no stalled caller was closed"
+    for client in clients:
+        client.close()
+    check_ordinary_request(deployment)
+
+
 def unread_endpoint_bytes(deployment):
     """The most bytes that the kernel holds of one connection to an endpoint because the gateway has not read them."""
     ports = {"%04X" % endpoint.server_address[1] for endpoint in deployment.endpoints}
@@ -264,5 +304,6 @@
 
 
 run_cases((uploads_that_send_no_byte, uploads_that_stop, upload_in_progress_outlasts_stalled_ones,
-           callers_that_stop_reading, caller_that_pauses, kernel_buffers_of_endpoint_connections),
+           callers_that_stop_reading, caller_that_pauses, slow_reader_gets_all_events_in_order,
+           stalled_callers_are_closed_for_others, kernel_buffers_of_endpoint_connections),
           make_deployment, 1)
