--- a/src/gateway/gateway_metrics_test.cpp
+++ b/src/gateway/gateway_metrics_test.cpp
@@ -45,6 +45,7 @@
     metrics.setActiveRequests(1);
     metrics.setRequestBodyMemory(Bytes(1));
     metrics.setRequestHeadMemory(Bytes(1));
+    metrics.setStreamBufferMemory(Bytes(1));
     metrics.setConnections(1, 1);
     metrics.clientClosed(ClientCloseCause::Descriptors);
     metrics.slowClientEnded(SlowClientCause::StalledUpload);
@@ -82,6 +83,6 @@
 {
     std::set<std::string> code = namesOfCode();
     std::set<std::string> page = namesOfPage();
-    BOOST_TEST(code.size() == 38u);
+    BOOST_TEST(code.size() == 39u);
     BOOST_TEST(code == page, boost::test_tools::per_element());
 }
