Do not refuse accounts within their limits after a change of the owner

Two faults of the product permit it; both are reproduced by unit tests with the sequence of member changes, grants and times.

While a request waited for its grant, the members changed. The pending budget request was abandoned and the next one was due 250 ms after it, but the waiting request was decided after 100 ms. No budget request was pending then, so the entry didn't fall back to its equal share and refused: a lease renewed while idle holds no slots. Now the condition is that no grant arrived during the wait, and the new owner is asked at once.

An entry that had used spend wanted its share of an hour's spend. A new owner starts with three seconds of spend and granted all of it to the first entry that asked. The next entry was granted nothing or what had accrued since, and was refused after its first chat. Now an entry wants at least its share of the initial credit.

--- a/src/include/wisteriayard/limits.h
+++ b/src/include/wisteriayard/limits.h
@@ -234,6 +234,7 @@
         /// The next budget request waits for minRenewalIntervalAfterFullGrant instead of minRenewalInterval.
         bool renewalUrgent = false;
         TimePoint requestedAt {};
+        TimePoint grantedAt {};
         TimePoint leaseEnd {};
         TimePoint refilledAt {};
         TimePoint lastDemand {};
--- a/src/libwisteriayard/limits.cpp
+++ b/src/libwisteriayard/limits.cpp
@@ -226,7 +226,9 @@
         updateOwner(id, account);
         if (account.owner == former)
             continue;
-        // The lease stays valid until it expires; a grant of the previous owner is ignored.
+        // The lease stays valid until it expires; a grant of the previous owner is ignored. Requests that wait for it
+        // are decided within maxGrantWait, so the new owner is asked at once.
+        account.renewalUrgent = account.requestPending || account.renewalUrgent;
         account.requestPending = false;
         account.requestNeeded = true;
     }
@@ -315,7 +317,9 @@
     Credits use = asCredits(estimate);
     if (attempt == BudgetAttempt::First)
         recordDemand(account, use);
-    bool grantOverdue = account.requestPending && now - account.requestedAt >= maxGrantWait;
+    // No grant has arrived while the request waited. The time of the last budget request doesn't show this, because a
+    // change of the owner repeats it.
+    bool grantOverdue = (account.requestPending || account.requestNeeded) && now - account.grantedAt >= maxGrantWait;
     bool ended = now >= account.leaseEnd;
     if (attempt == BudgetAttempt::Last && !account.fallback && (ended || (grantOverdue && !canAdmit(account, use)))) {
         // A lease renewed while idle holds no slots. If the owner does not respond, it must not refuse what the limits
@@ -421,6 +425,7 @@
     account.requestPending = false;
     account.ownerUnresponsive = false;
     account.fallback = false;
+    account.grantedAt = now;
     for (std::size_t kind = 0; kind < creditKinds; ++kind)
         account.balance[kind] += grant.credits[kind];
     account.slots = grant.slots;
@@ -442,8 +447,9 @@
     for (std::size_t kind = 0; kind < creditKinds; ++kind) {
         account.expected[kind] = std::max(account.used[kind] / scale, account.expected[kind] / 2);
         account.used[kind] = 0;
-        // At least an equal share, so that a first burst is admitted.
-        double least = rates[kind] ? capacity(kind, *rates[kind]) / entries : 0.0;
+        // At least an equal share of what a new owner starts with, so that a first burst is admitted. With a share of
+        // the capacity, an hour of spend, the first entry that asked a new owner left none to the others.
+        double least = rates[kind] ? initialCredit(static_cast<CreditKind>(kind), *rates[kind]) / entries : 0.0;
         bool used = account.expected[kind] > 0;
         request.wanted[kind] = std::max(account.expected[kind] * margin, used ? least : 0.0);
         // Spend is known only after a request has ended; without credit the first request could not start.
--- a/src/libwisteriayard/limits_test.cpp
+++ b/src/libwisteriayard/limits_test.cpp
@@ -216,6 +216,81 @@
     BOOST_TEST(std::holds_alternative<BudgetAdmitted>(decision));
 }
 
+// Guards against a false refusal: while a request waited for its grant, the members changed, so that the budget request
+// to the former owner was abandoned and the next one was not due before the request was decided (case_usage_windows,
+// graceful_shutdown).
+BOOST_DATA_TEST_CASE(
+    owner_change_does_not_refuse_a_waiting_request, boost::unit_test::data::make({ 1, 40, 99 }), change)
+{
+    AccountLimits limits = limitsOf(200, 400);
+    Pair pair(limits);
+    TimePoint now = start + std::chrono::seconds(10);
+    BOOST_TEST(pair.admitMany(1, now) == 1);
+    pair.lease.release(account, use, use);
+    // Afterwards the account holds a lease without slots.
+    for (TimePoint end = now + std::chrono::seconds(2); now < end; now += std::chrono::milliseconds(10))
+        pair.exchange(now);
+    pair.ownerAnswers = false;
+    auto decision = pair.lease.admit(account, limits, use, BudgetAttempt::First, now);
+    pair.exchange(now);
+    BOOST_REQUIRE(std::holds_alternative<BudgetPending>(decision));
+    TimePoint deadline = now + maxGrantWait;
+    pair.lease.membersChanged({ InstanceId("b") });
+    for (now += std::chrono::milliseconds(change); now < deadline; now += std::chrono::milliseconds(10))
+        pair.exchange(now);
+    decision = pair.lease.admit(account, limits, use, BudgetAttempt::Last, deadline);
+    BOOST_TEST(std::holds_alternative<BudgetAdmitted>(decision));
+}
+
+// Guards against a wait of the next budget request after a change of the owner: the new owner has to be asked before
+// the requests that wait for a grant are decided.
+BOOST_AUTO_TEST_CASE(new_owner_is_asked_at_once)
+{
+    Pair pair(limitsOf(200, 400));
+    TimePoint now = start + std::chrono::seconds(10);
+    pair.lease.admit(account, pair.limits, use, BudgetAttempt::First, now);
+    BOOST_REQUIRE(pair.lease.dueRequests(now).size() == 1);
+    pair.lease.membersChanged({ InstanceId("b") });
+    now += minRenewalIntervalAfterFullGrant;
+    auto requests = pair.lease.dueRequests(now);
+    BOOST_REQUIRE(requests.size() == 1);
+    BOOST_TEST(requests[0].owner == InstanceId("b"));
+}
+
+// Guards against a false refusal after the owner of a budget has restarted: the first entry that asked was granted all
+// of the initial spend credit, because an entry wanted its share of an hour's spend (case_usage_windows,
+// graceful_shutdown).
+BOOST_DATA_TEST_CASE(first_entry_leaves_spend_of_a_new_owner, boost::unit_test::data::make({ 0, 1, 100 }), delay)
+{
+    AccountLimits limits = limitsOf(200, 400);
+    limits.tokensPerSecond = 60'000;
+    limits.spendEndpointSecondsPerDay = 1'500'000;
+    std::vector<InstanceId> members { self, InstanceId("b"), InstanceId("c") };
+    TimePoint now = start + std::chrono::seconds(10);
+    BudgetOwner budget(self, now);
+    std::vector<BudgetLease> leases;
+    const BudgetUse estimate { Tokens(200), 0.0 };
+    for (const InstanceId& member : members)
+        leases.emplace_back(member).membersChanged(members);
+    int admitted = 0;
+    for (std::size_t i = 0; i < members.size(); ++i, now += std::chrono::milliseconds(delay)) {
+        // Three chats in sequence of 30 ms each.
+        for (int chat = 0; chat < 3; ++chat) {
+            TimePoint at = now + std::chrono::milliseconds(30 * chat);
+            auto decision = leases[i].admit(account, limits, estimate, BudgetAttempt::First, at);
+            for (const auto& due : leases[i].dueRequests(at))
+                leases[i].applyGrant(budget.grant(members[i], due.request, limits, at), at);
+            if (std::holds_alternative<BudgetPending>(decision))
+                decision = leases[i].admit(account, limits, estimate, BudgetAttempt::AfterGrant, at);
+            if (!std::holds_alternative<BudgetAdmitted>(decision))
+                continue;
+            ++admitted;
+            leases[i].release(account, estimate, { Tokens(30), 0.2 });
+        }
+    }
+    BOOST_TEST(admitted == 9);
+}
+
 // Guards against a late grant of an abandoned budget request that is applied in addition to the current one.
 BOOST_AUTO_TEST_CASE(late_grant_is_dropped)
 {
