Check what is promised of an agent stopped past a takeover

The test took the first transaction that the store held for the write of the intent. Entries write usage records in transactions as well, so the agent could be stopped before it had sent the intent; the repeated call was then executed, rightly, and retry_until failed.

--- a/src/fakes/fake_kv.cpp
+++ b/src/fakes/fake_kv.cpp
@@ -110,7 +110,8 @@
                 co_await sleepFor(m_io, hangDuration);
             if (m_faults.refuse)
                 co_return errorResponse(http::status::service_unavailable, "store is down");
-            m_heldTransactions += m_faults.holdWrites && path == "/v3/kv/txn";
+            if (m_faults.holdWrites && path == "/v3/kv/txn")
+                ++m_heldByPrefix[transactionPrefix(body)];
             while (m_faults.holdWrites && path == "/v3/kv/txn")
                 co_await sleepFor(m_io, watchPollInterval);
             if (path == "/v3/watch")
@@ -353,9 +354,19 @@
         /// First path component of a key, by which writes are counted.
         static std::string prefixOf(const std::string& key) { return key.substr(0, key.find('/')); }
 
+        /// Returns the prefix of the first key that a transaction puts, or an empty string.
+        static std::string transactionPrefix(const Json& transaction)
+        {
+            for (const Json& operation : transaction.value("success", Json::array())) {
+                if (operation.contains("request_put"))
+                    return prefixOf(field(operation["request_put"], "key"));
+            }
+            return {};
+        }
+
         Json stats() const
         {
-            return { { "reads", m_reads }, { "writes", m_writes }, { "held", m_heldTransactions },
+            return { { "reads", m_reads }, { "writes", m_writes }, { "held_by_prefix", m_heldByPrefix },
                 { "watches", m_watches }, { "writes_by_prefix", m_writesByPrefix },
                 { "lost_answers", m_droppedResponses }, { "keys", m_records.size() }, { "revision", m_revision } };
         }
@@ -393,7 +404,7 @@
         std::map<std::string, std::int64_t> m_writesByPrefix;
         int m_watches = 0;
         /// Number of transactions held so far.
-        int m_heldTransactions = 0;
+        std::map<std::string, int> m_heldByPrefix;
         Faults m_faults;
     };
 
