End the processes of a deployment whose start fails

Deployment of harness.py lost track of a process whose name was started again while it ran; it now ends all that it started.

--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -175,7 +175,9 @@
         self.bin = bin_dir
         self.entry_program = "wisteriayardd"
         self.dir = tempfile.mkdtemp(prefix="wisteriayard-")
+        # The processes by name; a name that is started again has its latest process here.
         self.processes = {}
+        self.started = []
         self.settings = settings or {}
         self.instances = []
         self.entries, self.admins, self.peers = {}, {}, {}
@@ -185,11 +187,11 @@
         return self
 
     def __exit__(self, *failure):
-        for process in self.processes.values():
+        for process in self.started:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
-        for process in self.processes.values():
+        for process in self.started:
             process.wait()
         if not any(failure):
             shutil.rmtree(self.dir)
@@ -200,6 +202,7 @@
         log = open(os.path.join(self.dir, name + ".out"), "ab")
         command = [os.path.join(self.bin, program), *arguments]
         self.processes[name] = subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT)
+        self.started.append(self.processes[name])
         return self.processes[name]
 
     def output(self, name):
--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -210,6 +210,14 @@
         return version
 
     def start(self, gateways, configured=True):
+        """Ends all processes if the start fails, since the caller then has no deployment to leave."""
+        try:
+            return self._start(gateways, configured)
+        except BaseException:
+            self.__exit__(*sys.exc_info())
+            raise
+
+    def _start(self, gateways, configured):
         for endpoint in self.endpoints:
             self.store.put("servers/" + endpoint.name, endpoint.entry(self.link(endpoint.address)))
         if configured:
