Limit the heads and bodies of an entry's callers in sum

HttpServer limited heads and bodies for each connection only, its parser kept a node for each line of a head until the request ended, and a body was reserved at its stated length and copied once more for the agent. Clients within the documented limits could use up the memory of the process.

Heads are parsed when they are complete, and only the fields that the handler needs are kept. The connections with the oldest unfinished heads are closed when the budget of heads is exhausted; what does not fit is refused with 503 no_memory, Retry-After and outcome not_run. The number of callers' connections leaves descriptors to others, and the readiness server of the gateway has 64 connections.

Responses of the store are not limited further by this change.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,8 @@
 
 namespace {
 
+    /// Connections to the port for readiness, which callers don't use.
+    constexpr int maxReadinessConnections = 64;
     constexpr std::size_t logBufferBytes = 512 * 1024;
     /// Log lines are written to standard output within this time.
     constexpr Duration logDrainInterval = std::chrono::milliseconds(200);
@@ -153,6 +155,7 @@
         {
             HttpServerLimits limits;
             limits.maxBody = Bytes(4096);
+            limits.maxConnections = maxReadinessConnections;
             auto handler = [this](HttpRequest request, HttpStreamWriter&) -> awaitable<HandlerResult> {
                 namespace http = boost::beast::http;
                 auto status = http::status::not_found;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace wisteriayard {
@@ -25,8 +26,13 @@
     /// Delay after a failed accept, which avoids a busy loop while the process is out of file descriptors.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
     constexpr Duration writeTimeout = std::chrono::seconds(30);
-    /// Buffer space, in addition to the header limit, for an incomplete line such as that before a chunk.
-    constexpr std::size_t maxIncompleteLineBytes = 64 * 1024;
+    constexpr std::string_view endOfHead = "\r\n\r\n";
+    constexpr std::size_t receiveBytes = 16 * 1024;
+    /// Memory of a kept field in addition to its text.
+    constexpr std::size_t fieldOverheadBytes = 96;
+    /// First reservation for a body, unless its stated length is less.
+    constexpr std::size_t firstBodyBytes = 64 * 1024;
+    constexpr int memoryRetrySeconds = 1;
 
     std::string errorBody(std::string_view message)
     {
@@ -34,6 +40,16 @@
             + R"(","type":"invalid_request_error","code":"bad_request","outcome":"not_run"}})";
     }
 
+    /// The response to a request that does not fit the memory.
+    HttpResponse noMemoryResponse()
+    {
+        HttpResponse response = makeHttpResponse(http::status::service_unavailable,
+            R"({"error":{"message":"no memory for the request; it was not run",)"
+            R"("type":"api_error","code":"no_memory","outcome":"not_run"}})");
+        response.set(http::field::retry_after, std::to_string(memoryRetrySeconds));
+        return response;
+    }
+
     /// The response to a request that could not be parsed.
     HttpResponse parseErrorResponse(const boost::system::error_code& error)
     {
@@ -86,6 +102,8 @@
             char byte = 0;
             boost::system::error_code peekError;
             std::size_t size = socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+            if (peekError == boost::asio::error::would_block)
+                return; // the bytes were read as the next request
             if (peekError || size == 0)
                 handler();
         });
@@ -101,11 +119,56 @@
     co_return boost::outcome_v2::success();
 }
 
+/// An open connection.
+struct HttpServer::Connection {
+    Connection(boost::asio::ip::tcp::socket socket, ByteBudget& heads)
+        : stream(std::move(socket))
+        , reservation(heads)
+    {
+    }
+
+    /// Drops the first unparsed bytes.
+    void consume(std::size_t size)
+    {
+        // The copy has no unused capacity, so that the reservation is what the connection holds.
+        unparsed = unparsed.substr(size);
+        reservation.shrinkTo(Bytes(static_cast<std::int64_t>(unparsed.size())));
+    }
+
+    beast::tcp_stream stream;
+    /// Received bytes that are not parsed yet, and the memory reserved for them.
+    std::string unparsed;
+    ByteReservation reservation;
+    /// Waiting for a request; drain() closes idle connections.
+    bool idle = false;
+    /// Closed because the memory of heads was exhausted.
+    bool evicted = false;
+};
+
+/// A request that is being received.
+struct HttpServer::Incoming {
+    Incoming(ByteBudget& heads, ByteBudget& bodies)
+        : headReservation(heads)
+        , bodyReservation(bodies)
+    {
+    }
+
+    http::request_parser<http::buffer_body> parser;
+    boost::system::error_code error;
+    HttpRequest request;
+    ByteReservation headReservation;
+    ByteReservation bodyReservation;
+};
+
 HttpServer::HttpServer(boost::asio::io_context& io, HttpServerLimits limits, HttpHandler handler)
     : m_io(io)
     , m_acceptor(io)
-    , m_limits(limits)
+    , m_limits(std::move(limits))
     , m_handler(std::move(handler))
+    , m_heads(m_limits.headMemory)
+    , m_bodies(m_limits.bodyMemory)
+    , m_received(receiveBytes)
+    , m_bodyPart(receiveBytes)
 {
 }
 
@@ -147,9 +210,9 @@
     m_draining = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
-    for (auto& [stream, idle] : m_idleByStream) {
-        if (idle)
-            stream->cancel();
+    for (Connection* connection : m_open) {
+        if (connection->idle)
+            connection->stream.cancel();
     }
 }
 
@@ -180,49 +243,230 @@
     ++m_connections;
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
-    // The parser limits the sizes of the header and the body, but not that of the line before a chunk.
-    beast::flat_buffer buffer(m_limits.maxHeaderBytes + maxIncompleteLineBytes);
-    m_idleByStream[&stream] = false;
-    while (!m_draining && co_await serveOne(stream, buffer)) { }
-    m_idleByStream.erase(&stream);
-    stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    socket.non_blocking(true, ignored);
+    Connection connection(std::move(socket), m_heads);
+    m_open.insert(&connection);
+    while (!m_draining && co_await serveOne(connection)) { }
+    m_open.erase(&connection);
+    connection.stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     --m_connections;
 }
 
-awaitable<bool> HttpServer::serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+void HttpServer::reportShortage(HttpShortage shortage)
+{
+    if (m_onShortage)
+        m_onShortage(shortage);
+}
+
+/// Extends a reservation for heads, closing connections with unfinished heads if necessary.
+/// @return false if the memory does not suffice even then, or if the connection itself was closed
+bool HttpServer::reserveHead(ByteReservation& reservation, std::size_t size, const Connection& connection)
+{
+    while (!reservation.extendTo(Bytes(static_cast<std::int64_t>(size)))) {
+        if (m_unfinishedHeads.empty())
+            return false;
+        // Nothing was promised to a connection whose request is not complete.
+        Connection& oldest = *m_unfinishedHeads.front();
+        m_unfinishedHeads.pop_front();
+        oldest.evicted = true;
+        oldest.consume(oldest.unparsed.size());
+        oldest.stream.close();
+        reportShortage(HttpShortage::HeadClosed);
+        if (&oldest == &connection)
+            return false;
+    }
+    return true;
+}
+
+/// Reserves memory for the unparsed bytes of a connection, as the other function of this name does.
+bool HttpServer::reserveHead(Connection& connection)
+{
+    return reserveHead(connection.reservation, connection.unparsed.size(), connection);
+}
+
+/// Waits for bytes and appends them to the unparsed ones. The caller reserves memory for those that it can't parse.
+awaitable<HttpServer::ReadResult> HttpServer::receive(Connection& connection)
 {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(static_cast<std::uint64_t>(m_limits.maxBody.value()));
-    parser.header_limit(m_limits.maxHeaderBytes);
     boost::system::error_code error;
-    stream.expires_after(m_limits.readTimeout);
-    m_idleByStream[&stream] = buffer.size() == 0;
-    co_await http::async_read(stream, buffer, parser, redirect_error(use_awaitable, error));
-    m_idleByStream[&stream] = false;
-    if (error) {
-        bool parseError = error.category() == make_error_code(http::error::bad_method).category()
-            && error != http::error::end_of_stream && error != http::error::partial_message;
-        if (parseError) {
-            HttpResponse response = parseErrorResponse(error);
-            response.keep_alive(false);
-            response.prepare_payload();
-            stream.expires_after(writeTimeout);
-            co_await http::async_write(stream, response, redirect_error(use_awaitable, error));
+    // The time limit of the stream applies to asynchronous reads only. A read into the common buffer must not be
+    // asynchronous, since other connections use the buffer before the coroutine resumes.
+    char first = 0;
+    co_await connection.stream.async_read_some(boost::asio::buffer(&first, 1), redirect_error(use_awaitable, error));
+    if (error || connection.evicted)
+        co_return ReadResult::Closed;
+    m_received[0] = first;
+    std::size_t size = 1;
+    // An error is reported again by the next asynchronous read.
+    size += connection.stream.socket().read_some(
+        boost::asio::buffer(m_received.data() + 1, m_received.size() - 1), error);
+    std::string extended;
+    extended.reserve(connection.unparsed.size() + size);
+    extended.append(connection.unparsed).append(m_received.data(), size);
+    connection.unparsed = std::move(extended);
+    co_return ReadResult::Complete;
+}
+
+awaitable<HttpServer::ReadResult> HttpServer::readHead(Connection& connection, Incoming& incoming)
+{
+    bool listed = false;
+    auto result = ReadResult::Complete;
+    while (true) {
+        // The parser makes a node of each line that it gets, so it gets a head only when it is complete.
+        bool complete = connection.unparsed.find(endOfHead) != std::string::npos;
+        bool tooLarge = !complete && connection.unparsed.size() > m_limits.maxHeaderBytes;
+        if (complete)
+            connection.consume(incoming.parser.put(boost::asio::buffer(connection.unparsed), incoming.error));
+        else if (tooLarge)
+            incoming.error = http::error::header_limit;
+        if (incoming.error)
+            result = ReadResult::Malformed;
+        if (result != ReadResult::Complete || incoming.parser.is_header_done())
+            break;
+        if (!listed && !connection.unparsed.empty()) {
+            m_unfinishedHeads.push_back(&connection);
+            listed = true;
         }
-        co_return false;
+        connection.idle = connection.unparsed.empty();
+        result = co_await receive(connection);
+        connection.idle = false;
+        if (result == ReadResult::Complete && !reserveHead(connection))
+            result = connection.evicted ? ReadResult::Closed : ReadResult::NoMemory;
+        if (result != ReadResult::Complete)
+            break;
+    }
+    if (listed)
+        m_unfinishedHeads.remove(&connection);
+    if (result == ReadResult::NoMemory)
+        reportShortage(HttpShortage::HeadRefused);
+    co_return result;
+}
+
+/// Moves what the handler needs from the parser to the request and drops the rest.
+/// @return false if it does not fit the memory of heads
+bool HttpServer::takeFields(const Connection& connection, Incoming& incoming)
+{
+    auto& parsed = incoming.parser.get();
+    HttpRequest& request = incoming.request;
+    request.method_string(parsed.method_string());
+    request.target(parsed.target());
+    request.version(parsed.version());
+    std::size_t size = parsed.method_string().size() + parsed.target().size();
+    for (const auto& field : parsed) {
+        bool kept = m_limits.keptFields.empty();
+        for (const std::string& name : m_limits.keptFields)
+            kept = kept || (beast::iequals(name, field.name_string()) && request.count(name) < 2);
+        if (!kept)
+            continue;
+        request.insert(field.name(), field.name_string(), field.value());
+        size += field.name_string().size() + field.value().size() + fieldOverheadBytes;
+    }
+    // The parser keeps the framing of the body itself. Fields of a trailer are dropped with it.
+    parsed.clear();
+    return reserveHead(incoming.headReservation, size, connection);
+}
+
+/// Appends to the body, whose reservation doubles up to the stated length.
+/// @return false if it does not fit the memory of bodies
+bool HttpServer::appendBody(Incoming& incoming, std::string_view data)
+{
+    std::string& body = incoming.request.body();
+    std::size_t needed = body.size() + data.size();
+    auto reserved = static_cast<std::size_t>(incoming.bodyReservation.size().value());
+    if (needed > reserved) {
+        auto most = static_cast<std::size_t>(m_limits.maxBody.value());
+        std::size_t next = std::max(needed, std::min(most, std::max(2 * reserved, firstBodyBytes)));
+        if (auto left = incoming.parser.content_length_remaining())
+            next = std::min(next, needed + static_cast<std::size_t>(*left));
+        if (!incoming.bodyReservation.extendTo(Bytes(static_cast<std::int64_t>(next))))
+            return false;
+        body.reserve(next);
+    }
+    body.append(data);
+    return true;
+}
+
+awaitable<HttpServer::ReadResult> HttpServer::readBody(Connection& connection, Incoming& incoming)
+{
+    auto& parser = incoming.parser;
+    parser.eager(true);
+    while (!parser.is_done()) {
+        if (!connection.unparsed.empty()) {
+            auto& part = parser.get().body();
+            part.data = m_bodyPart.data();
+            part.size = m_bodyPart.size();
+            std::size_t used = parser.put(boost::asio::buffer(connection.unparsed), incoming.error);
+            std::size_t produced = m_bodyPart.size() - part.size;
+            connection.consume(used);
+            if (!appendBody(incoming, { m_bodyPart.data(), produced })) {
+                reportShortage(HttpShortage::BodyRefused);
+                co_return ReadResult::NoMemory;
+            }
+            bool goesOn = !incoming.error || incoming.error == http::error::need_more
+                || incoming.error == http::error::need_buffer;
+            if (!goesOn)
+                co_return ReadResult::Malformed;
+            incoming.error = {};
+            // A trailer may have been parsed.
+            parser.get().clear();
+            if (!reserveHead(connection)) {
+                reportShortage(HttpShortage::HeadRefused);
+                co_return ReadResult::NoMemory;
+            }
+            if (used > 0)
+                continue;
+            // The line before a chunk and the trailer are parsed only when they are complete.
+            if (connection.unparsed.size() > m_limits.maxHeaderBytes) {
+                incoming.error = http::error::buffer_overflow;
+                co_return ReadResult::Malformed;
+            }
+        }
+        auto result = co_await receive(connection);
+        if (result != ReadResult::Complete)
+            co_return result;
+    }
+    co_return ReadResult::Complete;
+}
+
+awaitable<void> HttpServer::refuse(Connection& connection, HttpResponse response)
+{
+    boost::system::error_code ignored;
+    response.keep_alive(false);
+    response.prepare_payload();
+    connection.stream.expires_after(writeTimeout);
+    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, ignored));
+}
+
+awaitable<bool> HttpServer::serveOne(Connection& connection)
+{
+    Incoming incoming(m_heads, m_bodies);
+    incoming.parser.body_limit(static_cast<std::uint64_t>(m_limits.maxBody.value()));
+    incoming.parser.header_limit(m_limits.maxHeaderBytes);
+    connection.stream.expires_after(m_limits.readTimeout);
+    auto result = co_await readHead(connection, incoming);
+    if (result == ReadResult::Complete) {
+        bool fits = takeFields(connection, incoming);
+        if (!fits)
+            reportShortage(HttpShortage::HeadRefused);
+        result = fits ? co_await readBody(connection, incoming) : ReadResult::NoMemory;
     }
-    bool keepAlive = parser.get().keep_alive();
-    HttpStreamWriter writer(stream);
-    stream.expires_never();
-    auto result = co_await m_handler(parser.release(), writer);
-    if (auto* streamed = std::get_if<StreamedResponse>(&result))
+    if (result == ReadResult::Malformed)
+        co_await refuse(connection, parseErrorResponse(incoming.error));
+    else if (result == ReadResult::NoMemory)
+        co_await refuse(connection, noMemoryResponse());
+    if (result != ReadResult::Complete)
+        co_return false;
+    bool keepAlive = incoming.parser.keep_alive();
+    HttpStreamWriter writer(connection.stream);
+    connection.stream.expires_never();
+    auto handled = co_await m_handler(std::move(incoming.request), writer);
+    if (auto* streamed = std::get_if<StreamedResponse>(&handled))
         co_return streamed->complete&& keepAlive;
-    auto& response = std::get<HttpResponse>(result);
+    auto& response = std::get<HttpResponse>(handled);
     response.keep_alive(keepAlive && !m_draining);
     response.prepare_payload();
-    stream.expires_after(writeTimeout);
-    co_await http::async_write(stream, response, redirect_error(use_awaitable, error));
+    connection.stream.expires_after(writeTimeout);
+    boost::system::error_code error;
+    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, error));
     co_return !error && response.keep_alive();
 }
 
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include "http_client.h"
+#include "wisteriayard/byte_budget.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace wisteriayard {
 
@@ -61,10 +65,27 @@
     Duration readTimeout = std::chrono::seconds(30);
     /// Further connections are closed as soon as they are accepted.
     int maxConnections = 10'000;
+    /// Memory for the heads of all connections: unparsed bytes, and the fields of requests that are being served.
+    Bytes headMemory { 16 * 1024 * 1024 };
+    /// Memory for the bodies of all requests that are being received or served.
+    Bytes bodyMemory { 256 * 1024 * 1024 };
+    /// Names of the fields that the handler needs. At most two of each name are kept, so that the handler can detect a
+    /// repetition. Without names, all fields are kept.
+    std::vector<std::string> keptFields;
     /// Sets SO_REUSEPORT, so that several servers can listen on the same port.
     bool sharePort = false;
 };
 
+/// What a server did when a budget of memory was exhausted.
+enum class HttpShortage {
+    /// A connection with an unfinished head was closed.
+    HeadClosed,
+    /// A request was refused because its complete head did not fit.
+    HeadRefused,
+    /// A request was refused because its body did not fit.
+    BodyRefused,
+};
+
 /// Binds an acceptor to an address and starts listening.
 /// @param sharePort set SO_REUSEPORT, so that further acceptors can listen on the same address
 /// @return Unavailable if the address cannot be bound
@@ -86,20 +107,52 @@
 
     /// Number of open connections; may be called from any thread.
     int connections() const { return m_connections; }
+    /// Memory reserved for heads and for bodies. Must be called from the thread that serves the connections.
+    Bytes heldForHeads() const { return m_heads.reserved(); }
+    Bytes heldForBodies() const { return m_bodies.reserved(); }
+    /// Sets a function that is called each time a budget of memory is exhausted. Must be called before listen().
+    void onShortage(std::function<void(HttpShortage)> handler) { m_onShortage = std::move(handler); }
 
 private:
+    struct Connection;
+    struct Incoming;
+    enum class ReadResult {
+        Complete,
+        /// The connection has ended, was closed for memory or has exceeded its time limit.
+        Closed,
+        Malformed,
+        NoMemory,
+    };
+
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<bool> serveOne(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
+    boost::asio::awaitable<bool> serveOne(Connection& connection);
+    boost::asio::awaitable<ReadResult> readHead(Connection& connection, Incoming& incoming);
+    boost::asio::awaitable<ReadResult> readBody(Connection& connection, Incoming& incoming);
+    boost::asio::awaitable<ReadResult> receive(Connection& connection);
+    boost::asio::awaitable<void> refuse(Connection& connection, HttpResponse response);
+    bool takeFields(const Connection& connection, Incoming& incoming);
+    bool appendBody(Incoming& incoming, std::string_view data);
+    bool reserveHead(Connection& connection);
+    bool reserveHead(ByteReservation& reservation, std::size_t size, const Connection& connection);
+    void reportShortage(HttpShortage shortage);
 
     boost::asio::io_context& m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpServerLimits m_limits;
     HttpHandler m_handler;
+    std::function<void(HttpShortage)> m_onShortage;
+    ByteBudget m_heads;
+    ByteBudget m_bodies;
+    /// Bytes are received into this buffer after a connection has become readable, so that idle connections hold none.
+    std::vector<char> m_received;
+    /// The parser writes parts of bodies here.
+    std::vector<char> m_bodyPart;
     std::atomic<int> m_connections = 0;
     bool m_draining = false;
-    /// Open connections and whether each is idle, waiting for a request; drain() closes idle ones.
-    std::map<boost::beast::tcp_stream*, bool> m_idleByStream;
+    std::set<Connection*> m_open;
+    /// Connections with an unfinished head, the oldest first.
+    std::list<Connection*> m_unfinishedHeads;
 };
 
 /// Creates an HTTP/1.1 response with a body.
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -6,9 +6,15 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace wisteriayard;
 namespace http = boost::beast::http;
 
@@ -181,3 +187,110 @@
     BOOST_TEST(response->has_value() == each.accepted);
     BOOST_TEST(connection.isOpen() == each.accepted);
 }
+
+namespace {
+
+/// Serves each request with its fields' number and the size of its body.
+std::shared_ptr<HttpServer> makeBudgetServer(boost::asio::io_context& io, std::vector<HttpShortage>& shortages)
+{
+    HttpServerLimits limits;
+    limits.maxBody = Bytes(200'000);
+    limits.headMemory = Bytes(40'000);
+    limits.maxHeaderBytes = 64 * 1024;
+    limits.bodyMemory = Bytes(100'000);
+    limits.keptFields = { "Kept" };
+    auto handler = [](HttpRequest request, HttpStreamWriter&) -> boost::asio::awaitable<HandlerResult> {
+        auto fields = std::distance(request.begin(), request.end());
+        co_return makeHttpResponse(boost::beast::http::status::ok,
+            std::to_string(fields) + " fields, " + std::to_string(request.body().size()) + " bytes");
+    };
+    auto server = std::make_shared<HttpServer>(io, limits, handler);
+    server->onShortage([&](HttpShortage shortage) { shortages.push_back(shortage); });
+    BOOST_REQUIRE(server->listen(parseAddress("127.0.0.1:0").value()));
+    return server;
+}
+
+std::string repeated(std::string_view text, int count)
+{
+    std::string result;
+    for (int i = 0; i < count; ++i)
+        result += text;
+    return result;
+}
+
+struct BudgetCase {
+    const char* name;
+    std::string head;
+    std::size_t body;
+    const char* expected;
+    std::vector<HttpShortage> shortages;
+};
+std::ostream& operator<<(std::ostream& out, const BudgetCase& each) { return out << each.name; }
+
+const BudgetCase budgetCases[] = {
+    { "fields_that_are_not_kept", "a:b\r\n" + repeated("c:d\r\n", 500), 3, "0 fields, 3 bytes", {} },
+    { "two_of_each_kept_name", repeated("kept:d\r\n", 50), 3, "2 fields, 3 bytes", {} },
+    { "body_that_fits", "", 90'000, "0 fields, 90000 bytes", {} },
+    { "body_above_the_memory", "", 150'000, "no_memory", { HttpShortage::BodyRefused } },
+    { "head_above_the_memory", "a:" + std::string(50'000, 'x') + "\r\n", 3, "", { HttpShortage::HeadClosed } },
+};
+
+} // namespace
+
+// Guards against heads and bodies that are not limited in sum, and against a refusal that lacks its time or outcome.
+BOOST_DATA_TEST_CASE(memory_of_requests_is_limited, boost::unit_test::data::make(budgetCases), each)
+{
+    boost::asio::io_context io;
+    std::vector<HttpShortage> shortages;
+    auto server = makeBudgetServer(io, shortages);
+    std::string received;
+    std::thread client([&, address = server->localAddress()] {
+        boost::asio::io_context clientIo;
+        boost::asio::ip::tcp::socket socket(clientIo);
+        socket.connect(address);
+        boost::system::error_code ignored;
+        std::string request = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(each.body)
+            + "\r\n" + each.head + "\r\n" + std::string(each.body, 'y');
+        boost::asio::write(socket, boost::asio::buffer(request), ignored);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+        boost::asio::post(io, [&] { io.stop(); });
+    });
+    io.run();
+    client.join();
+    BOOST_TEST(received.find(each.expected) != std::string::npos, received);
+    bool refused = received.rfind("HTTP/1.1 503", 0) == 0;
+    BOOST_TEST(refused == (each.expected == std::string("no_memory")));
+    BOOST_TEST((received.find("Retry-After: 1\r\n") != std::string::npos) == refused);
+    BOOST_TEST((shortages == each.shortages));
+}
+
+// Guards against a connection that is closed in favour of an older one with an unfinished head.
+BOOST_AUTO_TEST_CASE(oldest_unfinished_head_is_closed)
+{
+    boost::asio::io_context io;
+    std::vector<HttpShortage> shortages;
+    auto server = makeBudgetServer(io, shortages);
+    std::string first;
+    std::string second;
+    std::thread client([&, address = server->localAddress()] {
+        boost::asio::io_context clientIo;
+        boost::asio::ip::tcp::socket oldest(clientIo);
+        boost::asio::ip::tcp::socket newer(clientIo);
+        boost::system::error_code ignored;
+        std::string half = "GET / HTTP/1.1\r\nConnection: close\r\na:" + std::string(25'000, 'x');
+        oldest.connect(address);
+        boost::asio::write(oldest, boost::asio::buffer(half), ignored);
+        while (
+            boost::asio::post(io, boost::asio::use_future([&] { return server->heldForHeads(); })).get().value() < 5000)
+            std::this_thread::yield();
+        newer.connect(address);
+        boost::asio::write(newer, boost::asio::buffer(half + "\r\n\r\n"), ignored);
+        boost::asio::read(oldest, boost::asio::dynamic_buffer(first), ignored);
+        boost::asio::read(newer, boost::asio::dynamic_buffer(second), ignored);
+        boost::asio::post(io, [&] { io.stop(); });
+    });
+    io.run();
+    client.join();
+    BOOST_TEST(first.empty());
+    BOOST_TEST(second.find("0 fields") != std::string::npos, second);
+}
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -108,6 +108,11 @@
 {
 }
 
+std::vector<std::string> CallerHandler::requestFields()
+{
+    return { "Authorization", "Content-Type", "Idempotency-Key" };
+}
+
 awaitable<HandlerResult> CallerHandler::handle(HttpRequest request, HttpStreamWriter& writer)
 {
     RequestId id(randomHex(requestIdBytes));
@@ -147,8 +152,7 @@
     co_return response;
 }
 
-awaitable<HandlerResult> CallerHandler::chat(
-    RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer)
+awaitable<HandlerResult> CallerHandler::chat(RequestId id, KeyHash key, HttpRequest& request, HttpStreamWriter& writer)
 {
     auto parsed = parseChatRequest(request.body());
     if (!parsed)
@@ -158,7 +162,7 @@
     call.writer = &writer;
     call.chat = parsed.value();
     call.submit.set_kind(wire::CHAT);
-    call.submit.set_body(request.body());
+    call.submit.set_body(std::move(request.body()));
     call.mailbox = std::make_shared<RequestMailbox>(m_io, id);
     ArrivedRequest arrived;
     arrived.key = key;
@@ -174,7 +178,7 @@
 }
 
 awaitable<HandlerResult> CallerHandler::service(
-    RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer)
+    RequestId id, KeyHash key, HttpRequest& request, HttpStreamWriter& writer)
 {
     std::string_view rest = request.target();
     rest.remove_prefix(servicesPrefix.size());
@@ -190,7 +194,7 @@
     call.submit.set_kind(wire::SERVICE);
     call.submit.set_method(std::string(request.method_string()));
     call.submit.set_path(path);
-    call.submit.set_body(request.body());
+    call.submit.set_body(std::move(request.body()));
     call.submit.set_content_type(std::string(request[http::field::content_type]));
     call.submit.set_idempotency_key(std::string(idempotencyKey));
     call.mailbox = std::make_shared<RequestMailbox>(m_io, id);
--- a/src/wisteriayardd/caller_handler.h
+++ b/src/wisteriayardd/caller_handler.h
@@ -17,6 +17,8 @@
     CallerHandler(boost::asio::io_context& io, std::shared_ptr<EntryControl> control, std::shared_ptr<AgentLinks> links,
         std::shared_ptr<Metrics> metrics, std::shared_ptr<EventLog> log, std::shared_ptr<UsageReporter> usage);
 
+    /// Names of the header fields that handle() uses.
+    static std::vector<std::string> requestFields();
     /// Handles one request.
     boost::asio::awaitable<HandlerResult> handle(HttpRequest request, HttpStreamWriter& writer);
 
@@ -26,9 +28,9 @@
 
     boost::asio::awaitable<HandlerResult> listModels(RequestId id, KeyHash key);
     boost::asio::awaitable<HandlerResult> chat(
-        RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer);
+        RequestId id, KeyHash key, HttpRequest& request, HttpStreamWriter& writer);
     boost::asio::awaitable<HandlerResult> service(
-        RequestId id, KeyHash key, const HttpRequest& request, HttpStreamWriter& writer);
+        RequestId id, KeyHash key, HttpRequest& request, HttpStreamWriter& writer);
     boost::asio::awaitable<HandlerResult> run(Call& call);
     boost::asio::awaitable<std::optional<HandlerResult>> handleEvent(Call& call, const RequestEvent& event);
     boost::asio::awaitable<Status> deliver(Call& call, const wire::Chunk& chunk);
--- a/src/wisteriayardd/entry.cpp
+++ b/src/wisteriayardd/entry.cpp
@@ -17,6 +17,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <iostream>
 #include <thread>
 
@@ -25,6 +28,23 @@
 namespace {
 
     constexpr Duration drainPoll = std::chrono::milliseconds(20);
+    constexpr std::int64_t minOtherDescriptors = 100;
+    constexpr std::int64_t minHeadMemory = 128 * 1024;
+    /// Shortest time between two log lines of one traffic thread about exhausted memory; the metric counts all.
+    constexpr Duration shortageLogInterval = std::chrono::seconds(1);
+
+    /// Returns the limit on callers' connections: the setting, or what the limit on descriptors allows if that is less.
+    /// A tenth of the descriptors, at least minOtherDescriptors, is left to connections to agents, entries and the
+    /// store.
+    int callerConnections(int setting)
+    {
+        rlimit descriptors {};
+        if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+            return setting;
+        auto limit = static_cast<std::int64_t>(descriptors.rlim_cur);
+        std::int64_t most = std::max<std::int64_t>(1, limit - std::max(minOtherDescriptors, limit / 10));
+        return static_cast<int>(std::min<std::int64_t>(setting, most));
+    }
 
     /// A thread that serves callers: its event loop, connections to agents and HTTP server.
     struct TrafficThread {
@@ -113,12 +133,28 @@
             HttpServerLimits limits;
             limits.maxBody = m_settings.maxBody;
             limits.readTimeout = m_settings.readTimeout;
-            limits.maxConnections = m_settings.maxConnections / m_settings.trafficThreads + 1;
+            limits.maxConnections = callerConnections(m_settings.maxConnections) / m_settings.trafficThreads + 1;
+            // A thread has memory for a few heads of the largest size at least.
+            limits.headMemory
+                = std::max(Bytes(minHeadMemory), Bytes(m_settings.headMemory.value() / m_settings.trafficThreads));
+            // With less than one body, a single request of the largest size would always be refused.
+            limits.bodyMemory
+                = std::max(m_settings.maxBody, Bytes(m_settings.bodyMemory.value() / m_settings.trafficThreads));
+            limits.keptFields = CallerHandler::requestFields();
             limits.sharePort = true;
             auto handler = [callers = traffic->handler](HttpRequest request, HttpStreamWriter& writer) {
                 return callers->handle(std::move(request), writer);
             };
             traffic->server = std::make_shared<HttpServer>(traffic->io, limits, handler);
+            traffic->server->onShortage(
+                [metrics = m_metrics, log = m_log, logged = TimePoint {}](HttpShortage shortage) mutable {
+                    metrics->memoryExhausted(shortage);
+                    TimePoint now = bootTimeNow();
+                    if (now - logged < shortageLogInterval)
+                        return;
+                    logged = now;
+                    log->write(Event::CallerMemoryExhausted, { { "cause", shortageName(shortage) } });
+                });
             BOOST_OUTCOME_TRY(traffic->server->listen(m_settings.listen));
             m_traffic.push_back(std::move(traffic));
             return boost::outcome_v2::success();
--- a/src/wisteriayardd/event_log.cpp
+++ b/src/wisteriayardd/event_log.cpp
@@ -194,6 +194,8 @@
         return "zone_evacuation_kept";
     case Event::RegionsUnavailable:
         return "regions_unavailable";
+    case Event::CallerMemoryExhausted:
+        return "caller_memory_exhausted";
     case Event::QuarantineStoreFailed:
         return "quarantine_store_failed";
     }
--- a/src/wisteriayardd/event_log.h
+++ b/src/wisteriayardd/event_log.h
@@ -83,6 +83,7 @@
     OnceWriteInDoubt = 603,
     OnceStoreUnavailable = 604,
     OnceRecordUnusable = 605,
+    CallerMemoryExhausted = 610,
     ConfigInForce = 700,
     SettingsReloaded = 701,
     SettingsRejected = 702,
--- a/src/wisteriayardd/metrics.cpp
+++ b/src/wisteriayardd/metrics.cpp
@@ -20,6 +20,19 @@
 
 } // namespace
 
+std::string shortageName(HttpShortage shortage)
+{
+    switch (shortage) {
+    case HttpShortage::HeadClosed:
+        return "unfinished_head_closed";
+    case HttpShortage::HeadRefused:
+        return "head_refused";
+    case HttpShortage::BodyRefused:
+        return "body_refused";
+    }
+    return "unknown";
+}
+
 Metrics::Metrics()
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_requests(prometheus::BuildCounter()
@@ -30,6 +43,10 @@
                    .Name("wisteriayard_output_tokens_total")
                    .Help("Output tokens delivered, by account and class")
                    .Register(*m_registry))
+    , m_memoryExhausted(prometheus::BuildCounter()
+                            .Name("wisteriayard_caller_memory_exhausted_total")
+                            .Help("Connections closed and requests refused because memory for callers was exhausted")
+                            .Register(*m_registry))
     , m_firstToken(prometheus::BuildHistogram()
                        .Name("wisteriayard_first_token_seconds")
                        .Help("Time from the whole request to the first token, by account and class")
@@ -63,6 +80,11 @@
     m_tokens.Add(classLabels(account, requestClass)).Increment(static_cast<double>(tokens.value()));
 }
 
+void Metrics::memoryExhausted(HttpShortage shortage)
+{
+    m_memoryExhausted.Add({ { "cause", shortageName(shortage) } }).Increment();
+}
+
 std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
 
 } // namespace wisteriayard
--- a/src/wisteriayardd/metrics.h
+++ b/src/wisteriayardd/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_server.h"
 #include "wisteriayard/ids.h"
 #include "wisteriayard/units.h"
 
@@ -15,6 +16,9 @@
 
 namespace wisteriayard {
 
+/// Name of a shortage in metrics and log lines.
+std::string shortageName(HttpShortage shortage);
+
 /// Metrics of an entry; thread-safe. Accounts and classes come from contracts, which bounds the number of label sets.
 class Metrics {
 public:
@@ -25,6 +29,9 @@
     void totalTime(const AccountId& account, const ClassId& requestClass, Duration time);
     void outputTokens(const AccountId& account, const ClassId& requestClass, Tokens tokens);
 
+    /// Counts what a server of callers did because a budget of memory was exhausted.
+    void memoryExhausted(HttpShortage shortage);
+
     /// All metrics in the Prometheus text format.
     std::string text() const;
 
@@ -32,6 +39,7 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_tokens;
+    prometheus::Family<prometheus::Counter>& m_memoryExhausted;
     prometheus::Family<prometheus::Histogram>& m_firstToken;
     prometheus::Family<prometheus::Histogram>& m_total;
 };
--- a/src/wisteriayardd/settings.cpp
+++ b/src/wisteriayardd/settings.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr const char* environmentPrefix = "WISTERIAYARD_";
+    constexpr std::int64_t bytesPerMebibyte = 1024 * 1024;
 
     po::options_description describeOptions()
     {
@@ -48,6 +49,10 @@
             "entry: callers' connections, 1 to 1000000");
         add("max-body-bytes", po::value<std::int64_t>()->default_value(8 * 1024 * 1024),
             "entry: largest request body, 1024 to 8388608");
+        add("head-memory-mb", po::value<std::int64_t>()->default_value(16),
+            "entry: memory for the heads of all callers' connections, 1 to 4096");
+        add("body-memory-mb", po::value<std::int64_t>()->default_value(256),
+            "entry: memory for the bodies of all requests, 1 to 65536; at least one body for each traffic thread");
         add("read-timeout-ms", po::value<std::int64_t>()->default_value(30000),
             "entry: time for a request to arrive, 10 to 600000");
         add("planner", po::value<bool>()->default_value(true),
@@ -193,6 +198,8 @@
         entry.trafficThreads = static_cast<int>(reader.integer("traffic-threads", 1, 64));
         entry.maxConnections = static_cast<int>(reader.integer("max-connections", 1, 1'000'000));
         entry.maxBody = Bytes(reader.integer("max-body-bytes", 1024, 8 * 1024 * 1024));
+        entry.headMemory = Bytes(reader.integer("head-memory-mb", 1, 4096) * bytesPerMebibyte);
+        entry.bodyMemory = Bytes(reader.integer("body-memory-mb", 1, 65'536) * bytesPerMebibyte);
         entry.readTimeout = reader.milliseconds("read-timeout-ms", 10, 600'000);
         entry.once = readOnceSettings(reader);
         readPlannerSettings(reader, variables, entry);
--- a/src/wisteriayardd/settings_test.cpp
+++ b/src/wisteriayardd/settings_test.cpp
@@ -29,6 +29,8 @@
     { "--drain-delay-ms=-1", "--drain-delay-ms: -1 is not allowed" },
     { "--drain-delay-ms=soon", "the argument ('soon')" },
     { "--lease-margin-ms=1501", "--lease-margin-ms: 1501 is not allowed; expected 1 to 1500" },
+    { "--head-memory-mb=0", "--head-memory-mb: 0 is not allowed; expected 1 to 4096" },
+    { "--body-memory-mb=65537", "--body-memory-mb: 65537 is not allowed; expected 1 to 65536" },
     { "--colour=red", "unrecognised option" },
 };
 
--- a/testsuite/daemon_crowds/run.py
+++ b/testsuite/daemon_crowds/run.py
@@ -225,7 +225,7 @@
 CASES = (heads_of_short_lines, unfinished_heads_of_short_lines, heads_of_one_large_line, endless_line,
          endless_empty_lines, endless_chunk_extension, many_trailer_lines, stalled_bodies, complete_bodies,
          silent_connections)
-ENTRY_ARGUMENTS = []
+ENTRY_ARGUMENTS = ["--head-memory-mb", "4", "--body-memory-mb", "16"]
 
 
 def main():
