--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -362,7 +362,7 @@
 {
     updateEndpoints();
     for (auto& [target, placement] : m_placements)
-        placement->setSharesCapacity(m_settings.sharesCapacity);
+        placement->setSharesCapacity(m_settings.sharesCapacity, m_lateRetryShare);
 }
 
 EndpointPlacement& EndpointDirectory::placement(const TargetId& target)
@@ -374,7 +374,7 @@
         placement->setEnforcesMemory(m_settings.enginesEnforceMemory);
         placement->setEvacuatedZones(m_evacuatedZones);
         placement->setColdPolicy(coldPolicy(target), TimePoint());
-        placement->setSharesCapacity(m_settings.sharesCapacity);
+        placement->setSharesCapacity(m_settings.sharesCapacity, m_lateRetryShare);
     }
     return *placement;
 }
--- a/src/gateway/endpoint_directory.h
+++ b/src/gateway/endpoint_directory.h
@@ -53,6 +53,8 @@
     void configure(const RoutingConfig& config);
     /// Applies changed zones of the settings to the endpoints.
     void settingsChanged();
+    /// Sets the share of this entry's work that late retries may be, for services that are used from now on.
+    void setLateRetryShare(double share) { m_lateRetryShare = share; }
     /// Sets the zones to whose endpoints nothing may be sent.
     void setEvacuatedZones(const std::set<ZoneId>& zones, TimePoint now);
     /// Number of endpoints in a zone.
@@ -169,6 +171,7 @@
     std::map<TargetId, std::size_t> m_loggedPrefillEngines;
     std::map<TargetId, std::size_t> m_fullEngines;
     LimitEntries m_limitEntries;
+    double m_lateRetryShare = 0;
     std::set<ZoneId> m_evacuatedZones;
     bool m_loggedColdShares = false;
     /// Endpoints that were cold when that was last logged.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,6 +97,7 @@
                   m_io, platform.makeStore(m_io.get_executor(), storeTimeout, m_eras), m_state.crashGuard, m_state.log)
         {
             m_state.hedges = HedgePolicy(options.hedgeRatio);
+            m_state.directory.setLateRetryShare(options.lateRetryRatio);
         }
         Gateway(const Gateway&) = delete;
         Gateway& operator=(const Gateway&) = delete;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,8 @@
     std::uint16_t metricsPort = 0;
     /// Maximum ratio of hedged requests to the requests of a service; 0 turns hedging off.
     double hedgeRatio = 0;
+    /// Maximum share of an entry's work that retries may be whose first event will be late; 0 refuses them again.
+    double lateRetryRatio = 0;
     /// Called once the gateway handles SIGTERM, SIGINT and SIGHUP.
     std::function<void()> signalsHandled;
 };
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -211,11 +211,13 @@
         return Refused { PlacementRefusal::RegionNotAvailable, regionRetryAfter, Duration(0) };
     auto tag = returnTag();
     request.isReturning = tag && m_triedEndpoints.empty() && m_state.refusedCallers.isDue(*tag, now);
+    int refusals = tag ? m_state.refusedCallers.refusals(*tag, now) : 0;
+    bool isEarlyRetry = refusals > 0 && !request.isReturning;
+    request.isNewDemand = m_triedEndpoints.empty() && !isEarlyRetry;
     PlacementDecision decision = m_state.directory.placement(m_target).choose(request, m_triedEndpoints, now);
     if (!tag || !m_triedEndpoints.empty())
         return decision;
     auto* placement = std::get_if<Placement>(&decision);
-    int refusals = m_state.refusedCallers.refusals(*tag, now);
     if (refusals > 0)
         m_state.metrics.retryAfterOverload(retryResult(request.isReturning, placement));
     if (placement)
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -50,6 +50,9 @@
     AllowedRegions allowedRegions;
     /// The request was refused as overloaded before, and is retried at the time that was named or later.
     bool isReturning = false;
+    /// A refusal counts as demand that is not served: not for further attempts of a request, nor for a retry before the
+    /// time that was named, whose first try counted.
+    bool isNewDemand = true;
     /// Empty if the caller has none.
     AccountId account;
     /// Length of the whole prompt as the caller states it; 0 if it doesn't.
@@ -338,7 +341,8 @@
     /// @{
 
     /// Sets whether the rules for competing callers apply. Without them, every request is admitted by itself.
-    void setSharesCapacity(bool shares);
+    /// @param lateRetryShare share of this entry's work that retries may be whose first event will be late
+    void setSharesCapacity(bool shares, double lateRetryShare);
     /// @name Memory of engines
     /// @{
 
@@ -564,7 +568,7 @@
 
     PlacementPolicy m_policy;
     bool m_sharesCapacity = false;
-    ReturnBudget m_returnBudget;
+    ReturnBudget m_returnBudget { 0 };
     ReturnTimes m_returnTimes;
     AccountShares m_accounts;
     ZoneId m_zone;
--- a/src/include/wisteriayard/refused_callers.h
+++ b/src/include/wisteriayard/refused_callers.h
@@ -79,6 +79,13 @@
 /// all first-time requests late.
 class ReturnBudget {
 public:
+    /// @param share share of the entry's work that late retries may be; 0 permits none
+    explicit ReturnBudget(double share)
+        : m_share(share)
+        , m_left(share > 0 ? most : Duration(0))
+    {
+    }
+
     /// Records engine time of placed requests, a share of which may be spent on late retries.
     void recordWork(Duration work);
     /// Takes the engine time of a late retry.
@@ -87,13 +94,12 @@
     [[nodiscard]] bool tryTake(Duration work, bool leavesHalf = false);
 
 private:
-    /// Share of the entry's work that late retries may be.
-    static constexpr double share = 0.2;
     /// Limit for the saved budget: the engine time of a few long prompts.
     static constexpr Duration most = std::chrono::milliseconds(500);
 
+    double m_share;
     /// A retry may use it up to below zero, so that long prompts are not excluded.
-    Duration m_left = most;
+    Duration m_left;
 };
 
 /// Chooses the times at which refused callers may retry, so that they return at the rate at which capacity becomes
--- a/src/libwisteriayard/account_shares.cpp
+++ b/src/libwisteriayard/account_shares.cpp
@@ -10,8 +10,9 @@
     /// Time after the last refusal for which shares apply.
     constexpr Duration overloadTime = std::chrono::seconds(1);
     /// Factor to the share from which on an account is above it, and least number of its placed requests: one entry
-    /// sees few requests of each account, which differ at random.
-    constexpr double margin = 1.25;
+    /// sees few requests of each account, which differ at random, and large accounts have more callers. With 1.25, one
+    /// deployment of 24 accounts refused more than without shares.
+    constexpr double margin = 4;
     constexpr int minPlaced = 4;
     /// Time for which the level is used again.
     constexpr Duration levelLifetime = std::chrono::milliseconds(100);
--- a/src/libwisteriayard/endpoint_placement_admission.cpp
+++ b/src/libwisteriayard/endpoint_placement_admission.cpp
@@ -13,9 +13,10 @@
 
 } // namespace
 
-void EndpointPlacement::setSharesCapacity(bool shares)
+void EndpointPlacement::setSharesCapacity(bool shares, double lateRetryShare)
 {
     m_sharesCapacity = shares;
+    m_returnBudget = ReturnBudget(lateRetryShare);
     m_speed.setSharesFirstTimes(shares);
 }
 
@@ -34,7 +35,8 @@
     if (!m_sharesCapacity)
         return;
     m_returnBudget.recordWork(work);
-    m_accounts.recordPlaced(request.account, work, now);
+    if (!request.account.empty())
+        m_accounts.recordPlaced(request.account, work, now);
 }
 
 Duration EndpointPlacement::returnSpacing(const PlacementRequest& request, const Candidate& best, TimePoint now)
@@ -58,23 +60,28 @@
         refused.retryAfter = std::max(minRetryAfter, refused.expectedFirstEvent - request.objective);
         return refused;
     }
-    bool isOverload = best.firstEvent > m_policy.maxObjectiveShare * microseconds(request.objective)
-        || best.firstEvent > m_policy.maxTimeLeftShare * microseconds(request.timeLeft);
-    m_accounts.recordRefused(
-        request.account, expectedWork(m_states[best.index], best.uncached, request, now), isOverload, now);
     Duration backlog(static_cast<std::int64_t>(best.firstEvent - latest));
-    refused.retryAfter = m_returnTimes.next(std::max(minRetryAfter, backlog), returnSpacing(request, best, now),
-        scaled(request.timeLeft, m_policy.maxRetryShare), now);
+    refused.retryAfter = std::max(minRetryAfter, backlog);
+    if (!request.isNewDemand)
+        return refused;
+    // A caller with less time than the objective is refused without an overload, and could not use a share.
+    bool isOverload = best.firstEvent > m_policy.maxObjectiveShare * microseconds(request.objective);
+    if (request.timeLeft >= request.objective && !request.account.empty())
+        m_accounts.recordRefused(
+            request.account, expectedWork(m_states[best.index], best.uncached, request, now), isOverload, now);
+    refused.retryAfter = m_returnTimes.next(
+        refused.retryAfter, returnSpacing(request, best, now), scaled(request.timeLeft, m_policy.maxRetryShare), now);
     return refused;
 }
 
 double EndpointPlacement::latestFirstEvent(const PlacementRequest& request, TimePoint now)
 {
     double inTime = m_policy.maxTimeLeftShare * microseconds(request.timeLeft);
-    bool hasEngines = std::any_of(
-        m_states.begin(), m_states.end(), [](const State& state) { return state.info.memory.value() > 0; });
+    bool hasEngines = m_sharesCapacity && std::any_of(m_states.begin(), m_states.end(), [](const State& state) {
+        return state.info.memory.value() > 0;
+    });
     // An assumed time is no reason to refuse a request that the engines may be able to answer in time.
-    if (m_sharesCapacity && hasEngines && m_speed.isAssumed())
+    if (hasEngines && m_speed.isAssumed())
         return inTime;
     bool isAboveShare = m_sharesCapacity && m_accounts.isAboveShare(request.account, now);
     double share = isAboveShare ? m_policy.maxObjectiveShareAbove : m_policy.maxObjectiveShare;
--- a/src/libwisteriayard/refused_callers.cpp
+++ b/src/libwisteriayard/refused_callers.cpp
@@ -102,7 +102,7 @@
 
 void ReturnBudget::recordWork(Duration work)
 {
-    m_left = std::min(most, m_left + scaled(std::max(Duration(0), work), share));
+    m_left = std::min(most, m_left + scaled(std::max(Duration(0), work), m_share));
 }
 
 bool ReturnBudget::tryTake(Duration work, bool leavesHalf)
--- a/testsuite/competing_callers/run.py
+++ b/testsuite/competing_callers/run.py
@@ -95,7 +95,7 @@
 
 
 def make_deployment(binaries):
-    deployment = Deployment(binaries)
+    deployment = Deployment(binaries, arguments=["--late-retry-ratio", "0.2"])
     deployment.further_settings = {"contracts": ["base", "pool"]}
     return deployment
 
