End stalled transfers only if that suffices

Cause: reserveBody() ended stalled uploads until an extension fitted together with the memory that uploads in progress will need next, which nobody holds. It and reserveStream() also ended all stalled transfers one after the other when their memory could not suffice.

Change: StalledTransfers::extend() decides. Transfers that hold nothing are skipped, and the one that asks is neither ended nor counted: its end doesn't help itself.

Existing tests: endLongestStalled() is private now. The cases that called it end the same transfers through extend(), with the same expectations.

Observed: stalled_transfers_test (20 cases, ten of them new) and byte_budget_test pass.

--- a/src/gateway/caller_backlog.cpp
+++ b/src/gateway/caller_backlog.cpp
@@ -50,10 +50,7 @@
 bool CallerBacklog::keep(std::string& text, std::size_t written, TimePoint now)
 {
     Bytes size = sizeWith(text);
-    bool isReserved = !m_isLost && size <= maxBacklog && m_state.reserveStream(m_memory, size, now);
-    // The reservation may have closed this caller's connection itself.
-    if (m_isLost)
-        return false;
+    bool isReserved = !m_isLost && size <= maxBacklog && m_state.reserveStream(m_memory, size, m_entry, now);
     setPauseAllowed(isReserved);
     if (!isReserved)
         return false;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -178,23 +178,18 @@
 {
     if (size <= reservation.size())
         return true;
-    Bytes spare(0);
-    if (!isSmall)
-        spare = smallBodyMemory + uploads.expectedBefore(upload, minUploadStall, now);
-    while (!reservation.extendTo(size, spare)) {
-        if (!uploads.endLongestStalled(minUploadStall, now))
-            return false;
+    TransferNeed need { size };
+    if (!isSmall) {
+        need.spare = smallBodyMemory;
+        need.expected = uploads.expectedBefore(upload, minUploadStall, now);
     }
-    return true;
+    return uploads.extend(reservation, need, upload, minUploadStall, now);
 }
 
-bool GatewayState::reserveStream(ByteReservation& reservation, Bytes size, TimePoint now)
+bool GatewayState::reserveStream(
+    ByteReservation& reservation, Bytes size, const StalledTransfers::Entry& stream, TimePoint now)
 {
-    while (!reservation.extendTo(size)) {
-        if (!unreadStreams.endLongestStalled(minReadStall, now))
-            return false;
-    }
-    return true;
+    return unreadStreams.extend(reservation, TransferNeed { size }, stream, minReadStall, now);
 }
 
 bool GatewayState::makeRoomForConnection()
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -104,13 +104,16 @@
     /// @param upload the body, which leaves memory to those in progress that began before
     /// @param isSmall the body may use the memory that larger ones leave to small ones, and the
     /// memory that uploads in progress will need
-    /// @return false if there is not enough memory even then
+    /// @return false, with nothing ended, if there would not be enough memory even then, or if only memory that uploads
+    /// in progress will need is missing
     [[nodiscard]] bool reserveBody(
         ByteReservation& reservation, Bytes size, const StalledTransfers::Entry& upload, bool isSmall, TimePoint now);
     /// Extends a reservation for unread events. Connections of callers that have read nothing for at least a second are
     /// closed for it, the longest first.
-    /// @return false if there is not enough memory even then
-    [[nodiscard]] bool reserveStream(ByteReservation& reservation, Bytes size, TimePoint now);
+    /// @param stream the stream with these events; its caller is not closed for it
+    /// @return false, with nothing closed, if there would not be enough memory even then
+    [[nodiscard]] bool reserveStream(
+        ByteReservation& reservation, Bytes size, const StalledTransfers::Entry& stream, TimePoint now);
     /// Closes callers' connections without a complete request, and then idle ones to endpoints, until one more
     /// connection of a caller is within the limit of descriptors.
     /// @return false if there are too few such connections
--- a/src/include/wisteriayard/byte_budget.h
+++ b/src/include/wisteriayard/byte_budget.h
@@ -30,7 +30,7 @@
 private:
     friend class ByteReservation;
 
-    bool hasRoom(Bytes more, Bytes spare) const;
+    bool hasRoom(Bytes more, Bytes spare, Bytes released) const;
     void add(Bytes more);
 
     Bytes m_limit;
@@ -54,6 +54,9 @@
     /// @param spare part of the budget that the extension must leave free
     /// @return false, without any change, if the budget doesn't allow it
     [[nodiscard]] bool extendTo(Bytes size, Bytes spare = Bytes(0));
+    /// Whether extendTo() would succeed after the release of other reservations of the same budget.
+    /// @param released sum of those reservations
+    bool canExtendTo(Bytes size, Bytes spare, Bytes released = Bytes(0)) const;
     /// Returns all above the given size to the budget.
     void shrinkTo(Bytes size);
     Bytes size() const { return m_size; }
--- a/src/include/wisteriayard/stalled_transfers.h
+++ b/src/include/wisteriayard/stalled_transfers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "wisteriayard/byte_budget.h"
 #include "wisteriayard/units.h"
 
 #include <cstdint>
@@ -16,6 +17,17 @@
     UnreadResponse,
 };
 
+/// Memory that a transfer asks for.
+struct TransferNeed {
+    /// Size of its reservation.
+    Bytes size;
+    /// Part of the budget that it leaves free.
+    Bytes spare { 0 };
+    /// Memory that others will need next and do not hold yet. It is left free as well, but nothing is ended if only
+    /// this is missing.
+    Bytes expected { 0 };
+};
+
 /// Name of a cause in log lines and metrics.
 const char* slowClientCauseName(SlowClientCause cause);
 
@@ -63,16 +75,25 @@
     /// Difference of the times of the last progress below which two transfers count as equal.
     static constexpr Duration equalTime = std::chrono::milliseconds(100);
 
-    /// Ends the transfer without progress for the longest time; among equal ones that with the most memory.
-    /// @param minStall least time without progress
-    /// @return false if no transfer has been without progress for that time
-    bool endLongestStalled(Duration minStall, TimePoint now);
+    /// Extends a transfer's reservation. Others that hold memory are ended for it, those without progress for the
+    /// longest time first; among equal ones that with the most memory.
+    /// @param transfer is not ended itself
+    /// @param minStall least time without progress of transfers that are ended
+    /// @return false, with nothing ended, if the memory of such transfers does not suffice
+    [[nodiscard]] bool extend(ByteReservation& reservation, const TransferNeed& need, const Entry& transfer,
+        Duration minStall, TimePoint now);
     /// Memory that transfers which began before the given one will need next.
     /// @param minStall time without progress after which a transfer's need does not count
     Bytes expectedBefore(const Entry& transfer, Duration minStall, TimePoint now) const;
     std::size_t size() const { return m_order.size(); }
 
 private:
+    /// Sum of the memory of stalled transfers other than the given one.
+    Bytes heldByStalled(const Entry& transfer, Duration minStall, TimePoint now) const;
+    /// Ends one stalled transfer other than the given one.
+    /// @return false if there is none that holds memory
+    bool endLongestStalled(const Entry& transfer, Duration minStall, TimePoint now);
+
     std::list<Entry*> m_order;
     std::uint64_t m_lastNumber = 0;
 };
--- a/src/libwisteriayard/byte_budget.cpp
+++ b/src/libwisteriayard/byte_budget.cpp
@@ -2,9 +2,11 @@
 
 namespace wisteriayard {
 
-bool ByteBudget::hasRoom(Bytes more, Bytes spare) const
+bool ByteBudget::hasRoom(Bytes more, Bytes spare, Bytes released) const
 {
-    return more <= m_limit - spare - m_reserved && (!m_outer || m_outer->hasRoom(more, m_outerSpare));
+    if (more > m_limit - spare - m_reserved + released)
+        return false;
+    return !m_outer || m_outer->hasRoom(more, m_outerSpare, released);
 }
 
 void ByteBudget::add(Bytes more)
@@ -14,14 +16,18 @@
         m_outer->add(more);
 }
 
+bool ByteReservation::canExtendTo(Bytes size, Bytes spare, Bytes released) const
+{
+    return size <= m_size || m_budget.hasRoom(size - m_size, spare, released);
+}
+
 bool ByteReservation::extendTo(Bytes size, Bytes spare)
 {
     if (size <= m_size)
         return true;
-    Bytes more = size - m_size;
-    if (!m_budget.hasRoom(more, spare))
+    if (!canExtendTo(size, spare))
         return false;
-    m_budget.add(more);
+    m_budget.add(size - m_size);
     m_size = size;
     return true;
 }
--- a/src/libwisteriayard/stalled_transfers.cpp
+++ b/src/libwisteriayard/stalled_transfers.cpp
@@ -40,20 +40,51 @@
     return sum;
 }
 
-bool StalledTransfers::endLongestStalled(Duration minStall, TimePoint now)
+bool StalledTransfers::extend(
+    ByteReservation& reservation, const TransferNeed& need, const Entry& transfer, Duration minStall, TimePoint now)
 {
-    if (m_order.empty())
+    Bytes spare = need.spare + need.expected;
+    if (reservation.extendTo(need.size, spare))
+        return true;
+    if (reservation.canExtendTo(need.size, need.spare))
         return false;
-    Entry* chosen = m_order.front();
-    TimePoint oldest = chosen->m_progressAt;
-    if (now - oldest < minStall)
+    if (!reservation.canExtendTo(need.size, spare, heldByStalled(transfer, minStall, now)))
         return false;
+    while (!reservation.extendTo(need.size, spare)) {
+        if (!endLongestStalled(transfer, minStall, now))
+            return false;
+    }
+    return true;
+}
+
+Bytes StalledTransfers::heldByStalled(const Entry& transfer, Duration minStall, TimePoint now) const
+{
+    Bytes sum(0);
+    for (const Entry* each : m_order) {
+        if (now - each->m_progressAt < minStall)
+            break;
+        if (each != &transfer)
+            sum += each->m_held;
+    }
+    return sum;
+}
+
+bool StalledTransfers::endLongestStalled(const Entry& transfer, Duration minStall, TimePoint now)
+{
+    Entry* chosen = nullptr;
+    TimePoint oldest {};
     for (Entry* each : m_order) {
-        if (each->m_progressAt - oldest >= equalTime || now - each->m_progressAt < minStall)
+        if (now - each->m_progressAt < minStall || (chosen && each->m_progressAt - oldest >= equalTime))
             break;
-        if (each->m_held > chosen->m_held)
+        if (each == &transfer || each->m_held <= Bytes(0))
+            continue;
+        if (!chosen)
+            oldest = each->m_progressAt;
+        if (!chosen || each->m_held > chosen->m_held)
             chosen = each;
     }
+    if (!chosen)
+        return false;
     chosen->remove();
     // The function may destroy the entry.
     std::function<void()> end = chosen->m_end;
--- a/src/libwisteriayard/stalled_transfers_test.cpp
+++ b/src/libwisteriayard/stalled_transfers_test.cpp
@@ -56,11 +56,63 @@
                 std::make_unique<StalledTransfers::Entry>(transfers, [this, number] { ended.push_back(number); }));
     }
 
+    /// Ends all stalled transfers that hold memory, one after the other.
+    void endAll(Duration now)
+    {
+        ByteBudget budget(Bytes(1));
+        ByteReservation others(budget);
+        BOOST_REQUIRE(others.extendTo(Bytes(1)));
+        StalledTransfers::Entry requester(transfers, [] {});
+        ByteReservation reservation(budget);
+        // The end of these transfers releases nothing, so that one after the other is ended.
+        BOOST_TEST(!transfers.extend(reservation, { Bytes(1) }, requester, second, TimePoint(now)));
+    }
+
     StalledTransfers transfers;
     std::vector<std::size_t> ended;
     std::vector<std::unique_ptr<StalledTransfers::Entry>> entries;
 };
 
+struct Transfer {
+    Duration progressAt;
+    Bytes held;
+};
+
+/// Transfer 0 asks at 9 s for memory of a budget of 100 bytes.
+struct ExtensionCase {
+    const char* name;
+    std::vector<Transfer> transfers;
+    TransferNeed need;
+    bool granted;
+    std::vector<std::size_t> ended;
+};
+std::ostream& operator<<(std::ostream& out, const ExtensionCase& each) { return out << each.name; }
+
+constexpr Duration old = second;
+constexpr Duration recent = 8500 * millisecond;
+
+const ExtensionCase extensionCases[] = {
+    { "room for all", { { recent, Bytes(0) }, { old, Bytes(40) } }, { Bytes(30), Bytes(10), Bytes(20) }, true, {} },
+    { "a stalled one suffices", { { recent, Bytes(0) }, { old, Bytes(40) }, { 2 * old, Bytes(60) } }, { Bytes(40) },
+        true, { 1 } },
+    { "several are needed", { { recent, Bytes(0) }, { old, Bytes(40) }, { 2 * old, Bytes(60) } }, { Bytes(41) }, true,
+        { 1, 2 } },
+    { "stalled ones do not suffice", { { recent, Bytes(0) }, { old, Bytes(40) }, { recent, Bytes(60) } }, { Bytes(41) },
+        false, {} },
+    { "stalled ones do not suffice for the spare part",
+        { { recent, Bytes(0) }, { old, Bytes(40) }, { recent, Bytes(60) } }, { Bytes(40), Bytes(1) }, false, {} },
+    { "only expected memory is missing", { { recent, Bytes(0) }, { old, Bytes(40) }, { recent, Bytes(20) } },
+        { Bytes(30), Bytes(10), Bytes(1) }, false, {} },
+    { "stalled ones do not suffice for expected memory",
+        { { recent, Bytes(0) }, { old, Bytes(40) }, { recent, Bytes(60) } }, { Bytes(30), Bytes(0), Bytes(11) }, false,
+        {} },
+    { "one that holds nothing is not ended", { { recent, Bytes(0) }, { old, Bytes(0) }, { 2 * old, Bytes(100) } },
+        { Bytes(1) }, true, { 2 } },
+    { "the requester is not ended", { { old, Bytes(10) }, { 2 * old, Bytes(90) } }, { Bytes(11) }, true, { 1 } },
+    { "the requester's own memory does not count", { { old, Bytes(60) }, { 2 * old, Bytes(40) } }, { Bytes(101) },
+        false, {} },
+};
+
 } // namespace
 
 // Guards against ending a transfer that makes progress, or holds little, before stalled and larger ones.
@@ -69,7 +121,7 @@
     Fixture fixture;
     for (const Progress& step : each.progress)
         fixture.entries[step.transfer]->progressed(step.held, TimePoint(step.at));
-    while (fixture.transfers.endLongestStalled(second, TimePoint(each.now))) { }
+    fixture.endAll(each.now);
     BOOST_TEST(fixture.ended == each.ended, boost::test_tools::per_element());
 }
 
@@ -101,11 +153,40 @@
     fixture.entries[0].reset();
     fixture.entries[1]->remove();
     BOOST_TEST(fixture.transfers.size() == 1u);
-    while (fixture.transfers.endLongestStalled(second, TimePoint(9 * second))) { }
+    fixture.endAll(9 * second);
     BOOST_TEST(fixture.ended == (std::vector<std::size_t> { 2 }), boost::test_tools::per_element());
     BOOST_TEST(fixture.transfers.size() == 0u);
 }
 
+// Guards against the end of transfers that does not help the one that asks: they don't suffice, hold nothing, or only
+// memory that nobody holds is missing.
+BOOST_DATA_TEST_CASE(transfers_are_ended_only_if_that_suffices, data::make(extensionCases), each)
+{
+    ByteBudget budget(Bytes(100));
+    StalledTransfers transfers;
+    std::vector<std::size_t> ended;
+    std::vector<std::unique_ptr<ByteReservation>> reservations;
+    std::vector<std::unique_ptr<StalledTransfers::Entry>> entries;
+    for (std::size_t number = 0; number < each.transfers.size(); ++number) {
+        const Transfer& transfer = each.transfers[number];
+        reservations.push_back(std::make_unique<ByteReservation>(budget));
+        BOOST_REQUIRE(reservations.back()->extendTo(transfer.held));
+        entries.push_back(std::make_unique<StalledTransfers::Entry>(transfers, [&, number] {
+            ended.push_back(number);
+            reservations[number]->shrinkTo(Bytes(0));
+        }));
+    }
+    for (Duration at : { old, 2 * old, recent }) {
+        for (std::size_t number = 0; number < entries.size(); ++number) {
+            if (each.transfers[number].progressAt == at)
+                entries[number]->progressed(each.transfers[number].held, TimePoint(at));
+        }
+    }
+    bool granted = transfers.extend(*reservations[0], each.need, *entries[0], second, TimePoint(9 * second));
+    BOOST_TEST(granted == each.granted);
+    BOOST_TEST(ended == each.ended, boost::test_tools::per_element());
+}
+
 // Guards against a transfer that destroys itself when it is ended.
 BOOST_AUTO_TEST_CASE(transfer_may_be_destroyed_by_its_end)
 {
@@ -113,7 +194,12 @@
     std::unique_ptr<StalledTransfers::Entry> entry;
     entry = std::make_unique<StalledTransfers::Entry>(transfers, [&entry] { entry.reset(); });
     entry->progressed(Bytes(1), TimePoint(second));
-    BOOST_TEST(transfers.endLongestStalled(second, TimePoint(9 * second)));
+    ByteBudget budget(Bytes(1));
+    ByteReservation others(budget);
+    BOOST_REQUIRE(others.extendTo(Bytes(1)));
+    ByteReservation reservation(budget);
+    StalledTransfers::Entry requester(transfers, [] {});
+    BOOST_TEST(!transfers.extend(reservation, { Bytes(1) }, requester, second, TimePoint(9 * second)));
     BOOST_TEST(!entry);
     BOOST_TEST(transfers.size() == 0u);
 }
