Stop writing a stream whose caller is lost

Cause: the backlog of a lost connection is empty, so that the next event was written to that connection directly. A caller that had only shut down its sending side counts as disconnected, and could still get events behind a gap.

Change: writeStream() returns false at once if the caller has disconnected or its backlog is lost.

There is no case of its own.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -426,6 +426,9 @@
 
 awaitable<bool> RequestHandler::writeStream(std::string text)
 {
+    // The backlog of a lost connection is empty as well.
+    if (m_callerDisconnected || (m_backlog && m_backlog->isLost()))
+        co_return false;
     std::size_t written = 0;
     if (!m_backlog || m_backlog->isEmpty()) {
         auto accepted = writeNow(text);
