Assert that kernel buffers of streams are measured

Cause: kernel_buffers_of_endpoint_connections sampled only after the callers had stopped reading and passed if it found no connection to an endpoint.

Change: a thread samples from the first byte on, and the case fails if no sample shows unread bytes. The bound of 128 KiB stays.

Observed: slow_readers passes (eight cases).

--- a/testsuite/slow_readers/run.py
+++ b/testsuite/slow_readers/run.py
@@ -48,6 +48,8 @@
 STALLED_EVENTS, STALLED_CALLERS, ARRIVAL_PAUSE_S = 200, 16, 0.1
 # Callers that read much, so that the kernel enlarges the receive buffer of the endpoint's connection, and then stop.
 READERS, READ_BYTES, LONG_EVENTS = 10, 6_000_000, 8000
+# Pause between two samples of the kernel's buffers.
+SAMPLE_PAUSE_S = 0.02
 # 64 KiB, doubled by the kernel.
 KERNEL_BYTES_PER_CONNECTION = 128 * 1024
 SMALL_BUFFER = 4096
@@ -268,25 +270,33 @@
 
 
 def unread_endpoint_bytes(deployment):
-    """The most bytes that the kernel holds of one connection to an endpoint because the gateway has not read them."""
+    """Bytes that the kernel holds of each connection to an endpoint because the gateway has not read them."""
     ports = {"%04X" % endpoint.server_address[1] for endpoint in deployment.endpoints}
     with open("/proc/net/tcp") as table:
         rows = [line.split() for line in table][1:]
-    return max((int(row[4].split(":")[1], 16) for row in rows if row[2].split(":")[1] in ports), default=0)
+    return [int(row[4].split(":")[1], 16) for row in rows if row[2].split(":")[1] in ports]
 
 
 def kernel_buffers_of_endpoint_connections(deployment):
     """Callers that read much and then stop: the kernel held several MiB of each response."""
     clients = [StreamClient(deployment.gateways[0], LONG_EVENTS) for _ in range(READERS)]
+    unread, done = [], threading.Event()
+
+    def sample():
+        while not done.wait(SAMPLE_PAUSE_S):
+            unread.extend(unread_endpoint_bytes(deployment))
+
+    sampler = threading.Thread(target=sample, daemon=True)
+    sampler.start()
     for client in clients:
         client.read(READ_BYTES)
-    most = 0
-    deadline = time.monotonic() + CUT_S
-    while time.monotonic() < deadline:
-        most = max(most, unread_endpoint_bytes(deployment))
-        time.sleep(0.02)
+    time.sleep(CUT_S)
+    done.set()
+    sampler.join()
     for client in clients:
         client.close()
+    most = max(unread, default=0)
+    assert most > 0, f"no unread bytes of a connection to an endpoint in {len(unread)} samples"
     assert most <= KERNEL_BYTES_PER_CONNECTION, f"{most} unread bytes of one connection"
     check_ordinary_request(deployment)
     check_limits(deployment)
