Let callers pause whenever their stream has to wait

Cause: the longer TCP_USER_TIMEOUT was put back to 1.2 s when more than 1 MiB was kept for a caller, the budget was used up, or the last kept block had entered the kernel's buffer. The kernel then reset a caller that paused, though its response waited only in that buffer or at the endpoint.

Change: the longer time applies from the first partial write on. The session puts the shorter one back when the next request on the connection begins.

Two cases of slow_readers: a pause of 3.5 s in a stream above 1 MiB whose endpoint waits, and one when the unread rest is in the kernel's buffer.

--- a/src/gateway/caller_backlog.cpp
+++ b/src/gateway/caller_backlog.cpp
@@ -49,9 +49,10 @@
 
 bool CallerBacklog::keep(std::string& text, std::size_t written, TimePoint now)
 {
+    if (!m_isLost)
+        allowPause();
     Bytes size = sizeWith(text);
     bool isReserved = !m_isLost && size <= maxBacklog && m_state.reserveStream(m_memory, size, m_entry, now);
-    setPauseAllowed(isReserved);
     if (!isReserved)
         return false;
     bool isFirst = m_blocks.empty();
@@ -82,12 +83,12 @@
     m_blocks.push_back({ std::move(block), written });
 }
 
-void CallerBacklog::setPauseAllowed(bool allowed)
+void CallerBacklog::allowPause()
 {
-    if (m_isPauseAllowed == allowed)
+    if (m_isPauseAllowed)
         return;
-    m_isPauseAllowed = allowed;
-    allowSlowReading(m_caller, allowed);
+    m_isPauseAllowed = true;
+    allowSlowReading(m_caller, true);
 }
 
 void CallerBacklog::waitUntilWritable()
@@ -122,7 +123,6 @@
         return lose();
     m_memory.shrinkTo(Bytes(static_cast<std::int64_t>(m_blockBytes)));
     if (m_blocks.empty()) {
-        setPauseAllowed(false);
         clear();
         return;
     }
--- a/src/gateway/caller_backlog.h
+++ b/src/gateway/caller_backlog.h
@@ -24,6 +24,8 @@
 
     bool isEmpty() const { return m_blocks.empty(); }
     bool isLost() const { return m_isLost; }
+    /// Whether the connection has the longer time limit for callers that pause. It stays in force after the request.
+    bool isPauseAllowed() const { return m_isPauseAllowed; }
     /// Keeps the part of a text that is not written yet. Callers that have not read for the longest time are closed for
     /// it.
     /// @param written bytes at the start of the text that were written; 0 unless the backlog is empty
@@ -45,8 +47,9 @@
     Bytes sizeWith(const std::string& text) const;
     bool fitsLastBlock(const std::string& text) const;
     void add(std::string text, std::size_t written);
-    /// While there is room, a caller may pause for longer than the kernel allows by default.
-    void setPauseAllowed(bool allowed);
+    /// Lets the caller pause for longer than the kernel allows by default, also when nothing more is kept: the kernel's
+    /// buffer is full then, and a shorter time would reset a caller that pauses.
+    void allowPause();
     void waitUntilWritable();
     void writeSome();
     void clear();
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -137,10 +137,14 @@
 
 awaitable<bool> CallerSession::serve(CallerRequest request)
 {
+    // Not at the end of the former request, whose response may still be in the kernel's buffer.
+    if (m_isPauseAllowed)
+        allowSlowReading(m_socket, false);
     RequestHandler handler(m_state, m_socket, std::move(request));
     m_handler = &handler;
     bool keepAlive = co_await handler.serve();
     m_handler = nullptr;
+    m_isPauseAllowed = handler.isPauseAllowed();
     co_return keepAlive;
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -125,6 +125,8 @@
     /// The request that is being served, or null.
     RequestHandler* m_handler = nullptr;
     bool m_readTimedOut = false;
+    /// The last response gave the connection the longer time limit for callers that pause.
+    bool m_isPauseAllowed = false;
     bool m_ending = false;
     /// The connection was closed in favour of others.
     bool m_closedForOthers = false;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -87,6 +87,8 @@
     boost::asio::awaitable<bool> serve();
     /// Ends the request as if its deadline had passed.
     void expire();
+    /// Whether the caller's connection has the longer time limit for callers that pause.
+    bool isPauseAllowed() const { return m_backlog && m_backlog->isPauseAllowed(); }
 
 private:
     /// Limit on requests sent to endpoints for one request of a caller, including those that endpoints refuse.
--- a/testsuite/slow_readers/run.py
+++ b/testsuite/slow_readers/run.py
@@ -39,6 +39,8 @@
 CUT_S = 2
 # A caller's pause after which it reads on.
 READ_PAUSE_S = 3.5
+# Unread rest of a stream that fits the kernel's buffer of the gateway, and not that of the caller.
+KERNEL_REST_BYTES = 40 * 1024
 EVENT_BYTES = 4096
 # Streams of the crowd, together above the memory limit, and one that an entry can hold for its caller.
 CROWD_EVENTS, HELD_EVENTS = 400, 128
@@ -74,7 +76,7 @@
         self.body()
         request = self.headers["Request-Id"]
         self.server.runs[request] += 1
-        self.connection.settimeout(CUT_S)
+        self.connection.settimeout(self.server.cut_s)
         try:
             self.send_response(200)
             for name, value in self.response_headers(request) + [("Content-Type", "text/event-stream"),
@@ -223,9 +225,10 @@
         client.close()
 
 
-def check_pausing_caller(deployment, events):
+def check_pausing_caller(deployment, events, read_before=0):
     client = StreamClient(deployment.gateways[0], events)
     wait_until(client.has_answer, "the first bytes")
+    client.read(read_before)
     time.sleep(READ_PAUSE_S)
     client.read()
     client.check_complete(events)
@@ -237,6 +240,20 @@
     check_pausing_caller(deployment, HELD_EVENTS)
 
 
+def caller_that_pauses_beyond_its_limit(deployment):
+    """The entry keeps 1 MiB of the stream and the endpoint waits: the kernel reset the caller after 1.5 s."""
+    for endpoint in deployment.endpoints:
+        endpoint.cut_s = TIMEOUT_S
+    check_pausing_caller(deployment, CROWD_EVENTS)
+
+
+def caller_that_pauses_near_the_end(deployment):
+    """All that the caller has not read is in the kernel's buffer, as the rest was kept and written before: the kernel
+    reset the caller after 1.5 s.
+    """
+    check_pausing_caller(deployment, HELD_EVENTS, HELD_EVENTS * EVENT_BYTES - KERNEL_REST_BYTES)
+
+
 def slow_reader_gets_all_events_in_order(deployment):
     """A stream above the limit for one caller: a part is kept, and the rest is read from the endpoint as the caller
     reads. No byte may be lost, repeated or reordered between the two.
@@ -309,11 +326,12 @@
                                   "timeout_ms": TIMEOUT_S * 1000, "slo_ms": TIMEOUT_S * 1000})
     for endpoint in deployment.endpoints:
         endpoint.RequestHandlerClass = SlowHandler
-        endpoint.ended_streams = set()
+        endpoint.ended_streams, endpoint.cut_s = set(), CUT_S
     return deployment
 
 
 run_cases((uploads_that_send_no_byte, uploads_that_stop, upload_in_progress_outlasts_stalled_ones,
-           callers_that_stop_reading, caller_that_pauses, slow_reader_gets_all_events_in_order,
+           callers_that_stop_reading, caller_that_pauses, caller_that_pauses_beyond_its_limit,
+           caller_that_pauses_near_the_end, slow_reader_gets_all_events_in_order,
            stalled_callers_are_closed_for_others, kernel_buffers_of_endpoint_connections),
           make_deployment, 1)
