--- a/testsuite/slow_readers/run.py
+++ b/testsuite/slow_readers/run.py
@@ -39,6 +39,8 @@
 CUT_S = 2
 # A caller's pause after which it reads on.
 READ_PAUSE_S = 3.5
+# Unread rest of a stream that fits the kernel's buffer of the gateway, and not that of the caller.
+KERNEL_REST_BYTES = 40 * 1024
 EVENT_BYTES = 4096
 # Streams of the crowd, together above the memory limit, and one that an entry can hold for its caller.
 CROWD_EVENTS, HELD_EVENTS = 400, 128
@@ -48,6 +50,8 @@
 STALLED_EVENTS, STALLED_CALLERS, ARRIVAL_PAUSE_S = 200, 16, 0.1
 # Callers that read much, so that the kernel enlarges the receive buffer of the endpoint's connection, and then stop.
 READERS, READ_BYTES, LONG_EVENTS = 10, 6_000_000, 8000
+# Pause between two samples of the kernel's buffers.
+SAMPLE_PAUSE_S = 0.02
 # 64 KiB, doubled by the kernel.
 KERNEL_BYTES_PER_CONNECTION = 128 * 1024
 SMALL_BUFFER = 4096
@@ -72,7 +76,7 @@
         self.body()
         request = self.headers["Request-Id"]
         self.server.runs[request] += 1
-        self.connection.settimeout(CUT_S)
+        self.connection.settimeout(self.server.cut_s)
         try:
             self.send_response(200)
             for name, value in self.response_headers(request) + [("Content-Type", "text/event-stream"),
@@ -221,9 +225,10 @@
         client.close()
 
 
-def check_pausing_caller(deployment, events):
+def check_pausing_caller(deployment, events, read_before=0):
     client = StreamClient(deployment.gateways[0], events)
     wait_until(client.has_answer, "the first bytes")
+    client.read(read_before)
     time.sleep(READ_PAUSE_S)
     client.read()
     client.check_complete(events)
@@ -235,6 +240,20 @@
     check_pausing_caller(deployment, HELD_EVENTS)
 
 
+def caller_that_pauses_beyond_its_limit(deployment):
+    """The entry keeps 1 MiB of the stream and the endpoint waits: the kernel reset the caller after 1.5 s."""
+    for endpoint in deployment.endpoints:
+        endpoint.cut_s = TIMEOUT_S
+    check_pausing_caller(deployment, CROWD_EVENTS)
+
+
+def caller_that_pauses_near_the_end(deployment):
+    """All that the caller has not read is in the kernel's buffer, as the rest was kept and written before: the kernel
+    reset the caller after 1.5 s.
+    """
+    check_pausing_caller(deployment, HELD_EVENTS, HELD_EVENTS * EVENT_BYTES - KERNEL_REST_BYTES)
+
+
 def slow_reader_gets_all_events_in_order(deployment):
     """A stream above the limit for one caller: a part is kept, and the rest is read from the endpoint as the caller
     reads. No byte may be lost, repeated or reordered between the two.
@@ -268,25 +287,33 @@
 
 
 def unread_endpoint_bytes(deployment):
-    """The most bytes that the kernel holds of one connection to an endpoint because the gateway has not read them."""
+    """Bytes that the kernel holds of each connection to an endpoint because the gateway has not read them."""
     ports = {"%04X" % endpoint.server_address[1] for endpoint in deployment.endpoints}
     with open("/proc/net/tcp") as table:
         rows = [line.split() for line in table][1:]
-    return max((int(row[4].split(":")[1], 16) for row in rows if row[2].split(":")[1] in ports), default=0)
+    return [int(row[4].split(":")[1], 16) for row in rows if row[2].split(":")[1] in ports]
 
 
 def kernel_buffers_of_endpoint_connections(deployment):
     """Callers that read much and then stop: the kernel held several MiB of each response."""
     clients = [StreamClient(deployment.gateways[0], LONG_EVENTS) for _ in range(READERS)]
+    unread, done = [], threading.Event()
+
+    def sample():
+        while not done.wait(SAMPLE_PAUSE_S):
+            unread.extend(unread_endpoint_bytes(deployment))
+
+    sampler = threading.Thread(target=sample, daemon=True)
+    sampler.start()
     for client in clients:
         client.read(READ_BYTES)
-    most = 0
-    deadline = time.monotonic() + CUT_S
-    while time.monotonic() < deadline:
-        most = max(most, unread_endpoint_bytes(deployment))
-        time.sleep(0.02)
+    time.sleep(CUT_S)
+    done.set()
+    sampler.join()
     for client in clients:
         client.close()
+    most = max(unread, default=0)
+    assert most > 0, f"no unread bytes of a connection to an endpoint in {len(unread)} samples"
     assert most <= KERNEL_BYTES_PER_CONNECTION, f"{most} unread bytes of one connection"
     check_ordinary_request(deployment)
     check_limits(deployment)
@@ -299,11 +326,12 @@
                                   "timeout_ms": TIMEOUT_S * 1000, "slo_ms": TIMEOUT_S * 1000})
     for endpoint in deployment.endpoints:
         endpoint.RequestHandlerClass = SlowHandler
-        endpoint.ended_streams = set()
+        endpoint.ended_streams, endpoint.cut_s = set(), CUT_S
     return deployment
 
 
 run_cases((uploads_that_send_no_byte, uploads_that_stop, upload_in_progress_outlasts_stalled_ones,
-           callers_that_stop_reading, caller_that_pauses, slow_reader_gets_all_events_in_order,
+           callers_that_stop_reading, caller_that_pauses, caller_that_pauses_beyond_its_limit,
+           caller_that_pauses_near_the_end, slow_reader_gets_all_events_in_order,
            stalled_callers_are_closed_for_others, kernel_buffers_of_endpoint_connections),
           make_deployment, 1)
