Close connections without a complete request at a planned stop

Cause: since heads and bodies are received piece by piece, drain() closed only connections that had sent nothing, and a planned stop waited up to the read timeout for unfinished heads and bodies. Each connection that waits for bytes of a request is closed again, and none waits for more after drain(). net_test has a case with half a head and one with half a body.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -139,8 +139,8 @@
     /// Received bytes that are not parsed yet, and the memory reserved for them.
     std::string unparsed;
     ByteReservation reservation;
-    /// Waiting for a request; drain() closes idle connections.
-    bool idle = false;
+    /// Waiting for bytes of a request that is not complete; drain() closes such connections.
+    bool receiving = false;
     /// Closed because the memory of heads was exhausted.
     bool evicted = false;
 };
@@ -211,7 +211,7 @@
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     for (Connection* connection : m_open) {
-        if (connection->idle)
+        if (connection->receiving)
             connection->stream.cancel();
     }
 }
@@ -287,11 +287,15 @@
 /// Waits for bytes and appends them to the unparsed ones. The caller reserves memory for those that it can't parse.
 awaitable<HttpServer::ReadResult> HttpServer::receive(Connection& connection)
 {
+    if (m_draining)
+        co_return ReadResult::Closed;
     boost::system::error_code error;
     // The time limit of the stream applies to asynchronous reads only. A read into the common buffer must not be
     // asynchronous, since other connections use the buffer before the coroutine resumes.
     char first = 0;
+    connection.receiving = true;
     co_await connection.stream.async_read_some(boost::asio::buffer(&first, 1), redirect_error(use_awaitable, error));
+    connection.receiving = false;
     if (error || connection.evicted)
         co_return ReadResult::Closed;
     m_received[0] = first;
@@ -326,9 +330,7 @@
             m_unfinishedHeads.push_back(&connection);
             listed = true;
         }
-        connection.idle = connection.unparsed.empty();
         result = co_await receive(connection);
-        connection.idle = false;
         if (result == ReadResult::Complete && !reserveHead(connection))
             result = connection.evicted ? ReadResult::Closed : ReadResult::NoMemory;
         if (result != ReadResult::Complete)
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -102,7 +102,8 @@
     Status listen(const boost::asio::ip::tcp::endpoint& address);
     /// The local address of the listening socket, with the actual port if port 0 was requested.
     boost::asio::ip::tcp::endpoint localAddress() const;
-    /// Stops accepting connections, closes idle ones and closes each of the others after its current request.
+    /// Stops accepting connections, closes those without a complete request and closes each of the others after its
+    /// current request.
     void drain();
 
     /// Number of open connections; may be called from any thread.
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -294,3 +294,47 @@
     BOOST_TEST(first.empty());
     BOOST_TEST(second.find("0 fields") != std::string::npos, second);
 }
+
+namespace {
+
+struct DrainCase {
+    const char* name;
+    const char* sent;
+};
+std::ostream& operator<<(std::ostream& out, const DrainCase& each) { return out << each.name; }
+
+const DrainCase drainCases[] = {
+    { "half_head", "GET / HTTP/1.1\r\na:b" },
+    { "half_body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc" },
+};
+
+} // namespace
+
+// Guards against a planned stop that waits up to the read timeout (30 s) for requests that are not complete.
+BOOST_DATA_TEST_CASE(drain_closes_incomplete_requests, boost::unit_test::data::make(drainCases), each)
+{
+    boost::asio::io_context io;
+    std::vector<HttpShortage> shortages;
+    auto server = makeBudgetServer(io, shortages);
+    std::string received;
+    Duration waited {};
+    std::thread client([&, address = server->localAddress()] {
+        boost::asio::io_context clientIo;
+        boost::asio::ip::tcp::socket socket(clientIo);
+        boost::system::error_code ignored;
+        socket.connect(address);
+        boost::asio::write(socket, boost::asio::buffer(std::string_view(each.sent)), ignored);
+        auto held = [&] { return server->heldForHeads().value() + server->heldForBodies().value(); };
+        while (boost::asio::post(io, boost::asio::use_future(held)).get() == 0)
+            std::this_thread::yield();
+        auto start = std::chrono::steady_clock::now();
+        boost::asio::post(io, [&] { server->drain(); });
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+        waited = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start);
+        boost::asio::post(io, [&] { io.stop(); });
+    });
+    io.run();
+    client.join();
+    BOOST_TEST(received.empty(), received);
+    BOOST_TEST((waited < std::chrono::seconds(15)));
+}
