Let clients read the response to a refused request

Cause: after a 4xx or 503 to a request that was not read completely, the socket was closed with unread input, so the kernel reset the connection and the client could lose the response. The server now shuts down sending, discards input into the common buffer, at most twice the largest body and for 3 s, and returns the memory of the request before it writes the response. net_test requires that refused clients can send all and see an ordinary end of the connection.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -26,6 +26,8 @@
     /// Delay after a failed accept, which avoids a busy loop while the process is out of file descriptors.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
     constexpr Duration writeTimeout = std::chrono::seconds(30);
+    /// Time in which the client of a refused request can finish sending, so that it reads the response.
+    constexpr Duration discardTimeout = std::chrono::seconds(3);
     constexpr std::string_view endOfHead = "\r\n\r\n";
     constexpr std::size_t receiveBytes = 16 * 1024;
     /// Memory of a kept field in addition to its text.
@@ -163,6 +165,14 @@
     {
     }
 
+    /// Returns the memory of the request.
+    void drop()
+    {
+        request = {};
+        headReservation.shrinkTo(Bytes(0));
+        bodyReservation.shrinkTo(Bytes(0));
+    }
+
     http::request_parser<http::buffer_body> parser;
     boost::system::error_code error;
     HttpRequest request;
@@ -294,25 +304,34 @@
     return reserveHead(connection.reservation, connection.unparsed.size(), connection);
 }
 
-/// Waits for bytes and appends them to the unparsed ones. The caller reserves memory for those that it can't parse.
-awaitable<HttpServer::ReadResult> HttpServer::receive(Connection& connection)
+/// Waits for bytes and reads them into the common buffer, where the caller must use them before it waits again.
+/// @return their number; 0 if the connection has ended, was closed for memory or has exceeded its time limit
+awaitable<std::size_t> HttpServer::receiveSome(Connection& connection)
 {
-    if (m_draining)
-        co_return ReadResult::Closed;
     boost::system::error_code error;
     // The time limit of the stream applies to asynchronous reads only. A read into the common buffer must not be
     // asynchronous, since other connections use the buffer before the coroutine resumes.
     char first = 0;
-    connection.receiving = true;
     co_await connection.stream.async_read_some(boost::asio::buffer(&first, 1), redirect_error(use_awaitable, error));
-    connection.receiving = false;
     if (error || connection.evicted)
-        co_return ReadResult::Closed;
+        co_return 0;
     m_received[0] = first;
-    std::size_t size = 1;
     // An error is reported again by the next asynchronous read.
-    size += connection.stream.socket().read_some(
+    std::size_t more = connection.stream.socket().read_some(
         boost::asio::buffer(m_received.data() + 1, m_received.size() - 1), error);
+    co_return 1 + more;
+}
+
+/// Waits for bytes and appends them to the unparsed ones. The caller reserves memory for those that it can't parse.
+awaitable<HttpServer::ReadResult> HttpServer::receive(Connection& connection)
+{
+    if (m_draining)
+        co_return ReadResult::Closed;
+    connection.receiving = true;
+    std::size_t size = co_await receiveSome(connection);
+    connection.receiving = false;
+    if (size == 0)
+        co_return ReadResult::Closed;
     std::string extended;
     extended.reserve(connection.unparsed.size() + size);
     extended.append(connection.unparsed).append(m_received.data(), size);
@@ -449,13 +468,28 @@
     co_return ReadResult::Complete;
 }
 
+/// Sends a response to a request that was not read completely, and discards what the client still sends: closing a
+/// socket with unread bytes resets the connection, and the client may lose the response.
 awaitable<void> HttpServer::refuse(Connection& connection, HttpResponse response)
 {
-    boost::system::error_code ignored;
+    boost::system::error_code error;
+    connection.consume(connection.unparsed.size());
     response.keep_alive(false);
     response.prepare_payload();
     connection.stream.expires_after(writeTimeout);
-    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, ignored));
+    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, error));
+    if (error)
+        co_return;
+    connection.stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(discardTimeout);
+    auto most = 2 * static_cast<std::size_t>(m_limits.maxBody.value());
+    std::size_t discarded = 0;
+    while (discarded < most) {
+        std::size_t size = co_await receiveSome(connection);
+        if (size == 0)
+            break;
+        discarded += size;
+    }
 }
 
 awaitable<bool> HttpServer::serveOne(Connection& connection)
@@ -471,6 +505,8 @@
             reportShortage(HttpShortage::HeadRefused);
         result = fits ? co_await readBody(connection, incoming) : ReadResult::NoMemory;
     }
+    if (result != ReadResult::Complete)
+        incoming.drop();
     if (result == ReadResult::Malformed)
         co_await refuse(connection, parseErrorResponse(incoming.error));
     else if (result == ReadResult::NoMemory)
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -130,6 +130,7 @@
     boost::asio::awaitable<bool> serveOne(Connection& connection);
     boost::asio::awaitable<ReadResult> readHead(Connection& connection, Incoming& incoming);
     boost::asio::awaitable<ReadResult> readBody(Connection& connection, Incoming& incoming);
+    boost::asio::awaitable<std::size_t> receiveSome(Connection& connection);
     boost::asio::awaitable<ReadResult> receive(Connection& connection);
     boost::asio::awaitable<void> refuse(Connection& connection, HttpResponse response);
     bool takeFields(const Connection& connection, Incoming& incoming);
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -254,11 +254,12 @@
     std::vector<HttpShortage> shortages;
     auto server = makeBudgetServer(io, shortages);
     std::string received;
+    boost::system::error_code writeError;
+    boost::system::error_code readError;
     std::thread client([&, address = server->localAddress()] {
         boost::asio::io_context clientIo;
         boost::asio::ip::tcp::socket socket(clientIo);
         socket.connect(address);
-        boost::system::error_code ignored;
         std::string framing
             = each.chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(each.body);
         std::string request = "POST / HTTP/1.1\r\nConnection: close\r\n" + framing + "\r\n" + each.head + "\r\n";
@@ -268,14 +269,19 @@
                 += repeated("64\r\n" + std::string(100, 'y') + "\r\n", static_cast<int>(each.body / 100)) + "0\r\n\r\n";
         else
             request += std::string(each.body, 'y');
-        boost::asio::write(socket, boost::asio::buffer(request), ignored);
-        boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+        boost::asio::write(socket, boost::asio::buffer(request), writeError);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), readError);
         boost::asio::post(io, [&] { io.stop(); });
     });
     io.run();
     client.join();
     bool isExpected = *each.expected ? received.find(each.expected) != std::string::npos : received.empty();
     BOOST_TEST(isExpected, received);
+    // Guards against a reset, which may destroy the response. A connection that is closed for memory gets none.
+    if (*each.expected) {
+        BOOST_TEST(!writeError, writeError.message());
+        BOOST_TEST((readError == boost::asio::error::eof), readError.message());
+    }
     bool refused = received.rfind("HTTP/1.1 503", 0) == 0;
     BOOST_TEST(refused == (each.expected == std::string("no_memory")));
     BOOST_TEST((received.find("Retry-After: 1\r\n") != std::string::npos) == refused);
