Free the text of refused requests and of consumed heads

Cause: assigning a short string keeps the capacity of the string that it replaces, so refused requests kept their body for the time of the response and up to 3 s of discarding, and idle connections kept the capacity of their last head, both without a reservation.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -142,8 +142,9 @@
     /// Drops the first unparsed bytes.
     void consume(std::size_t size)
     {
-        // The copy has no unused capacity, so that the reservation is what the connection holds.
-        unparsed = unparsed.substr(size);
+        // The copy has no unused capacity, so that the reservation is what the connection holds. Assigning a short
+        // string would keep the capacity of the old one.
+        std::string(unparsed, size).swap(unparsed);
         reservation.shrinkTo(Bytes(static_cast<std::int64_t>(unparsed.size())));
     }
 
@@ -168,7 +169,9 @@
     /// Returns the memory of the request.
     void drop()
     {
-        request = {};
+        // Assigning a short string would keep the capacity of the old one.
+        HttpRequest empty;
+        swap(request, empty);
         headReservation.shrinkTo(Bytes(0));
         bodyReservation.shrinkTo(Bytes(0));
     }
@@ -409,7 +412,11 @@
     auto reserved = static_cast<std::size_t>(incoming.bodyReservation.size().value());
     if (needed > reserved) {
         auto most = static_cast<std::size_t>(m_limits.maxBody.value());
-        std::size_t next = std::max(needed, std::min(most, std::max(2 * reserved, firstBodyBytes)));
+        // Few different sizes, so that freed blocks fit the next bodies.
+        std::size_t next = std::max(reserved, firstBodyBytes);
+        while (next < needed)
+            next *= 2;
+        next = std::max(needed, std::min(most, next));
         if (auto left = incoming.parser.content_length_remaining())
             next = std::min(next, needed + static_cast<std::size_t>(*left));
         if (!incoming.bodyReservation.extendTo(Bytes(static_cast<std::int64_t>(next))))
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -237,7 +237,7 @@
     { "fields_that_are_not_kept", "a:b\r\n" + repeated("c:d\r\n", 500), 3, "0 fields, 3 bytes", {} },
     { "two_of_each_kept_name", repeated("kept:d\r\n", 50), 3, "2 fields, 3 bytes", {} },
     { "body_that_fits", "", 90'000, "0 fields, 90000 bytes", {} },
-    // The last growth is by less than a factor of two, where std::string::reserve() would allocate twice the old size.
+    // Growth from 65,536 to 65,537 bytes: std::string::reserve() would allocate 131,072.
     { "capacity_is_the_stated_length", "", 65'537, "0 fields, 65537 bytes, 65537 held", {} },
     { "capacity_without_stated_length", "", 40'000, "0 fields, 40000 bytes, 40000 held", {}, true },
     { "small_body_without_stated_length", "", 100, "0 fields, 100 bytes, 100 held", {}, true },
