--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -26,12 +26,14 @@
     /// Delay after a failed accept, which avoids a busy loop while the process is out of file descriptors.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
     constexpr Duration writeTimeout = std::chrono::seconds(30);
+    /// Time in which the client of a refused request can finish sending, so that it reads the response.
+    constexpr Duration discardTimeout = std::chrono::seconds(3);
     constexpr std::string_view endOfHead = "\r\n\r\n";
     constexpr std::size_t receiveBytes = 16 * 1024;
     /// Memory of a kept field in addition to its text.
     constexpr std::size_t fieldOverheadBytes = 96;
     /// First reservation for a body, unless its stated length is less.
-    constexpr std::size_t firstBodyBytes = 64 * 1024;
+    constexpr std::size_t firstBodyBytes = 1024;
     constexpr int memoryRetrySeconds = 1;
 
     std::string errorBody(std::string_view message)
@@ -40,6 +42,16 @@
             + R"(","type":"invalid_request_error","code":"bad_request","outcome":"not_run"}})";
     }
 
+    /// Sets the capacity of a text that is not longer than that. std::string::reserve() allocates twice the old
+    /// capacity if less is requested, and shrink_to_fit() is not binding.
+    void setCapacity(std::string& text, std::size_t capacity)
+    {
+        std::string moved;
+        moved.reserve(capacity);
+        moved.append(text);
+        text.swap(moved);
+    }
+
     /// The response to a request that does not fit the memory.
     HttpResponse noMemoryResponse()
     {
@@ -130,8 +142,9 @@
     /// Drops the first unparsed bytes.
     void consume(std::size_t size)
     {
-        // The copy has no unused capacity, so that the reservation is what the connection holds.
-        unparsed = unparsed.substr(size);
+        // The copy has no unused capacity, so that the reservation is what the connection holds. Assigning a short
+        // string would keep the capacity of the old one.
+        std::string(unparsed, size).swap(unparsed);
         reservation.shrinkTo(Bytes(static_cast<std::int64_t>(unparsed.size())));
     }
 
@@ -139,8 +152,8 @@
     /// Received bytes that are not parsed yet, and the memory reserved for them.
     std::string unparsed;
     ByteReservation reservation;
-    /// Waiting for a request; drain() closes idle connections.
-    bool idle = false;
+    /// Waiting for bytes of a request that is not complete; drain() closes such connections.
+    bool receiving = false;
     /// Closed because the memory of heads was exhausted.
     bool evicted = false;
 };
@@ -153,6 +166,16 @@
     {
     }
 
+    /// Returns the memory of the request.
+    void drop()
+    {
+        // Assigning a short string would keep the capacity of the old one.
+        HttpRequest empty;
+        swap(request, empty);
+        headReservation.shrinkTo(Bytes(0));
+        bodyReservation.shrinkTo(Bytes(0));
+    }
+
     http::request_parser<http::buffer_body> parser;
     boost::system::error_code error;
     HttpRequest request;
@@ -211,7 +234,7 @@
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     for (Connection* connection : m_open) {
-        if (connection->idle)
+        if (connection->receiving)
             connection->stream.cancel();
     }
 }
@@ -284,8 +307,9 @@
     return reserveHead(connection.reservation, connection.unparsed.size(), connection);
 }
 
-/// Waits for bytes and appends them to the unparsed ones. The caller reserves memory for those that it can't parse.
-awaitable<HttpServer::ReadResult> HttpServer::receive(Connection& connection)
+/// Waits for bytes and reads them into the common buffer, where the caller must use them before it waits again.
+/// @return their number; 0 if the connection has ended, was closed for memory or has exceeded its time limit
+awaitable<std::size_t> HttpServer::receiveSome(Connection& connection)
 {
     boost::system::error_code error;
     // The time limit of the stream applies to asynchronous reads only. A read into the common buffer must not be
@@ -293,12 +317,24 @@
     char first = 0;
     co_await connection.stream.async_read_some(boost::asio::buffer(&first, 1), redirect_error(use_awaitable, error));
     if (error || connection.evicted)
-        co_return ReadResult::Closed;
+        co_return 0;
     m_received[0] = first;
-    std::size_t size = 1;
     // An error is reported again by the next asynchronous read.
-    size += connection.stream.socket().read_some(
+    std::size_t more = connection.stream.socket().read_some(
         boost::asio::buffer(m_received.data() + 1, m_received.size() - 1), error);
+    co_return 1 + more;
+}
+
+/// Waits for bytes and appends them to the unparsed ones. The caller reserves memory for those that it can't parse.
+awaitable<HttpServer::ReadResult> HttpServer::receive(Connection& connection)
+{
+    if (m_draining)
+        co_return ReadResult::Closed;
+    connection.receiving = true;
+    std::size_t size = co_await receiveSome(connection);
+    connection.receiving = false;
+    if (size == 0)
+        co_return ReadResult::Closed;
     std::string extended;
     extended.reserve(connection.unparsed.size() + size);
     extended.append(connection.unparsed).append(m_received.data(), size);
@@ -309,14 +345,18 @@
 awaitable<HttpServer::ReadResult> HttpServer::readHead(Connection& connection, Incoming& incoming)
 {
     bool listed = false;
+    // The end of the head does not begin before this position.
+    std::size_t searched = 0;
     auto result = ReadResult::Complete;
     while (true) {
         // The parser makes a node of each line that it gets, so it gets a head only when it is complete.
-        bool complete = connection.unparsed.find(endOfHead) != std::string::npos;
+        bool complete = connection.unparsed.find(endOfHead, searched) != std::string::npos;
+        searched = connection.unparsed.size() - std::min(connection.unparsed.size(), endOfHead.size() - 1);
         bool tooLarge = !complete && connection.unparsed.size() > m_limits.maxHeaderBytes;
-        if (complete)
+        if (complete) {
             connection.consume(incoming.parser.put(boost::asio::buffer(connection.unparsed), incoming.error));
-        else if (tooLarge)
+            searched = 0;
+        } else if (tooLarge)
             incoming.error = http::error::header_limit;
         if (incoming.error)
             result = ReadResult::Malformed;
@@ -326,9 +366,7 @@
             m_unfinishedHeads.push_back(&connection);
             listed = true;
         }
-        connection.idle = connection.unparsed.empty();
         result = co_await receive(connection);
-        connection.idle = false;
         if (result == ReadResult::Complete && !reserveHead(connection))
             result = connection.evicted ? ReadResult::Closed : ReadResult::NoMemory;
         if (result != ReadResult::Complete)
@@ -374,12 +412,16 @@
     auto reserved = static_cast<std::size_t>(incoming.bodyReservation.size().value());
     if (needed > reserved) {
         auto most = static_cast<std::size_t>(m_limits.maxBody.value());
-        std::size_t next = std::max(needed, std::min(most, std::max(2 * reserved, firstBodyBytes)));
+        // Few different sizes, so that freed blocks fit the next bodies.
+        std::size_t next = std::max(reserved, firstBodyBytes);
+        while (next < needed)
+            next *= 2;
+        next = std::max(needed, std::min(most, next));
         if (auto left = incoming.parser.content_length_remaining())
             next = std::min(next, needed + static_cast<std::size_t>(*left));
         if (!incoming.bodyReservation.extendTo(Bytes(static_cast<std::int64_t>(next))))
             return false;
-        body.reserve(next);
+        setCapacity(body, next);
     }
     body.append(data);
     return true;
@@ -424,16 +466,37 @@
         if (result != ReadResult::Complete)
             co_return result;
     }
+    std::string& body = incoming.request.body();
+    Bytes size(static_cast<std::int64_t>(body.size()));
+    if (size < incoming.bodyReservation.size()) {
+        setCapacity(body, body.size());
+        incoming.bodyReservation.shrinkTo(size);
+    }
     co_return ReadResult::Complete;
 }
 
+/// Sends a response to a request that was not read completely, and discards what the client still sends: closing a
+/// socket with unread bytes resets the connection, and the client may lose the response.
 awaitable<void> HttpServer::refuse(Connection& connection, HttpResponse response)
 {
-    boost::system::error_code ignored;
+    boost::system::error_code error;
+    connection.consume(connection.unparsed.size());
     response.keep_alive(false);
     response.prepare_payload();
     connection.stream.expires_after(writeTimeout);
-    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, ignored));
+    co_await http::async_write(connection.stream, response, redirect_error(use_awaitable, error));
+    if (error)
+        co_return;
+    connection.stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(discardTimeout);
+    auto most = 2 * static_cast<std::size_t>(m_limits.maxBody.value());
+    std::size_t discarded = 0;
+    while (discarded < most) {
+        std::size_t size = co_await receiveSome(connection);
+        if (size == 0)
+            break;
+        discarded += size;
+    }
 }
 
 awaitable<bool> HttpServer::serveOne(Connection& connection)
@@ -449,6 +512,8 @@
             reportShortage(HttpShortage::HeadRefused);
         result = fits ? co_await readBody(connection, incoming) : ReadResult::NoMemory;
     }
+    if (result != ReadResult::Complete)
+        incoming.drop();
     if (result == ReadResult::Malformed)
         co_await refuse(connection, parseErrorResponse(incoming.error));
     else if (result == ReadResult::NoMemory)
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -102,7 +102,8 @@
     Status listen(const boost::asio::ip::tcp::endpoint& address);
     /// The local address of the listening socket, with the actual port if port 0 was requested.
     boost::asio::ip::tcp::endpoint localAddress() const;
-    /// Stops accepting connections, closes idle ones and closes each of the others after its current request.
+    /// Stops accepting connections, closes those without a complete request and closes each of the others after its
+    /// current request.
     void drain();
 
     /// Number of open connections; may be called from any thread.
@@ -129,6 +130,7 @@
     boost::asio::awaitable<bool> serveOne(Connection& connection);
     boost::asio::awaitable<ReadResult> readHead(Connection& connection, Incoming& incoming);
     boost::asio::awaitable<ReadResult> readBody(Connection& connection, Incoming& incoming);
+    boost::asio::awaitable<std::size_t> receiveSome(Connection& connection);
     boost::asio::awaitable<ReadResult> receive(Connection& connection);
     boost::asio::awaitable<void> refuse(Connection& connection, HttpResponse response);
     bool takeFields(const Connection& connection, Incoming& incoming);
