Count the longest answer up to half of an engine's memory only

Found by review: a request whose longest answer fills an engine reserved the whole memory, so that with two or more entries every engine refused it, also idle ones, at each retry: the margin for placements of others at the same moment left no room. Before: long_answers_find_an_idle_engine fails with 2 and 103 entries. Now the maximum counts up to half of the memory, and the expected answer beyond that.

--- a/src/libwisteriayard/endpoint_placement_memory.cpp
+++ b/src/libwisteriayard/endpoint_placement_memory.cpp
@@ -12,6 +12,8 @@
     /// Assumed time for which a request holds memory before one has ended, in microseconds.
     constexpr double initialMemoryTime = 1'000'000;
     constexpr double memoryTimeWeight = 0.05;
+    /// Share of an engine's memory up to which the longest answer of a request counts, instead of the expected one.
+    constexpr double maxEstimatedShare = 0.5;
     constexpr Duration minMemoryRetryAfter = std::chrono::milliseconds(100);
     constexpr Duration maxMemoryRetryAfter = std::chrono::seconds(5);
 
@@ -34,9 +36,10 @@
     std::int64_t unlisted = std::max<std::int64_t>(0, request.statedPrompt.value() - prompt);
     prompt += unlisted;
     std::int64_t output = std::max(request.output.value(), request.outputLimit.value());
-    // An answer whose upper estimate alone exceeds the memory would find no engine, although it is probably shorter.
-    if (prompt + request.output.value() <= state.info.memory.value())
-        output = std::min(output, state.info.memory.value() - prompt);
+    // With a higher upper estimate, a request would find no engine beside those that other entries may have placed at
+    // the same moment, although its answer is probably shorter.
+    auto most = static_cast<std::int64_t>(maxEstimatedShare * static_cast<double>(state.info.memory.value()));
+    output = std::min(output, std::max(request.output.value(), most - prompt));
     need.own += unlisted + output;
     return need;
 }
--- a/src/libwisteriayard/endpoint_placement_memory_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_memory_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE endpoint_placement_memory
 #include "wisteriayard/endpoint_placement.h"
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -191,6 +192,20 @@
     BOOST_TEST(!refusalOf(fleet, makeRequest(1, 1000, 2 * memory), at(seconds(0))));
 }
 
+// Guards against a request that idle engines refuse forever, because its longest answer leaves no room for what other
+// entries may place at the same moment.
+BOOST_DATA_TEST_CASE(long_answers_find_an_idle_engine, boost::unit_test::data::make({ 2, 103 }), entries)
+{
+    EndpointPlacement fleet = makeFleet(2, entries);
+    PlacementRequest ordinary = makeRequest(1, 890);
+    auto placement = std::get<Placement>(fleet.choose(ordinary, {}, at(seconds(0))));
+    fleet.started(placement, ordinary, at(seconds(0)));
+    fleet.ended(placement, EndpointOutcome::Succeeded, at(seconds(1)));
+    for (int i = 1; i < entries; ++i)
+        fleet.updatePeerUse(entryId(i), {}, at(seconds(2)));
+    BOOST_TEST(!refusalOf(fleet, makeRequest(2, 1000, memory), at(seconds(2))));
+}
+
 // Guards against retries that return before memory is free, or all at once.
 BOOST_AUTO_TEST_CASE(retry_times_follow_the_release_of_memory)
 {
