Close connections with unfinished bodies for the memory of heads

Cause: after its head was complete, a connection kept its fields until the read timeout, and new requests were refused with 503 while only such connections held the memory.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -156,6 +156,8 @@
     bool receiving = false;
     /// Closed because the memory of heads was exhausted.
     bool evicted = false;
+    /// The request whose body is being received.
+    Incoming* incoming = nullptr;
 };
 
 /// A request that is being received.
@@ -281,17 +283,22 @@
         m_onShortage(shortage);
 }
 
-/// Extends a reservation for heads, closing connections with unfinished heads if necessary.
+/// Extends a reservation for heads, closing connections with unfinished heads, then those with unfinished bodies, if
+/// necessary.
 /// @return false if the memory does not suffice even then, or if the connection itself was closed
 bool HttpServer::reserveHead(ByteReservation& reservation, std::size_t size, const Connection& connection)
 {
     while (!reservation.extendTo(Bytes(static_cast<std::int64_t>(size)))) {
-        if (m_unfinishedHeads.empty())
+        auto& candidates = m_unfinishedHeads.empty() ? m_unfinishedBodies : m_unfinishedHeads;
+        if (candidates.empty())
             return false;
         // Nothing was promised to a connection whose request is not complete.
-        Connection& oldest = *m_unfinishedHeads.front();
-        m_unfinishedHeads.pop_front();
+        Connection& oldest = *candidates.front();
+        candidates.pop_front();
         oldest.evicted = true;
+        // The coroutine of the connection returns the memory only when it resumes.
+        if (oldest.incoming)
+            oldest.incoming->drop();
         oldest.consume(oldest.unparsed.size());
         oldest.stream.close();
         reportShortage(HttpShortage::HeadClosed);
@@ -451,6 +458,8 @@
             // A trailer may have been parsed.
             parser.get().clear();
             if (!reserveHead(connection)) {
+                if (connection.evicted)
+                    co_return ReadResult::Closed;
                 reportShortage(HttpShortage::HeadRefused);
                 co_return ReadResult::NoMemory;
             }
@@ -510,7 +519,14 @@
         bool fits = takeFields(connection, incoming);
         if (!fits)
             reportShortage(HttpShortage::HeadRefused);
-        result = fits ? co_await readBody(connection, incoming) : ReadResult::NoMemory;
+        result = ReadResult::NoMemory;
+        if (fits) {
+            connection.incoming = &incoming;
+            m_unfinishedBodies.push_back(&connection);
+            result = co_await readBody(connection, incoming);
+            m_unfinishedBodies.remove(&connection);
+            connection.incoming = nullptr;
+        }
     }
     if (result != ReadResult::Complete)
         incoming.drop();
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -78,7 +78,7 @@
 
 /// What a server did when a budget of memory was exhausted.
 enum class HttpShortage {
-    /// A connection with an unfinished head was closed.
+    /// A connection with an unfinished head or body was closed because the memory of heads was exhausted.
     HeadClosed,
     /// A request was refused because its complete head did not fit.
     HeadRefused,
@@ -155,6 +155,8 @@
     std::set<Connection*> m_open;
     /// Connections with an unfinished head, the oldest first.
     std::list<Connection*> m_unfinishedHeads;
+    /// Connections with a complete head and an unfinished body, the oldest first.
+    std::list<Connection*> m_unfinishedBodies;
 };
 
 /// Creates an HTTP/1.1 response with a body.
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -319,6 +319,40 @@
     BOOST_TEST(second.find("0 fields") != std::string::npos, second);
 }
 
+// Guards against connections whose bodies never come and whose heads occupy the memory until the read timeout.
+BOOST_AUTO_TEST_CASE(unfinished_body_is_closed_for_a_head)
+{
+    boost::asio::io_context io;
+    std::vector<HttpShortage> shortages;
+    auto server = makeBudgetServer(io, shortages);
+    std::string first;
+    std::string second;
+    std::thread client([&, address = server->localAddress()] {
+        boost::asio::io_context clientIo;
+        boost::asio::ip::tcp::socket stalled(clientIo);
+        boost::asio::ip::tcp::socket newer(clientIo);
+        boost::system::error_code ignored;
+        stalled.connect(address);
+        std::string request
+            = "POST / HTTP/1.1\r\nContent-Length: 9\r\nKept: " + std::string(30'000, 'x') + "\r\n\r\nabc";
+        boost::asio::write(stalled, boost::asio::buffer(request), ignored);
+        while (
+            boost::asio::post(io, boost::asio::use_future([&] { return server->heldForBodies(); })).get().value() < 3)
+            std::this_thread::yield();
+        newer.connect(address);
+        request = "GET / HTTP/1.1\r\nConnection: close\r\na: " + std::string(15'000, 'x') + "\r\n\r\n";
+        boost::asio::write(newer, boost::asio::buffer(request), ignored);
+        boost::asio::read(stalled, boost::asio::dynamic_buffer(first), ignored);
+        boost::asio::read(newer, boost::asio::dynamic_buffer(second), ignored);
+        boost::asio::post(io, [&] { io.stop(); });
+    });
+    io.run();
+    client.join();
+    BOOST_TEST(first.empty(), first);
+    BOOST_TEST(second.find("0 fields") != std::string::npos, second);
+    BOOST_TEST((shortages == std::vector { HttpShortage::HeadClosed }));
+}
+
 namespace {
 
 struct DrainCase {
