Test that a refused client can finish sending

The rows of memory_of_requests_is_limited pass also without the discarding of input, since their client has sent all before it reads.

--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -353,6 +353,33 @@
     BOOST_TEST((shortages == std::vector { HttpShortage::HeadClosed }));
 }
 
+// Guards against a reset while the client of a refused request is still sending, which may destroy the response.
+BOOST_AUTO_TEST_CASE(refused_client_can_finish_sending)
+{
+    boost::asio::io_context io;
+    std::vector<HttpShortage> shortages;
+    auto server = makeBudgetServer(io, shortages);
+    std::string received;
+    boost::system::error_code error;
+    std::thread client([&, address = server->localAddress()] {
+        boost::asio::io_context clientIo;
+        boost::asio::ip::tcp::socket socket(clientIo);
+        socket.connect(address);
+        boost::system::error_code ignored;
+        std::string request = "POST / HTTP/1.1\r\nContent-Length: 150000\r\n\r\n" + std::string(100'000, 'y');
+        boost::asio::write(socket, boost::asio::buffer(request), ignored);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+        const std::string part(1000, 'y');
+        for (int i = 0; i < 50 && !error; ++i)
+            boost::asio::write(socket, boost::asio::buffer(part), error);
+        boost::asio::post(io, [&] { io.stop(); });
+    });
+    io.run();
+    client.join();
+    BOOST_TEST(received.rfind("HTTP/1.1 503", 0) == 0, received);
+    BOOST_TEST(!error, error.message());
+}
+
 namespace {
 
 struct DrainCase {
