--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -554,7 +554,7 @@
     Refused refusal(const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now);
     /// Tokens, for requests of all entries, that an endpoint computes before a request of this rank.
     static std::int64_t tokensAhead(const State& state, Priority rank);
-    Duration speedReportIntervalAt(TimePoint now) const;
+    Duration speedReportInterval(const State& state, TimePoint now) const;
     /// Records for which prompts the engines are used, as their speeds are compared within a role.
     void assignRoles(std::size_t poolSize);
     double tokenTime(const State& state, TimePoint now) const { return m_speed.tokenTime(state.speed, now); }
--- a/src/libwisteriayard/endpoint_placement_speed.cpp
+++ b/src/libwisteriayard/endpoint_placement_speed.cpp
@@ -13,10 +13,10 @@
     constexpr double fullCostAt = 1.1;
 
     /// Speeds change slowly, and a report for each engine in each datagram would be most of its size.
-    constexpr Duration speedReportInterval = std::chrono::seconds(1);
-    /// Interval while no engine is known to differ. Reports each second raised the processor time of a fleet of 103
-    /// entries with equal engines by a fifth, and the bytes between its regions by up to half.
-    constexpr Duration evenSpeedReportInterval = std::chrono::seconds(5);
+    constexpr Duration differentSpeedInterval = std::chrono::seconds(1);
+    /// Interval for engines that are not known to differ from the mean. Reports of all engines each second raised the
+    /// bytes between the regions of a fleet of 103 entries by up to half.
+    constexpr Duration usualSpeedInterval = std::chrono::seconds(5);
     /// Time after the first sample for which reports are sent at the short interval, so that differences are found.
     constexpr Duration firstSpeedReports = std::chrono::seconds(5);
 
@@ -42,21 +42,18 @@
     }
 }
 
-Duration EndpointPlacement::speedReportIntervalAt(TimePoint now) const
+Duration EndpointPlacement::speedReportInterval(const State& state, TimePoint now) const
 {
-    bool isEven = m_firstSpeedReportAt && now - *m_firstSpeedReportAt >= firstSpeedReports
-        && std::none_of(m_index.begin(), m_index.end(),
-            [&](const auto& each) { return m_speed.differs(m_states[each.second].speed, now); });
-    return isEven ? evenSpeedReportInterval : speedReportInterval;
+    bool isFirst = !m_firstSpeedReportAt || now - *m_firstSpeedReportAt < firstSpeedReports;
+    return isFirst || m_speed.differs(state.speed, now) ? differentSpeedInterval : usualSpeedInterval;
 }
 
 std::map<EndpointId, SpeedReport> EndpointPlacement::speedReports(TimePoint now)
 {
     std::map<EndpointId, SpeedReport> reports;
-    Duration interval = speedReportIntervalAt(now);
     for (const auto& [id, index] : m_index) {
         State& state = m_states[index];
-        if (now - state.speedReportedAt < interval)
+        if (now - state.speedReportedAt < speedReportInterval(state, now))
             continue;
         auto report = m_speed.report(state.speed, now);
         if (!report || now - report->age <= state.speedReportedAt)
