--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -424,8 +424,8 @@
         while (next < needed)
             next *= 2;
         next = std::max(needed, std::min(most, next));
-        if (auto left = incoming.parser.content_length_remaining())
-            next = std::min(next, needed + static_cast<std::size_t>(*left));
+        auto stated = static_cast<std::size_t>(incoming.parser.content_length().value_or(next));
+        next = std::min(next, std::max(needed, stated));
         if (!incoming.bodyReservation.extendTo(Bytes(static_cast<std::int64_t>(next))))
             return false;
         setCapacity(body, next);
