Keep pools apart where long prompts make streams late

The costs of the other pool (50 and 150 ms) are less than an ordinary queue, so both kinds ran on nearly all engines, and the division followed a burst late. Only with `pool` in the contracts, and only where events show that queues of prompts make streams late.

--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -354,7 +354,8 @@
         WorkRates work = placement->ownWork(now);
         m_log->write(Event::PrefillPoolResized,
             { { "target", target.value() }, { "engines", engines }, { "of", placement->size() },
-                { "long_work", work.longPrompts }, { "short_work", work.shortPrompts } });
+                { "long_work", work.longPrompts }, { "short_work", work.shortPrompts },
+                { "late_pauses", placement->latePausesPart() } });
     }
 }
 
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -15,6 +15,7 @@
 #include "wisteriayard/prefill_pool.h"
 #include "wisteriayard/refused_callers.h"
 #include "wisteriayard/segment_rates.h"
+#include "wisteriayard/stream_pauses.h"
 #include "wisteriayard/units.h"
 
 #include <cstdint>
@@ -114,6 +115,9 @@
     Duration longOutsidePoolCost = std::chrono::milliseconds(150);
     /// Cost of a short prompt at an engine for long prompts: its own stream will be late.
     Duration shortInsidePoolCost = std::chrono::milliseconds(50);
+    /// Factor of these two costs where queues of long prompts make every stream beside them late. At their usual size
+    /// they are less than an ordinary queue, so that under high load both kinds are sent to all engines.
+    double latePausesCostFactor = 7;
     /// A request is refused if its first event is expected after more than this share of the time that it has left.
     double maxTimeLeftShare = 0.8;
     /// Share of its remaining time within which a refused request is retried; callers ignore later times.
@@ -396,6 +400,8 @@
     }
     /// Current number of engines that are reserved for long prompts.
     std::size_t prefillEngines(TimePoint now) { return m_pool.size(m_pooledEndpoints, now); }
+    /// Degree, from 0 to 1, to which queues of long prompts make streams late.
+    double latePausesPart() const { return m_pauses.latePart(); }
     /// Load by requests of this entry; endpoints without any are omitted.
     std::map<EndpointId, EndpointUse> ownUse() const;
     /// Records the load that another entry reported.
@@ -442,6 +448,7 @@
         EngineSpeed::Engine speed;
         TimePoint speedReportedAt {};
         EngineMemory memory;
+        StreamPauses::Engine pauses;
         /// Moving average of the time of a whole request, in microseconds.
         double requestTime = 0;
     };
@@ -474,6 +481,10 @@
     void orderEndpoints();
     /// Cost, in microseconds, of an engine that is too slow for the objective of a stream's pauses.
     double gapCharge(const State& state, const PlacementRequest& request, TimePoint now) const;
+    /// Cost, in microseconds, of an engine that is meant for the other kind of prompts.
+    double otherPoolCharge(bool isLong) const;
+    /// Updates what is known of pauses that prompts cause, if capacity is shared.
+    void updatePauses(const PlacementRequest& request, TimePoint now);
     Duration expectedWork(
         const State& state, std::int64_t uncachedTokens, const PlacementRequest& request, TimePoint now) const;
     static bool isInPool(const State& state, bool isLong, std::size_t poolSize);
@@ -593,6 +604,8 @@
     std::map<EndpointId, ColdStart> m_formerCold;
     ReturnSchedule m_coldReturns;
     PrefillPool m_pool;
+    StreamPauses m_pauses;
+    TimePoint m_pausesUpdatedAt {};
     /// Number of endpoints with a position in the pool's order.
     std::size_t m_pooledEndpoints = 0;
     SegmentRates m_segmentRates;
--- a/src/include/wisteriayard/prefill_pool.h
+++ b/src/include/wisteriayard/prefill_pool.h
@@ -28,6 +28,9 @@
     Tokens longPromptThreshold { 2048 };
     /// Time constant of the averages.
     Duration averagingTime = std::chrono::seconds(3);
+    /// The same where accounts compete for capacity, so that the streams of a burst are not sent to engines that still
+    /// compute the long prompts of the time before it. At 0.8 s the split follows single requests.
+    Duration quickAveragingTime = std::chrono::milliseconds(1500);
     /// Age above which the reported rates of other entries are ignored.
     Duration peerLifetime = std::chrono::seconds(2);
     /// Utilization of the engines up to which requests get their first event in time. For short prompts it is relative
@@ -53,6 +56,8 @@
     }
 
     bool isLong(Tokens prompt) const { return prompt > m_policy.longPromptThreshold; }
+    /// Sets which of the two time constants of the policy applies.
+    void setFollowsQuickly(bool quickly) { m_followsQuickly = quickly; }
     /// Records a request that was placed, or refused because no engine had time for it. If refused requests didn't
     /// count, a kind of prompt whose requests are refused would keep getting too few engines.
     /// @param work engine time that the request needs
@@ -76,6 +81,7 @@
         TimePoint receivedAt {};
     };
 
+    Duration averagingTime() const { return m_followsQuickly ? m_policy.quickAveragingTime : m_policy.averagingTime; }
     void decay(TimePoint now);
     /// Rounds a fractional number of engines for long prompts in favor of the kind of prompts with the higher rank.
     std::size_t roundToEngines(double share, const WorkRates& work) const;
@@ -84,6 +90,7 @@
     PrefillPoolPolicy m_policy;
     WorkRates m_own;
     TimePoint m_decayedAt {};
+    bool m_followsQuickly = false;
     std::unordered_map<InstanceId, PeerRates> m_peers;
     std::size_t m_size = 0;
     std::size_t m_sizedForEngines = 0;
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -251,7 +251,7 @@
         candidate.queued = ahead > 0 || running >= state.info.slots;
         bool isLong = m_pool.isLong(Tokens(promptTokens(request)));
         if (!isInPool(state, isLong, poolSize))
-            charge += microseconds(isLong ? m_policy.longOutsidePoolCost : m_policy.shortInsidePoolCost);
+            charge += otherPoolCharge(isLong);
         auto memory = static_cast<double>(state.own.memoryTokens + state.peers.memoryTokens);
         double need = static_cast<double>(promptTokens(request) + request.output.value());
         if (memory + need > m_policy.maxMemoryShare * static_cast<double>(state.info.memory.value()))
@@ -338,6 +338,7 @@
     const PlacementRequest& request, const std::vector<EndpointId>& excluded, TimePoint now)
 {
     sumPeerLoads(now);
+    updatePauses(request, now);
     std::size_t poolSize = m_pool.size(m_pooledEndpoints, now);
     assignRoles(poolSize);
     std::vector<std::size_t> preferred = preferredEndpoints(request, poolSize, now);
@@ -460,8 +461,11 @@
     const Placement& placement, std::size_t count, Duration sincePrevious, TimePoint now)
 {
     State* state = find(placement);
-    if (state && !placement.isCold)
-        m_speed.recordEvents(state->speed, count, sincePrevious, now);
+    if (!state || placement.isCold)
+        return;
+    m_speed.recordEvents(state->speed, count, sincePrevious, now);
+    if (m_sharesCapacity)
+        m_pauses.recordEvents(state->pauses, count, sincePrevious, tokenTime(*state, now), m_speed.meanEventTime());
 }
 
 void EndpointPlacement::firstEvent(Placement& placement, TimePoint now)
--- a/src/libwisteriayard/endpoint_placement_admission.cpp
+++ b/src/libwisteriayard/endpoint_placement_admission.cpp
@@ -18,6 +18,7 @@
     m_sharesCapacity = shares;
     m_returnBudget = ReturnBudget(lateRetryShare);
     m_speed.setSharesFirstTimes(shares);
+    m_pool.setFollowsQuickly(shares);
 }
 
 bool EndpointPlacement::admitsReturning(const PlacementRequest& request, const Candidate& best, TimePoint now)
--- a/src/libwisteriayard/endpoint_placement_speed.cpp
+++ b/src/libwisteriayard/endpoint_placement_speed.cpp
@@ -2,6 +2,7 @@
 #include "wisteriayard/endpoint_placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wisteriayard {
 
@@ -32,6 +33,26 @@
     return excess * static_cast<double>(m_policy.gapCost.count());
 }
 
+double EndpointPlacement::otherPoolCharge(bool isLong) const
+{
+    Duration cost = isLong ? m_policy.longOutsidePoolCost : m_policy.shortInsidePoolCost;
+    double factor = 1 + (m_policy.latePausesCostFactor - 1) * m_pauses.latePart();
+    return factor * static_cast<double>(cost.count());
+}
+
+void EndpointPlacement::updatePauses(const PlacementRequest& request, TimePoint now)
+{
+    if (!m_sharesCapacity)
+        return;
+    m_pauses.recordObjective(request.gapObjective, now);
+    Duration elapsed = now - std::exchange(m_pausesUpdatedAt, now);
+    for (const auto& [id, index] : m_index) {
+        State& state = m_states[index];
+        std::int64_t backlog = state.own.backlog.total().value() + state.peers.backlog.total().value();
+        m_pauses.recordBacklog(state.pauses, backlog, elapsed);
+    }
+}
+
 void EndpointPlacement::assignRoles(std::size_t poolSize)
 {
     for (State& state : m_states) {
--- a/src/libwisteriayard/prefill_pool.cpp
+++ b/src/libwisteriayard/prefill_pool.cpp
@@ -25,7 +25,7 @@
 void PrefillPool::decay(TimePoint now)
 {
     double elapsed = std::max(0.0, toSeconds(now - m_decayedAt));
-    double kept = std::exp(-elapsed / toSeconds(m_policy.averagingTime));
+    double kept = std::exp(-elapsed / toSeconds(averagingTime()));
     m_own.longPrompts *= kept;
     m_own.shortPrompts *= kept;
     m_own.longRanks *= kept;
@@ -36,7 +36,7 @@
 void PrefillPool::recordWork(Tokens prompt, Duration work, Priority rank, TimePoint now)
 {
     decay(now);
-    double rate = toSeconds(work) / toSeconds(m_policy.averagingTime);
+    double rate = toSeconds(work) / toSeconds(averagingTime());
     (isLong(prompt) ? m_own.longPrompts : m_own.shortPrompts) += rate;
     (isLong(prompt) ? m_own.longRanks : m_own.shortRanks) += rate * rank.value();
 }
