Cases of cold endpoints and rate limits: demand that does not depend on the machine

zone_returns_under_load and steady failed at times on a busy machine, with fewer requests at the cold or limited endpoint than their lower bound. In both the entries had credit, but did not want the endpoint.

Cause in zone_returns_under_load: with 4 slots and 0.06 s, the warm endpoints are expected to take longer than a cold one (4 x 0.06 s) only with about 8 running requests each, nearly all of the 18 callers. Calls that take longer leave fewer running. Now the warm endpoints have one slot and 0.15 s, and two running requests suffice.

Cause in steady: the other endpoint serves all callers as fast as the limited one. An entry keeps the response time that it measured at an endpoint, so after a few slow responses it prefers the other one. Now the other endpoint takes 0.3 s.

Ruled out: entries that waste credit.

Bounds and assertions are unchanged. The objective in the case of cold endpoints is 4 s, since its queues are longer.

--- a/testsuite/cold_endpoints/run.py
+++ b/testsuite/cold_endpoints/run.py
@@ -26,10 +26,15 @@
 # Interval at which a cold endpoint renews its entry in the list.
 HEARTBEAT_S = 0.5
 REFUSED = 503
-# Objective for responses. It is long, so that requests are not refused because the machine of the test is busy.
-OBJECTIVE_MS = 2000
+# Objective for responses. It is longer than the expected wait with all callers at one endpoint, so that requests are
+# not refused because the machine of the test is busy.
+OBJECTIVE_MS = 4000
 # The endpoints that are warm have few slots for the load, so that the cold ones are wanted although they are slow.
 DELAY_S, SLOTS = 0.06, 4
+# Delay and slots of the endpoints that serve the load beside starting ones. With two requests running, they are
+# expected to take longer than a cold endpoint. The 18 callers keep at least five running as long as a call takes less
+# than 0.34 s in addition to the delay, so cold endpoints are wanted on a busy machine too.
+BUSY_DELAY_S, BUSY_SLOTS = 0.15, 1
 # Time for a change of the list, or for a response with the cold time, to reach all entries.
 NOTICE_S = 3
 
@@ -85,7 +90,7 @@
 
 def start_cold(deployment, names):
     """Adds endpoints of the plain service that start now."""
-    endpoints = [Endpoint(name, "plain", "a", DELAY_S) for name in names]
+    endpoints = [Endpoint(name, "plain", "a", BUSY_DELAY_S) for name in names]
     for endpoint in endpoints:
         endpoint.started_ms = int(1000 * time.time())
         endpoint.cold.begin(WARMUP_S)
@@ -95,6 +100,9 @@
 
 def zone_returns_under_load(deployment):
     """Two endpoints start; meanwhile an entry is killed and restarted and others freeze, join and leave."""
+    for endpoint in deployment.endpoints[:2]:
+        endpoint.delay_s, endpoint.slots = BUSY_DELAY_S, BUSY_SLOTS
+        deployment.store.put("servers/" + endpoint.name, endpoint.entry())
     time.sleep(SETTLE_S)
     load = Load(deployment.gateways)
     try:
--- a/testsuite/endpoint_limits/run.py
+++ b/testsuite/endpoint_limits/run.py
@@ -18,6 +18,10 @@
 # Longer than the time after which a started entry takes part in limits.
 SETTLE_S = 10
 REFUSED = 503
+# Delay and slots of an endpoint that serves all callers at once, but so slowly that entries with credit for another one
+# prefer that. An entry keeps the response time that it measured at an endpoint, so with equal delays a few slow
+# responses of a busy machine would end the demand.
+SLOW_DELAY_S, SLOW_SLOTS = 0.3, 32
 
 
 def limited(deployment):
@@ -43,7 +47,9 @@
 
 def steady(deployment, load):
     """One of two endpoints names a limit: callers are served by the other one, and the limit is used."""
-    plain = deployment.endpoints[0]
+    plain, other = deployment.endpoints[:2]
+    other.delay_s, other.slots = SLOW_DELAY_S, SLOW_SLOTS
+    deployment.store.put("servers/" + other.name, other.entry())
     plain.rate_limit.set(2.2)
     time.sleep(4)
     since = time.monotonic()
