Soak: evacuations, cold endpoints and routes restricted to regions

Three kinds of steps with generators of their own: a zone is evacuated, for a moment or until all other faults have ended; a plain endpoint states that it is cold; the endpoints of a further region leave, while callers use two routes that are restricted to one region each.

find_violations() checks that - from evac_ms (and 0.5 s for the arrival) after the acknowledgement, no entry that was not disturbed within that time sends a request to an evacuated zone; faults of links and of the store count as disturbances of all entries. An evacuation that lasts is therefore held for longer than evac_ms after all faults; - a cold endpoint gets at most cold_per_s x cold_excess + cold_slack requests in a second, of entries that were not disturbed in the 3 s before; - no request of a restricted route reaches another region, without exception. In addition, each restricted route must have been served. The existing excuses for rate limits are unchanged.

--- a/testsuite/cold_endpoints/run.py
+++ b/testsuite/cold_endpoints/run.py
@@ -85,7 +85,7 @@
 
 
 def arrivals(endpoint, since, until=float("inf")):
-    return sum(since <= received < until for _, received in endpoint.cold.arrivals)
+    return sum(since <= received < until for _, received, _ in endpoint.cold.arrivals)
 
 
 def start_cold(deployment, names):
--- a/testsuite/platform_coldness.py
+++ b/testsuite/platform_coldness.py
@@ -27,20 +27,22 @@
     def left_ms(self):
         return max(0, int(1000 * (self.spells[-1][1] - time.monotonic()))) if self.spells else 0
 
-    def arrived(self, sent):
-        """Records a request that its caller sent at a time."""
+    def arrived(self, sent, entry):
+        """Records a request that its caller sent to an entry at a time."""
         with self.lock:
-            self.arrivals.append((float(sent or 0), time.monotonic()))
+            self.arrivals.append((float(sent or 0), time.monotonic(), entry))
 
-    def most_in_second(self, notice_s=0):
+    def most_in_second(self, notice_s=0, excused=lambda entry, at: False):
         """Most requests in a second of a cold time that were sent and received in it.
 
         Seconds that begin before `notice_s` after the start of the cold time don't count. The time at which an entry
-        sent a request is not known; it lies after the caller's, so requests on the border are left out.
+        sent a request is not known; it lies after the caller's, so requests on the border are left out. `excused` tells
+        whether a request of an entry at a time does not count.
         """
         most = 0
         for begin, end in self.spells:
-            inside = [each for each in self.arrivals if each[0] >= begin + notice_s and each[1] <= end]
+            inside = [(sent, received) for sent, received, entry in self.arrivals
+                      if sent >= begin + notice_s and received <= end and not excused(entry, received)]
             for start, _ in inside:
                 most = max(most, sum(start <= sent and received <= start + 1 for sent, received in inside))
         return most
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -454,7 +454,7 @@
         if endpoint.endless and endpoint.endless.startswith("refusal"):
             return self.send_endless(endpoint, request)
         endpoint.rate_limit.arrived(self.sending_entry())
-        endpoint.cold.arrived(headers.get("X-Sent"))
+        endpoint.cold.arrived(headers.get("X-Sent"), self.sending_entry())
         if endpoint.retry_after is not None:
             return self.answer(503, None, [("Request-Id", request), ("Not-Executed", "1"),
                                            ("Retry-After", endpoint.retry_after)]
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -4,7 +4,8 @@
 both; gateways are terminated, paused, killed and restarted; the store refuses calls, loses responses or comes back
 from an older copy; endpoints fail, interrupt streams, drain, name rate limits and return; engines crash and send
 streams without framing; some requests crash each endpoint that runs them and come again; endpoints spoil heads of
-responses; gateways are stopped beside a silent store; the configuration changes.
+responses; gateways are stopped beside a silent store; the configuration changes; zones are evacuated; endpoints
+become cold; the endpoints of one region leave while callers use routes that are restricted to regions.
 Afterwards a last change must be in force at every entry, and the responses, executions and reports that callers,
 endpoints and the platform recorded are checked by find_violations(). A seed determines the series of faults.
 """
@@ -22,7 +23,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from platform_deployment import Deployment, wait_until  # noqa: E402
-from platform_standins import RateLimit  # noqa: E402
+from platform_standins import Endpoint, RateLimit  # noqa: E402
+from zone_checks import ARRIVAL_S, EVACUATION_S, PREFIX  # noqa: E402
 
 REFUSALS = (408, 421, 429, 503)
 SETTLE_S = 6
@@ -40,6 +42,19 @@
 # Share of the steps in which a gateway is stopped beside a silent store, and in which an endpoint begins to spoil heads.
 SILENT_STOP_RATE, SPOILT_RATE = 0.15, 0.2
 SPOILT_LINES = (b"HTTP/1.1 099 OK", b"HTTP/1.1 000 OK", b"HTTP/1.1 999 OK", b"HTTP/1.1 600 OK", b"HTTP/9.1 200 OK", b"\0")
+# Zone of the further region. Its endpoints are subject only to evacuations and to the leaving of the region.
+FAR_ZONE = "c"
+ZONES = {"a": "r", "b": "r", FAR_ZONE: "s"}
+# Routes that are restricted to one region each, on the plain service.
+RESTRICTED = {"/near/": "r", "/far/": "s"}
+RESTRICTED_PAUSE_S = 0.05
+# Shares of the steps in which a zone is evacuated, an endpoint becomes cold, and the endpoints of a region leave.
+EVACUATION_RATE, COLD_RATE, REGION_LEAVE_RATE = 0.15, 0.2, 0.2
+# Requests that all entries together may send to a cold endpoint in a second.
+COLD_PER_SECOND, COLD_EXCESS, COLD_SLACK = 2, 1.5, 3
+COLD_BOUND = COLD_PER_SECOND * COLD_EXCESS + COLD_SLACK
+# Time for an endpoint's cold time to reach all entries that are not disturbed.
+COLD_NOTICE_S = 3
 PATHS = (("/lookup/", "idempotent"), ("/charge/", "once"), ("/chat/", "once"), ("/match/", "resumable"))
 
 
@@ -66,7 +81,8 @@
             body = os.urandom(generator.choice((1, 100, 40000))).hex()
             if generator.random() < self.deadly_rate:
                 body = DEADLY
-            answer = gateway.call_on(connection, path + "1", body=body, timeout=4)
+            answer = gateway.call_on(connection, path + "1", body=body, timeout=4,
+                                     headers={"X-Sent": repr(time.monotonic())})
             self.answers.append((kind, answer))
             closed = answer.status is None or answer.headers.get("Connection") == "close"
             connections[gateway.name] = None if closed else connection
@@ -78,6 +94,39 @@
             thread.join()
 
 
+class RestrictedCallers:
+    """Threads that send requests of the restricted routes to all entries, one for each route."""
+
+    def __init__(self, deployment, seed):
+        self.deployment, self.stopping = deployment, threading.Event()
+        # Region of each request.
+        self.regions = {}
+        self.served = collections.Counter()
+        self.threads = [threading.Thread(target=self._run, args=(path, random.Random(seed * 1000 + 500 + number)))
+                        for number, path in enumerate(RESTRICTED)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, path, generator):
+        while not self.stopping.wait(RESTRICTED_PAUSE_S):
+            request = "%016x" % generator.getrandbits(64)
+            self.regions[request] = RESTRICTED[path]
+            answer = generator.choice(self.deployment.gateways).call(
+                path + "1", timeout=2, request=request, headers={"X-Sent": repr(time.monotonic())})
+            self.served[path] += answer.status == 200
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    def violations(self):
+        """Requests that reached an endpoint of a region that their route excludes, whatever was disturbed."""
+        return [f"{request}, restricted to region {region}, reached {endpoint.name} in zone {endpoint.zone}"
+                for endpoint in self.deployment.endpoints for request, region in list(self.regions.items())
+                if ZONES[endpoint.zone] != region and endpoint.runs[request]]
+
+
 class Faults:
     """Injects random faults. Each is undone after a random time, so several may be active at once."""
 
@@ -87,6 +136,14 @@
         self.engine_random = random.Random(seed + 1_000_000)
         self.store_random = random.Random(seed + 2_000_000)
         self.stop_random = random.Random(seed + 3_000_000)
+        self.evacuation_random = random.Random(seed + 4_000_000)
+        self.cold_random = random.Random(seed + 5_000_000)
+        self.region_random = random.Random(seed + 6_000_000)
+        # Endpoints and links that the other faults concern; those of the further region would change their series.
+        self.endpoints = [each for each in deployment.endpoints if each.zone != FAR_ZONE]
+        self.links = list(deployment.links)
+        # Evacuated zones with the times of acknowledgement and withdrawal.
+        self.evacuations = []
         # Processes that were stopped in order.
         self.stopped = []
         # Copies of the store, one a step.
@@ -95,6 +152,8 @@
         self.log = []
         # Entries that were paused, and times of pauses and of faults of links: a burst of delayed requests may follow.
         self.disturbances = []
+        # Periods in which the store was unreachable or lacked what had been written.
+        self.store_disturbances = []
 
     def step(self):
         fault = self.random.choice((self.link, self.link, self.kill, self.pause, self.term, self.store, self.endpoint,
@@ -105,7 +164,7 @@
         self.heal(time.monotonic())
 
     def engine_step(self):
-        engine = self.engine_random.choice([each for each in self.deployment.endpoints if each.events])
+        engine = self.engine_random.choice([each for each in self.endpoints if each.events])
         fault = self.engine_random.choice(("none", "none", "crash", "unframed"))
         if fault == "crash":
             engine.crash(self.engine_random.uniform(0.3, 1.5))
@@ -130,22 +189,29 @@
         self.record("restore", store.revision)
 
         def write_again():
+            # An evacuation that was withdrawn meanwhile stays withdrawn.
             for key, value in lost.items():
                 # A value that has been written since is newer.
-                if store.value(key) == restored[key] != value:
+                if store.value(key) == restored[key] != value and (not key.startswith(PREFIX) or self.evacuated()):
                     store.put(key, value)
-        self.pending_repairs.append((time.monotonic() + self.store_random.uniform(0.1, 1.5), write_again))
+            # The copy may hold evacuations that were withdrawn after it was made.
+            for key in [key for key in list(store.items) if key.startswith(PREFIX)]:
+                if not self.evacuated() or key != PREFIX + self.evacuations[-1][0]:
+                    store.remove(key)
+        self.pending_repairs.append((time.monotonic() + self.store_random.uniform(0.1, 1.5),
+                                     self.disturb(None, write_again, self.store_disturbances)))
 
     def stop_step(self):
         if self.stop_random.random() < SPOILT_RATE:
-            self.spoil(self.stop_random.choice(self.deployment.endpoints), self.stop_random.choice(SPOILT_LINES))
+            self.spoil(self.stop_random.choice(self.endpoints), self.stop_random.choice(SPOILT_LINES))
         store = self.deployment.store
         if store.silent or self.stop_random.random() > SILENT_STOP_RATE:
             return
         store.silent = True
         gateway = self.stop_random.choice(self.deployment.gateways)
         self.record("silent stop", gateway.name)
-        self.repair_later(self.stop_random.uniform(0.5, 4.5), lambda: setattr(store, "silent", False))
+        self.repair_later(self.stop_random.uniform(0.5, 4.5),
+                          self.disturb(None, lambda: setattr(store, "silent", False), self.store_disturbances))
         self.repair_later(self.stop_random.uniform(0.5, 1), self.terminate(gateway))
 
     def spoil(self, endpoint, status_line):
@@ -154,6 +220,52 @@
         self.record("spoil", endpoint.name, status_line)
         self.repair_later(self.stop_random.uniform(0.3, 1.5), lambda: setattr(endpoint, "raw_response", None))
 
+    def evacuation_step(self):
+        """Evacuates a zone, one at a time: for a moment, or until withdraw_evacuation() after all other faults."""
+        zone, is_short = self.evacuation_random.choice(list(ZONES)), self.evacuation_random.random() < 0.5
+        if self.evacuation_random.random() > EVACUATION_RATE or self.evacuated():
+            return
+        self.deployment.store.put(PREFIX + zone, "")
+        self.evacuations.append([zone, time.monotonic(), float("inf")])
+        self.record("evacuate", zone, is_short)
+        if is_short:
+            self.repair_later(self.evacuation_random.uniform(0.5, 2), self.withdraw_evacuation)
+
+    def evacuated(self):
+        return bool(self.evacuations) and self.evacuations[-1][2] == float("inf")
+
+    def withdraw_evacuation(self):
+        if self.evacuated():
+            self.evacuations[-1][2] = time.monotonic()
+            self.deployment.store.remove(PREFIX + self.evacuations[-1][0])
+
+    def cold_step(self):
+        endpoint = self.cold_random.choice([each for each in self.endpoints if not each.events])
+        if self.cold_random.random() > COLD_RATE or endpoint.cold.left_ms():
+            return
+        endpoint.cold.begin(self.cold_random.uniform(COLD_NOTICE_S + 2, COLD_NOTICE_S + 5))
+        # An entry of the list may be replaced by any other fault, so responses state the time too.
+        endpoint.cold.in_responses = True
+        key = "servers/" + endpoint.name
+        known = self.deployment.store.value(key)
+        if known:
+            known = json.loads(known)
+            self.deployment.store.put(key, endpoint.entry(known["address"], known["state"]))
+        self.record("cold", endpoint.name)
+
+    def region_step(self):
+        if self.region_random.random() > REGION_LEAVE_RATE:
+            return
+        far = [each for each in self.deployment.endpoints if each.zone == FAR_ZONE]
+        for endpoint in far:
+            self.deployment.store.put("servers/" + endpoint.name, endpoint.entry(state="draining"))
+        self.record("region leaves", ZONES[FAR_ZONE])
+
+        def put_back():
+            for endpoint in far:
+                self.deployment.store.put("servers/" + endpoint.name, endpoint.entry())
+        self.repair_later(self.region_random.uniform(0.3, 2), put_back)
+
     def repair_later(self, delay_s, repair):
         self.pending_repairs.append((time.monotonic() + delay_s, repair))
 
@@ -167,15 +279,15 @@
         self.log.append((round(time.monotonic(), 2), *what))
 
     def link(self):
-        link = self.random.choice(self.deployment.links)
+        link = self.random.choice(self.links)
         link.mode = self.random.choice(("delay", "reset", "silent", "one_way"))
         self.record("link", link.address, link.mode)
         return self.disturb(None, lambda: setattr(link, "mode", "pass"))
 
-    def disturb(self, entry, end):
+    def disturb(self, entry, end, disturbances=None):
         """Records a disturbance of an entry, or of all if it is None, from now until the returned function is called."""
         disturbance = [entry, time.monotonic(), float("inf")]
-        self.disturbances.append(disturbance)
+        (self.disturbances if disturbances is None else disturbances).append(disturbance)
 
         def end_disturbance():
             end()
@@ -187,6 +299,11 @@
         return any(name in (None, entry) and since <= at < until + RateLimit.NOTICE_S
                    for name, since, until in self.disturbances)
 
+    def was_disturbed(self, entry, since, until):
+        """Whether an entry or the store was disturbed at any time of a period."""
+        return any(name in (None, entry) and began <= until and since < ended
+                   for name, began, ended in self.disturbances + self.store_disturbances)
+
     def gateway(self):
         return self.random.choice(self.deployment.gateways)
 
@@ -234,10 +351,10 @@
 
         def end():
             store.down, store.response_loss_rate = False, 0.0
-        return end
+        return self.disturb(None, end, self.store_disturbances)
 
     def endpoint(self):
-        endpoint = self.random.choice(self.deployment.endpoints)
+        endpoint = self.random.choice(self.endpoints)
         if endpoint.events:
             endpoint.break_after = self.random.randint(1, ENDPOINT_EVENTS)
         else:
@@ -249,7 +366,7 @@
         return end
 
     def leave(self):
-        endpoint = self.random.choice(self.deployment.endpoints)
+        endpoint = self.random.choice(self.endpoints)
         key = "servers/" + endpoint.name
         if self.deployment.store.value(key) is None:
             return None
@@ -259,7 +376,7 @@
         return lambda: self.deployment.store.put(key, endpoint.entry(address))
 
     def limit(self):
-        endpoint = self.random.choice(self.deployment.endpoints)
+        endpoint = self.random.choice(self.endpoints)
         endpoint.rate_limit.set(self.random.choice((0.5, 2, 5.5)))
         self.record("limit", endpoint.name, endpoint.rate_limit.rate)
         return lambda: endpoint.rate_limit.set(None)
@@ -269,10 +386,35 @@
         return None
 
 
-def find_violations(deployment, answers, faults):
+def evacuation_violations(deployment, faults):
+    """Requests that reached an evacuated zone after the time allowed, from entries that weren't disturbed."""
+    found = []
+    for zone, acknowledged, withdrawn in faults.evacuations:
+        since = acknowledged + EVACUATION_S + ARRIVAL_S
+        for endpoint in (each for each in deployment.endpoints if each.zone == zone):
+            found += [f"{entry} sent a request to {endpoint.name} {at - acknowledged:.2f} s after its zone was evacuated"
+                      for at, entry, _ in endpoint.rate_limit.arrivals
+                      if since <= at < withdrawn and not faults.was_disturbed(entry, at - EVACUATION_S - ARRIVAL_S, at)]
+    return found
+
+
+def cold_violations(deployment, faults):
+    """Cold endpoints that got more requests in a second than all entries may send that weren't disturbed."""
+    found = []
+    for endpoint in deployment.endpoints:
+        most = endpoint.cold.most_in_second(
+            COLD_NOTICE_S, lambda entry, at: faults.was_disturbed(entry, at - COLD_NOTICE_S, at))
+        if most > COLD_BOUND:
+            found.append(f"{endpoint.name} got {most} requests in a second while cold, allowed {COLD_BOUND}")
+    return found
+
+
+def find_violations(deployment, answers, faults, restricted):
     """Returns a description of each violated guarantee."""
     violations = [f"{endpoint.name}: {found}" for endpoint in deployment.endpoints
                   for found in endpoint.rate_limit.violations(faults.excuses)]
+    violations += evacuation_violations(deployment, faults) + cold_violations(deployment, faults)
+    violations += restricted.violations()
     # A stopped process may also be killed by a later fault.
     violations += [f"{name} ended with status {process.poll()} after it was stopped" for name, process in faults.stopped
                    if process.poll() not in (0, -signal.SIGKILL)]
@@ -314,13 +456,32 @@
             for name, status in statuses.items() if status in (401, 404)]
 
 
+def add_far_region(deployment):
+    """Adds endpoints of the further region, without links, so that the faults of a seed stay the same."""
+    far = [Endpoint("p-far", "plain", FAR_ZONE), Endpoint("m-far", "model", FAR_ZONE, events=ENDPOINT_EVENTS)]
+    deployment.endpoints += far
+    for endpoint in far:
+        deployment.store.put("servers/" + endpoint.name, endpoint.entry())
+
+
+def make_deployment(bin_folder):
+    deployment = Deployment(bin_folder, linked=True, zones=ZONES)
+    deployment.bounds = {"cold_excess": COLD_EXCESS, "cold_slack": COLD_SLACK}
+    deployment.plain_rules = {"cold_per_s": COLD_PER_SECOND}
+    deployment.routes += [{"name": path.strip("/"), "prefix": path, "kind": "idempotent", "service": "plain",
+                           "max_attempts": 2, "allowed_regions": [region]} for path, region in RESTRICTED.items()]
+    return deployment
+
+
 def run_seed(bin_folder, seed, seconds, gateways):
-    with Deployment(bin_folder, linked=True).start(gateways) as deployment:
+    with make_deployment(bin_folder).start(gateways) as deployment:
         for endpoint, link in zip(deployment.endpoints, deployment.links):
             endpoint.crashing_bodies = {DEADLY.encode()}
             endpoint.crashed = lambda _, each=link: each.refuse()
             endpoint.restarted = lambda _, each=link: each.listen()
-        callers, faults = Callers(deployment, 3 * gateways, seed), Faults(deployment, seed)
+        faults = Faults(deployment, seed)
+        add_far_region(deployment)
+        callers, restricted = Callers(deployment, 3 * gateways, seed), RestrictedCallers(deployment, seed)
         try:
             ends = time.monotonic() + seconds
             while time.monotonic() < ends:
@@ -328,6 +489,9 @@
                 faults.engine_step()
                 faults.store_step()
                 faults.stop_step()
+                faults.evacuation_step()
+                faults.cold_step()
+                faults.region_step()
                 time.sleep(faults.random.uniform(0.1, 0.8))
             callers.deadly_rate = 0
             while faults.pending_repairs:
@@ -335,13 +499,20 @@
                 time.sleep(0.1)
             for gateway in deployment.gateways:
                 wait_until(gateway.ready, f"{gateway.name} to recover, seed {seed}")
+            # An evacuation that lasts must hold once nothing has been disturbed for the time allowed.
+            if faults.evacuated():
+                time.sleep(EVACUATION_S + ARRIVAL_S + 1)
+                faults.withdraw_evacuation()
+            time.sleep(max(endpoint.cold.left_ms() for endpoint in deployment.endpoints) / 1000)
             time.sleep(SETTLE_S)
             violations = configuration_violations(deployment)
             served_from = len(callers.answers)
             time.sleep(2)
         finally:
             callers.stop()
-        violations += find_violations(deployment, callers.answers, faults)
+            restricted.stop()
+        violations += find_violations(deployment, callers.answers, faults, restricted)
+        violations += [f"no request of {path} was served" for path in RESTRICTED if not restricted.served[path]]
         late = callers.answers[served_from:]
         served = sum(answer.status == 200 for _, answer in late)
         if served < 0.9 * len(late):
@@ -350,7 +521,9 @@
         restorations = sum(what == "restore" for _, what, *_ in faults.log)
         crashes = sum(len(endpoint.crashes) for endpoint in deployment.endpoints)
         print(f"seed {seed}: {len(callers.answers)} requests, {len(faults.log)} faults, {restorations} restorations, "
-              f"{crashes} crashes, {dict(statuses)}", flush=True)
+              f"{crashes} crashes, {len(faults.evacuations)} evacuations, "
+              f"{sum(len(endpoint.cold.spells) for endpoint in deployment.endpoints)} cold endpoints, "
+              f"{dict(restricted.served)} of restricted routes, {dict(statuses)}", flush=True)
         if violations:
             print("\n".join(violations[:20]), *faults.log, sep="\n")
         assert not violations, f"seed {seed}: {len(violations)} violated guarantees"
