Cases of two evacuated zones, the last zone of a route's regions, and regions that change during an evacuation

- evacuation, two_zones_at_once: two zones are written one right after the other; only the third one is used, and the withdrawal of one leaves the other evacuated.
- regions, last_zone_of_the_regions: both zones of a route's only region are evacuated one after the other.
The requests are refused with `evacuated` and reach no other region; the zone that returns first serves them.
- regions, regions_change_during_an_evacuation: the configuration moves a route to another region at the moment of an evacuation, away from the evacuated zone and into one, also together with the withdrawal of the other zone.

The deployments of both tests name a zone c; add_zone() starts its endpoints in the cases that need them.

--- a/testsuite/evacuation/run.py
+++ b/testsuite/evacuation/run.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from platform_deployment import run_cases, wait_until  # noqa: E402
-from zone_checks import (GATEWAYS, PREFIX, Load, arrivals, broken_stream, code, evacuate, events_of,  # noqa: E402
+from zone_checks import (GATEWAYS, PREFIX, Load, add_zone, arrivals, broken_stream, code, evacuate, events_of,  # noqa: E402
                          in_force, make_zone_deployment, sources, wait_for_observers, wait_for_zones, zones_of)
 
 # Time for which a zone stays evacuated that a restored store lacks.
@@ -82,6 +82,26 @@
     assert arrivals(deployment, "b", since) == 0
 
 
+def two_zones_at_once(deployment):
+    """Two zones are evacuated at the same time: only the third one is used, and each returns by its own withdrawal."""
+    add_zone(deployment, "c")
+    wait_for_observers(deployment)
+    with Load(deployment) as load:
+        for zone in "ab":
+            deployment.store.put(PREFIX + zone, "")
+        wait_for_zones(deployment, {"a", "b"})
+        since = time.monotonic()
+        time.sleep(2)
+        assert arrivals(deployment, "a", since) + arrivals(deployment, "b", since) == 0, "requests in evacuated zones"
+        assert load.statuses(since) == {200}, load.statuses(since)
+        deployment.store.remove(PREFIX + "a")
+        wait_for_zones(deployment, {"b"})
+        wait_until(lambda: arrivals(deployment, "a", since) > 0, "requests in the zone that is back")
+        time.sleep(1)
+        assert arrivals(deployment, "b", since) == 0, "requests in the zone that is still evacuated"
+        assert load.statuses(since) == {200}, load.statuses(since)
+
+
 def streams_resume_elsewhere(deployment):
     """A running stream goes on during an evacuation, and is resumed in another zone when it breaks."""
     evacuate(deployment, "a")
@@ -125,5 +145,10 @@
     assert ends == ["restoration"] * GATEWAYS, ends
 
 
-run_cases((evacuation_and_withdrawal, odd_keys, all_zones, streams_resume_elsewhere, restored_store),
-          make_zone_deployment, GATEWAYS)
+def make_deployment(bin_folder):
+    # Cases add endpoints of zone c if they need them.
+    return make_zone_deployment(bin_folder, {"a": "r", "b": "r", "c": "r"})
+
+
+run_cases((evacuation_and_withdrawal, odd_keys, all_zones, two_zones_at_once, streams_resume_elsewhere, restored_store),
+          make_deployment, GATEWAYS)
--- a/testsuite/regions/run.py
+++ b/testsuite/regions/run.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from platform_deployment import SECOND_KEY, run_cases, wait_until  # noqa: E402
-from zone_checks import (GATEWAYS, PREFIX, arrivals, broken_stream, code, events_of, in_force,  # noqa: E402
+from zone_checks import (GATEWAYS, PREFIX, add_zone, arrivals, broken_stream, code, events_of, in_force,  # noqa: E402
                          make_zone_deployment, wait_for_zones)
 
 
@@ -79,8 +79,59 @@
     assert arrivals(deployment, "a", since) == 0, "the stream was resumed in another region"
 
 
+def call_all(deployment, count=5):
+    """Sends requests of the first route to all entries. @return statuses with codes of refusals, and the requests"""
+    answers = [gateway.call("/lookup/1") for gateway in deployment.gateways for _ in range(count)]
+    return ({(answer.status, answer.status == 503 and code(answer)) for answer in answers},
+            [answer.request for answer in answers])
+
+
+def zones_reached(deployment, requests):
+    return {endpoint.zone for endpoint in deployment.endpoints for request in requests if endpoint.runs[request]}
+
+
+def last_zone_of_the_regions(deployment):
+    """The zones of a route's region are evacuated one after the other: the last one too, and no other region helps."""
+    add_zone(deployment, "c")
+    deployment.routes[0]["allowed_regions"] = ["s"]
+    in_force(deployment)
+    for change, evacuated, expected, zones in (
+            ("b", {"b"}, (200, False), {"c"}), ("c", {"b", "c"}, (503, "evacuated"), set()),
+            (None, {"c"}, (200, False), {"b"})):
+        if change:
+            deployment.store.put(PREFIX + change, "")
+        else:
+            deployment.store.remove(PREFIX + "b")
+        wait_for_zones(deployment, evacuated)
+        statuses, requests = call_all(deployment)
+        assert statuses == {expected}, (evacuated, statuses)
+        assert zones_reached(deployment, requests) == zones, (evacuated, zones_reached(deployment, requests))
+
+
+def regions_change_during_an_evacuation(deployment):
+    """An evacuation and a configuration that moves a route to another region are written at the same time."""
+    lookup = deployment.routes[0]
+    lookup["allowed_regions"] = ["r"]
+    in_force(deployment)
+    # Away from the evacuated zone, and then back into a region whose only zone is evacuated.
+    for zone, withdrawn, region, expected, zones in (
+            ("a", None, "s", (200, False), {"b"}), ("b", "a", "s", (503, "evacuated"), set()),
+            ("a", "b", "r", (503, "evacuated"), set())):
+        deployment.store.put(PREFIX + zone, "")
+        lookup["allowed_regions"] = [region]
+        if withdrawn:
+            deployment.store.remove(PREFIX + withdrawn)
+        in_force(deployment)
+        wait_for_zones(deployment, {zone})
+        statuses, requests = call_all(deployment)
+        assert statuses == {expected}, (zone, region, statuses)
+        assert zones_reached(deployment, requests) == zones, (zone, region, zones_reached(deployment, requests))
+
+
 def make_deployment(bin_folder):
-    return make_zone_deployment(bin_folder, {"a": "r", "b": "s"})
+    # Cases add endpoints of zone c if they need them.
+    return make_zone_deployment(bin_folder, {"a": "r", "b": "s", "c": "s"})
 
 
-run_cases((restricted, restriction_during_a_stream, lifted_during_a_stream), make_deployment, GATEWAYS)
+run_cases((restricted, last_zone_of_the_regions, regions_change_during_an_evacuation, restriction_during_a_stream,
+           lifted_during_a_stream), make_deployment, GATEWAYS)
--- a/testsuite/zone_checks.py
+++ b/testsuite/zone_checks.py
@@ -5,6 +5,7 @@
 import time
 
 from platform_deployment import Deployment, wait_until
+from platform_standins import Endpoint
 
 # More than the number of entries up to which each one watches the store itself, so that most follow observers.
 GATEWAYS = 6
@@ -113,6 +114,18 @@
     return deployment
 
 
+def add_zone(deployment, zone):
+    """Adds an endpoint of each service in a zone of the settings, and waits until all entries know them."""
+    endpoints = [Endpoint("plain-" + zone, "plain", zone), Endpoint("model-" + zone, "model", zone, events=6)]
+    deployment.endpoints += endpoints
+    for endpoint in endpoints:
+        deployment.store.put("servers/" + endpoint.name, endpoint.entry())
+    for endpoint in endpoints:
+        for gateway in deployment.gateways:
+            wait_until(lambda each=gateway, name=endpoint.name: name in [
+                event["endpoint"] for event in each.events("endpoint_added")], f"{endpoint.name} at {gateway.name}")
+
+
 def broken_stream(deployment, change):
     """Starts a stream in zone b that breaks after a change has taken effect. @return the answer, and the time of the
     change
