Engine memory: no refusals by idle engines after a burst

- reports not yet renewed: 50,000, although the requests had ended.
With up to four entries in a region, an entry without requests reports once a second only, so its last report stood for up to a second.
- measured growth: 50,518, mostly three standard deviations of the single increase.
Either term alone admits the request, both together refuse it.
After an increase of 90,000, the growth alone refuses it at an empty engine (90,932; 98,329 after 1 s).
- simultaneous estimate: ruled out, 10,000 for the first request.

An entry sends one more report after its last requests have ended. The limit of half of the memory for the first request of an entry applies to the whole margin. A request that only reports and the margin exclude waits up to 300 ms for renewed reports, because a report arrives up to 200 ms after the end of an answer that a caller already has; at most 32 requests of an entry wait.

--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -66,6 +66,8 @@
     std::optional<ShutdownPlan> shutdown;
     /// Requests that are being served. Those that are being read don't count: see busyConnections.
     int activeRequests = 0;
+    /// Requests that wait until other entries report that an engine has memory for them.
+    int memoryWaits = 0;
     /// Connections of callers on which a request is being read, served or refused. The process must not end before
     /// they are idle.
     std::size_t busyConnections = 0;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -305,6 +305,7 @@
 void PeerExchange::sendToAll(TimePoint now)
 {
     PeerLoads own = ownLoads(now);
+    m_reportedUse = !own.endpoints.empty();
     std::string remoteReport;
     if (m_role == ViewRole::Alone)
         remoteReport = encodePeerMessage(own);
@@ -347,7 +348,10 @@
         updateRole(now);
         updateLimitEntries(now);
         passOnCredit(now);
-        bool isBusy = m_state.activeRequests > 0 || m_state.refusedCallers.hasNews();
+        // Other entries count the reported requests until the next report. Without the one that states their end, they
+        // would refuse requests for memory that is free.
+        bool reportsEnd = m_state.settings.enginesEnforceMemory && m_reportedUse;
+        bool isBusy = m_state.activeRequests > 0 || m_state.refusedCallers.hasNews() || reportsEnd;
         if (isBusy || m_role == ViewRole::Observer || now - m_sentAt >= idleSendInterval)
             sendToAll(now);
     }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -138,6 +138,8 @@
     bool m_registrationTried = false;
     bool m_leaving = false;
     TimePoint m_sentAt {};
+    /// The last report states requests on endpoints.
+    bool m_reportedUse = false;
     /// Time of the last report to the entries of other regions.
     TimePoint m_sentToOtherRegionsAt {};
     /// Time of the last check by detectPause(); a long gap means that this process was paused.
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -5,6 +5,7 @@
 #include "wisteriayard/hash.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -31,6 +32,15 @@
     /// Upper estimate of an output whose maximum the caller doesn't state, as a multiple of the stated expected length.
     /// That is right at the median only.
     constexpr std::int64_t outputLimitFactor = 4;
+    /// Longest wait for memory of engines, and the interval at which it is checked. Other entries report each 100 ms,
+    /// and a report takes up to 200 ms.
+    constexpr Duration maxMemoryWait = std::chrono::milliseconds(300);
+    constexpr Duration memoryWaitInterval = std::chrono::milliseconds(25);
+    /// Limit of the wait for memory as a share of the caller's remaining time.
+    constexpr std::int64_t memoryWaitDivisor = 4;
+    /// Requests that wait for memory at the same time. Each check goes through all engines; further requests are
+    /// refused without a wait.
+    constexpr int maxMemoryWaits = 32;
     /// Limit of Retry-After as a share of the caller's remaining time.
     constexpr double retryAfterShare = 1.0 / 3;
 
@@ -248,9 +258,29 @@
     return m_state.refusedCallers.refused(*tag, now + limitedRetryAfter(retryAfter, now), now) - now;
 }
 
+awaitable<void> RequestHandler::awaitMemory()
+{
+    TimePoint now = bootTimeNow();
+    TimePoint end = now + std::min(maxMemoryWait, timeLeft(now) / memoryWaitDivisor);
+    if (m_state.memoryWaits >= maxMemoryWaits)
+        co_return;
+    ++m_state.memoryWaits;
+    boost::asio::steady_timer timer(m_state.io);
+    while (now < end && !m_callerDisconnected && !m_state.isStopping()
+        && m_state.directory.placement(m_target).mayAwaitMemory(placementRequest(now), now)) {
+        timer.expires_after(memoryWaitInterval);
+        boost::system::error_code ignored; // nothing cancels the wait
+        co_await timer.async_wait(redirect_error(use_awaitable, ignored));
+        now = bootTimeNow();
+    }
+    --m_state.memoryWaits;
+}
+
 awaitable<bool> RequestHandler::runAttempts()
 {
     m_state.retryBudget(m_target).recordRequest(bootTimeNow());
+    if (m_state.settings.enginesEnforceMemory)
+        co_await awaitMemory();
     while (true) {
         TimePoint now = bootTimeNow();
         m_state.directory.removeLapsed(now);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -183,6 +183,8 @@
     void recordUsage();
     Duration timeLeft(TimePoint now) const { return m_deadline - now; }
     PlacementRequest placementRequest(TimePoint now);
+    /// Waits, for a short time, until reports of other entries show that an engine has memory for this request.
+    boost::asio::awaitable<void> awaitMemory();
     /// Chooses the endpoint of the next attempt.
     PlacementDecision place(TimePoint now);
     /// Tag of the last prompt segment, by which a retry of a refused request is recognized.
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -348,6 +348,10 @@
 
     /// Sets whether memory excludes engines, because they crash if their requests exceed it. It is a cost otherwise.
     void setEnforcesMemory(bool enforces) { m_enforcesMemory = enforces; }
+    /// Whether a request finds no engine with enough memory, but may find one when the reports of the other entries are
+    /// renewed: this entry uses nothing of an engine that it may use, so only reported requests, which may have ended,
+    /// and the margin exclude it.
+    bool mayAwaitMemory(const PlacementRequest& request, TimePoint now) const;
     /// Number of engines that have no memory for a request of mean size.
     std::size_t fullEngines(TimePoint now) const;
     /// @}
--- a/src/include/wisteriayard/engine_memory.h
+++ b/src/include/wisteriayard/engine_memory.h
@@ -135,6 +135,9 @@
     /// Whether a request may be placed.
     bool admits(const MemoryNeed& need, std::int64_t capacity, const MemoryPeers& peers, const RequestSizes& sizes,
         TimePoint now) const;
+    /// Whether a request could be placed if all reported requests had ended and others had placed none since.
+    bool admitsWhenReleased(const MemoryNeed& need, std::int64_t capacity, const MemoryPeers& peers,
+        const RequestSizes& sizes, TimePoint now) const;
     /// Whether a request whose reservation exists may be sent.
     bool admitsReserved(const MemoryNeed& need, std::int64_t capacity, const MemoryPeers& peers,
         const RequestSizes& sizes, TimePoint now) const;
--- a/src/libwisteriayard/endpoint_placement_memory.cpp
+++ b/src/libwisteriayard/endpoint_placement_memory.cpp
@@ -58,6 +58,23 @@
             placement.memoryNeed, state.info.memory.value(), m_memoryPeers, m_requestSizes, now);
 }
 
+bool EndpointPlacement::mayAwaitMemory(const PlacementRequest& request, TimePoint now) const
+{
+    bool mayAwait = false;
+    for (const auto& [id, index] : m_index) {
+        const State& state = m_states[index];
+        if (!m_enforcesMemory || availabilityExclusion(state, request, now))
+            continue;
+        if (!isFull(state, request, now))
+            return false;
+        mayAwait = mayAwait
+            || (state.memory.own() == 0
+                && state.memory.admitsWhenReleased(
+                    memoryNeed(state, request), state.info.memory.value(), m_memoryPeers, m_requestSizes, now));
+    }
+    return mayAwait;
+}
+
 std::size_t EndpointPlacement::fullEngines(TimePoint now) const
 {
     if (!m_enforcesMemory)
--- a/src/libwisteriayard/endpoint_placement_memory_test.cpp
+++ b/src/libwisteriayard/endpoint_placement_memory_test.cpp
@@ -206,6 +206,32 @@
     BOOST_TEST(!refusalOf(fleet, makeRequest(2, 1000, memory), at(seconds(2))));
 }
 
+// Guards against refusals because the report that states the end of another entry's requests is on its way, and against
+// waits where a report would change nothing.
+BOOST_AUTO_TEST_CASE(requests_may_await_the_reports_of_others)
+{
+    EndpointPlacement fleet = makeFleet(2, 2);
+    PlacementRequest request = makeRequest(1, 890);
+    fleet.updatePeerUse(entryId(1), {}, at(seconds(0)));
+    BOOST_TEST(!fleet.mayAwaitMemory(request, at(seconds(0))));
+    std::map<EndpointId, EndpointUse> use = useOf(0, 19'500);
+    use.merge(useOf(1, 19'500));
+    fleet.updatePeerUse(entryId(1), use, at(seconds(1)));
+    BOOST_TEST(refusalOf(fleet, request, at(seconds(1))).has_value());
+    BOOST_TEST(fleet.mayAwaitMemory(request, at(seconds(1))));
+    BOOST_TEST(!fleet.mayAwaitMemory(makeRequest(1, memory), at(seconds(1))));
+    // Other entries whose reports have stopped are not waited for.
+    BOOST_TEST(!fleet.mayAwaitMemory(request, at(seconds(3))));
+    fleet.updatePeerUse(entryId(1), {}, at(milliseconds(1900)));
+    BOOST_TEST(!fleet.mayAwaitMemory(request, at(milliseconds(1900))));
+    BOOST_TEST(!refusalOf(fleet, request, at(milliseconds(1900))));
+    // This entry fills the engines itself.
+    EndpointPlacement full = makeFleet(2, 1);
+    fill(full, 890, at(seconds(0)));
+    BOOST_TEST(!full.mayAwaitMemory(request, at(seconds(0))));
+    BOOST_TEST(!makeFleet(2, 2, false).mayAwaitMemory(request, at(seconds(0))));
+}
+
 // Guards against retries that return before memory is free, or all at once.
 BOOST_AUTO_TEST_CASE(retry_times_follow_the_release_of_memory)
 {
--- a/src/libwisteriayard/engine_memory.cpp
+++ b/src/libwisteriayard/engine_memory.cpp
@@ -17,10 +17,11 @@
     constexpr Duration reportDelay = std::chrono::milliseconds(200);
     /// Standard deviations of the growth in the margin.
     constexpr double marginDeviations = 3;
-    /// Limit, as a share of the memory, of the margin for requests that other entries place at the same moment as the
-    /// first one of this entry. Without it, many entries or large requests would exclude engines that are half empty.
-    /// Further requests have no limit: with one, bursts filled engines up to 1.8 times their memory.
-    constexpr double maxSimultaneousShare = 0.5;
+    /// Limit, as a share of the memory, of the margin for the first request of this entry since the reports. Without
+    /// it, many entries or large requests would exclude engines that are half empty, and the measured growth of a burst
+    /// would exclude empty ones for a second after its end. Further requests have no limit: with one, bursts filled
+    /// engines up to 1.8 times their memory.
+    constexpr double maxFirstMarginShare = 0.5;
     /// Time after which the number of a source that is not listed is used for another one.
     constexpr Duration sourceRetention = std::chrono::seconds(60);
     /// Placements that are remembered for the margin; more change nothing, because the margin has reached its limit.
@@ -187,9 +188,10 @@
     auto placed = static_cast<std::size_t>(end - recent);
     auto requests = static_cast<double>(reporting * (1 + placed));
     double simultaneous = meanPlusSpread(requests * sizes.mean(), requests * sizes.variance());
+    double margin = std::max(measured, simultaneous);
     if (placed == 0)
-        simultaneous = std::min(simultaneous, maxSimultaneousShare * static_cast<double>(capacity));
-    others.margin = static_cast<std::int64_t>(std::max(measured, simultaneous));
+        margin = std::min(margin, maxFirstMarginShare * static_cast<double>(capacity));
+    others.margin = static_cast<std::int64_t>(margin);
     return others;
 }
 
@@ -207,6 +209,12 @@
     return fits(m_own, added(need), capacity, others(capacity, peers, sizes, now));
 }
 
+bool EngineMemory::admitsWhenReleased(const MemoryNeed& need, std::int64_t capacity, const MemoryPeers& peers,
+    const RequestSizes& sizes, TimePoint now) const
+{
+    return m_own + added(need) + others(capacity, peers, sizes, now).silent <= capacity;
+}
+
 bool EngineMemory::admitsReserved(const MemoryNeed& need, std::int64_t capacity, const MemoryPeers& peers,
     const RequestSizes& sizes, TimePoint now) const
 {
--- a/src/libwisteriayard/engine_memory_test.cpp
+++ b/src/libwisteriayard/engine_memory_test.cpp
@@ -219,6 +219,42 @@
     BOOST_TEST(memory.others(capacity, peers, sizes, now).margin < 1'000);
 }
 
+// Guards against refusals by idle engines: the measured growth of a burst would exclude them for a second after its
+// end, and for longer if reports are late.
+BOOST_DATA_TEST_CASE(idle_engines_admit_a_request_after_a_burst,
+    data::make({ 50, 90 }) * data::make({ milliseconds(10), milliseconds(90), milliseconds(500) }), percent, age)
+{
+    MemoryPeers peers(lifetime);
+    peers.setEntries(makeEntries(2), home);
+    RequestSizes sizes;
+    sizes.record(10'000);
+    EngineMemory memory;
+    TimePoint end = at(milliseconds(900));
+    for (TimePoint now = at(seconds(0)); now < end; now += milliseconds(100))
+        memory.applyReport(*peers.reported(entryId(1), false, now), percent * capacity / 100, now);
+    memory.applyReport(*peers.reported(entryId(1), true, end), 0, end);
+    BOOST_TEST(memory.admits(plain(10'000), capacity, peers, sizes, end + age));
+    // The margin still applies to several requests at once.
+    memory.reserve(plain(10'000), end + age);
+    BOOST_TEST(memory.others(capacity, peers, sizes, end + age).margin >= 20'000);
+}
+
+// Guards against a wait for reports that can't change the decision.
+BOOST_AUTO_TEST_CASE(requests_beside_released_ones)
+{
+    MemoryPeers peers(lifetime);
+    peers.setEntries(makeEntries(2), home);
+    RequestSizes sizes;
+    EngineMemory memory;
+    memory.applyReport(*peers.reported(entryId(1), false, at(seconds(0))), 95'000, at(seconds(0)));
+    memory.reserve(plain(20'000), at(seconds(0)));
+    BOOST_TEST(!memory.admits(plain(10'000), capacity, peers, sizes, at(seconds(0))));
+    BOOST_TEST(memory.admitsWhenReleased(plain(80'000), capacity, peers, sizes, at(seconds(0))));
+    BOOST_TEST(!memory.admitsWhenReleased(plain(80'001), capacity, peers, sizes, at(seconds(0))));
+    // An entry whose reports have stopped keeps its last use.
+    BOOST_TEST(!memory.admitsWhenReleased(plain(10'000), capacity, peers, sizes, at(seconds(2))));
+}
+
 // Guards against a full use of the memory by an entry that doesn't know the others yet.
 BOOST_AUTO_TEST_CASE(unknown_entries_are_assumed)
 {
--- a/testsuite/engine_memory/run.py
+++ b/testsuite/engine_memory/run.py
@@ -16,6 +16,9 @@
 CALLERS_PER_ENTRY = 40
 # Sent one after another when the burst has ended.
 ORDINARY_REQUESTS = 10
+# Bursts at one entry, each followed by a request at the other one.
+BURSTS = 5
+REPORT_S = 0.4
 # Time between two events of a stream of six.
 EVENT_S = 0.15
 # Entries know each other, and have reported, after this time.
@@ -35,8 +38,9 @@
         return [endpoint for endpoint in self.endpoints if endpoint.service == "model"]
 
 
-def burst(deployment):
-    """Sends more requests than all engines hold, at once and to all entries. Returns the answers."""
+def burst(deployment, gateways=None):
+    """Sends more requests than all engines hold, at once and to all entries or to the given ones. Returns the
+    answers."""
     answers, lock = [], threading.Lock()
 
     def call(gateway, number):
@@ -47,7 +51,8 @@
             answers.append(answer)
 
     threads = [threading.Thread(target=call, args=(gateway, entry * CALLERS_PER_ENTRY + number))
-               for entry, gateway in enumerate(deployment.gateways) for number in range(CALLERS_PER_ENTRY)]
+               for entry, gateway in enumerate(gateways or deployment.gateways)
+               for number in range(CALLERS_PER_ENTRY)]
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -74,10 +79,31 @@
         refused[0].headers
     # How many of the burst are served depends on how quickly they arrive, these ones do not.
     for number in range(ORDINARY_REQUESTS):
-        answer = deployment.gateways[number % 2].call("/chat/1", timeout=TIMEOUT_S, headers={
-            "Token-Count": f"{PROMPT_TOKENS},{OUTPUT_TOKENS}", "Prompt-Prefix": f"{number + 1000:x}:{PROMPT_TOKENS}"})
-        assert answer.status == 200, (number, answer.status, answer.body)
+        send_ordinary(deployment.gateways[number % 2], number)
+
+
+def send_ordinary(gateway, number):
+    answer = gateway.call("/chat/1", timeout=TIMEOUT_S, headers={
+        "Token-Count": f"{PROMPT_TOKENS},{OUTPUT_TOKENS}", "Prompt-Prefix": f"{number + 1000:x}:{PROMPT_TOKENS}"})
+    assert answer.status == 200, (number, answer.status, answer.body)
+
+
+def entries_without_requests_report_that_engines_are_empty(deployment):
+    """Guards against refusals at one entry because another one, which has no requests any more, does not report that
+    the memory of its last requests is free."""
+    wait_until(lambda: all(gateway.knows_entries() for gateway in deployment.gateways), "entries to know each other")
+    time.sleep(SETTLING_S)
+    busy, other = deployment.gateways
+    for number in range(BURSTS):
+        answers = burst(deployment, [busy])
+        assert any(answer.status == 200 for answer in answers), answers[0].status
+        # Longer than a report takes, and shorter than the interval of reports by an idle entry.
+        time.sleep(REPORT_S)
+        send_ordinary(other, number)
+    crashes = sum(len(endpoint.crashes) for endpoint in deployment.engines())
+    assert crashes == 0, f"{crashes} crashes"
 
 
 if __name__ == "__main__":
-    run_cases([engines_survive_more_requests_than_they_hold], PressureDeployment, 2)
+    run_cases([engines_survive_more_requests_than_they_hold, entries_without_requests_report_that_engines_are_empty],
+              PressureDeployment, 2)
