EndpointPlacement: keep whether an endpoint's zone is evacuated

Cause: each check of an endpoint looked up its zone by name in the set of evacuated zones, up to three times per placement. The result is now kept with the endpoint, and changes with the set or the endpoint's zone.

Hashes of the chosen endpoints are equal, with and without evacuations.

--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -432,6 +432,8 @@
         std::optional<std::size_t> poolOrder;
         std::uint64_t generation = 0;
         bool present = false;
+        /// Its zone is evacuated.
+        bool isEvacuated = false;
         EndpointUse own;
         /// Sum of the load reported by peers, brought up to date by choose().
         EndpointUse peers;
@@ -518,7 +520,10 @@
     /// Whether the engine has no memory for a request that is not placed yet.
     bool isFull(const State& state, const PlacementRequest& request, TimePoint now) const;
     bool onlyEjectedRemain(const PlacementRequest& request, TimePoint now) const;
-    bool isEvacuated(const State& state) const { return m_evacuatedZones.count(state.info.zone) > 0; }
+    bool isInEvacuatedZone(const PlacementEndpoint& endpoint) const
+    {
+        return m_evacuatedZones.count(endpoint.zone) > 0;
+    }
     /// Whether another endpoint may be ejected; evacuated ones don't count, since they take no requests either.
     bool mayEject() const;
     /// Whether there are endpoints in the allowed regions, and all of them are evacuated.
--- a/src/libwisteriayard/endpoint_placement.cpp
+++ b/src/libwisteriayard/endpoint_placement.cpp
@@ -111,6 +111,7 @@
     auto known = m_index.find(endpoint.id);
     if (known != m_index.end()) {
         m_states[known->second].info = endpoint;
+        m_states[known->second].isEvacuated = isInEvacuatedZone(endpoint);
         return;
     }
     auto free = std::find_if(m_states.begin(), m_states.end(), [](const State& state) { return !state.present; });
@@ -122,6 +123,7 @@
     state.hash = rendezvousWeight("placement", InstanceId(endpoint.id.value()));
     state.generation = ++m_generation;
     state.present = true;
+    state.isEvacuated = isInEvacuatedZone(endpoint);
     m_states[index] = std::move(state);
     m_index[endpoint.id] = index;
     m_peerSumsStale = true;
@@ -135,12 +137,12 @@
     // covers all zones. Endpoints with a rate limit do too little work to count as a part of either pool, and evacuated
     // ones do none.
     bool allLimited = std::all_of(m_index.begin(), m_index.end(), [this](const auto& each) {
-        return isEvacuated(m_states[each.second]) || m_states[each.second].limit.rate().has_value();
+        return m_states[each.second].isEvacuated || m_states[each.second].limit.rate().has_value();
     });
     std::map<ZoneId, std::vector<std::size_t>> zones;
     for (const auto& [id, index] : m_index) {
         m_states[index].poolOrder.reset();
-        if (!isEvacuated(m_states[index]) && (allLimited || !m_states[index].limit.rate()))
+        if (!m_states[index].isEvacuated && (allLimited || !m_states[index].limit.rate()))
             zones[m_states[index].info.zone].push_back(index);
     }
     std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, std::size_t>> order;
--- a/src/libwisteriayard/endpoint_placement_exclusion.cpp
+++ b/src/libwisteriayard/endpoint_placement_exclusion.cpp
@@ -10,7 +10,7 @@
 {
     if (!request.allowedRegions.contains(state.info.region))
         return EndpointExclusion::OtherRegion;
-    if (isEvacuated(state))
+    if (state.isEvacuated)
         return EndpointExclusion::Evacuated;
     if (state.pause.isActive(now))
         return EndpointExclusion::Paused;
@@ -70,7 +70,7 @@
     for (const auto& [id, index] : m_index) {
         if (!request.allowedRegions.contains(m_states[index].info.region))
             continue;
-        if (!isEvacuated(m_states[index]))
+        if (!m_states[index].isEvacuated)
             return false;
         anyAllowed = true;
     }
@@ -80,6 +80,8 @@
 void EndpointPlacement::setEvacuatedZones(std::set<ZoneId> zones)
 {
     m_evacuatedZones = std::move(zones);
+    for (const auto& [id, index] : m_index)
+        m_states[index].isEvacuated = isInEvacuatedZone(m_states[index].info);
     orderEndpoints();
 }
 
--- a/src/libwisteriayard/endpoint_placement_health.cpp
+++ b/src/libwisteriayard/endpoint_placement_health.cpp
@@ -30,7 +30,7 @@
     std::size_t usable = 0;
     std::size_t ejected = 0;
     for (const auto& [id, index] : m_index) {
-        if (isEvacuated(m_states[index]))
+        if (m_states[index].isEvacuated)
             continue;
         ++usable;
         ejected += m_states[index].ejected ? 1 : 0;
