EngineSpeed: mean time per token once per datagram of speed reports

Cause: with pool and fewer than eight own samples, each row of a speed report computed the median over all entries again. It is now computed after the last row; the time is the same, so the result is, too.

--- a/src/gateway/endpoint_directory_speed.cpp
+++ b/src/gateway/endpoint_directory_speed.cpp
@@ -17,7 +17,9 @@
     const InstanceId& peer, const std::map<EndpointTag, SpeedReport>& reported, TimePoint now)
 {
     for (const auto& [id, report] : resolveTags(reported))
-        placement(record(id)->target).applySpeedReport(peer, id, report, now);
+        placement(record(id)->target).addSpeedReport(peer, id, report, now);
+    for (auto& [target, placement] : m_placements)
+        placement->speedReportsAdded(now);
 }
 
 } // namespace wisteriayard
--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -337,6 +337,9 @@
     std::map<EndpointId, SpeedReport> speedReports(TimePoint now);
     /// Records the report of another entry. It never excludes an engine.
     void applySpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
+    /// The same for one of several reports; speedReportsAdded() follows the last one.
+    void addSpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
+    void speedReportsAdded(TimePoint now) { m_speed.reportsAdded(now); }
     /// @}
     /// @name Capacity shared among competing callers
     /// @{
--- a/src/include/wisteriayard/engine_speed.h
+++ b/src/include/wisteriayard/engine_speed.h
@@ -127,6 +127,10 @@
     std::optional<SpeedReport> report(const Engine& engine, TimePoint now) const;
     /// Records the report of another entry; values out of range are limited.
     void applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now);
+    /// The same for one of several reports. Call reportsAdded() after the last one: the mean time per token follows
+    /// the first times of all entries, and is computed once.
+    void addReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now);
+    void reportsAdded(TimePoint now);
 
 private:
     static Difference difference(const Quantity& quantity, TimePoint now);
@@ -143,6 +147,7 @@
     bool m_sharesFirstTimes;
     bool m_isAssumed = true;
     FirstTokenTimes m_firstTimes;
+    bool m_hasNewFirstTimes = false;
     /// Moving averages over all engines, in microseconds. That of the time per token follows the lower samples.
     double m_tokenTime;
     double m_baseTime;
--- a/src/libwisteriayard/endpoint_placement_speed.cpp
+++ b/src/libwisteriayard/endpoint_placement_speed.cpp
@@ -69,10 +69,17 @@
 
 void EndpointPlacement::applySpeedReport(
     const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now)
+{
+    addSpeedReport(peer, id, report, now);
+    speedReportsAdded(now);
+}
+
+void EndpointPlacement::addSpeedReport(
+    const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now)
 {
     State* state = find(id);
     if (state && state->info.memory.value() > 0)
-        m_speed.applyReport(state->speed, peer, report, now);
+        m_speed.addReport(state->speed, peer, report, now);
 }
 
 } // namespace wisteriayard
--- a/src/libwisteriayard/engine_speed.cpp
+++ b/src/libwisteriayard/engine_speed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace wisteriayard {
@@ -256,11 +257,23 @@
 }
 
 void EngineSpeed::applyReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now)
+{
+    addReport(engine, peer, report, now);
+    reportsAdded(now);
+}
+
+void EngineSpeed::reportsAdded(TimePoint now)
+{
+    if (std::exchange(m_hasNewFirstTimes, false))
+        applyFirstTimes(now);
+}
+
+void EngineSpeed::addReport(Engine& engine, const InstanceId& peer, const SpeedReport& report, TimePoint now)
 {
     TimePoint at = now - std::clamp(report.age, Duration(0), maxReportAge);
     if (report.tokenTime > 0 && usesFirstTimes()) {
         m_firstTimes.addReport(peer, std::clamp(report.tokenTime, minTokenTime, maxTokenTime), at);
-        applyFirstTimes(now);
+        m_hasNewFirstTimes = true;
     }
     if (report.tokenTime > 0 && m_meanTokens[roleIndex(engine)].samples > 0) {
         double time = std::clamp(report.tokenTime, minTokenTime, maxTokenTime);
