--- a/src/include/wisteriayard/endpoint_placement.h
+++ b/src/include/wisteriayard/endpoint_placement.h
@@ -83,6 +83,7 @@
     std::int64_t memoryTokens = 0;
 
     EndpointUse& operator+=(const EndpointUse& other);
+    EndpointUse& operator-=(const EndpointUse& other);
 };
 
 /// Weights of the placement cost.
@@ -340,6 +341,9 @@
     std::map<EndpointId, SpeedReport> speedReports(TimePoint now);
     /// Records the report of another entry. It never excludes an engine.
     void applySpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
+    /// The same for one of several reports; speedReportsAdded() follows the last one.
+    void addSpeedReport(const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now);
+    void speedReportsAdded(TimePoint now) { m_speed.reportsAdded(now); }
     /// @}
     /// @name Capacity shared among competing callers
     /// @{
@@ -416,9 +420,16 @@
     void applyCacheHints(const std::map<EndpointId, std::vector<SegmentTag>>& hints, TimePoint now);
 
 private:
+    /// Load of one endpoint in the report of another entry.
+    struct ReportedUse {
+        EndpointId id;
+        /// Index of the endpoint's state; absent if the endpoint is not known.
+        std::optional<std::size_t> index;
+        EndpointUse use;
+    };
     /// Latest load report of another entry.
     struct PeerLoad {
-        std::map<EndpointId, EndpointUse> use;
+        std::vector<ReportedUse> use;
         TimePoint receivedAt {};
     };
     struct State {
@@ -434,8 +445,10 @@
         std::optional<std::size_t> poolOrder;
         std::uint64_t generation = 0;
         bool present = false;
+        /// Its zone is evacuated.
+        bool isEvacuated = false;
         EndpointUse own;
-        /// Sum of the load reported by peers, updated by choose().
+        /// Sum of the load reported by peers, brought up to date by choose().
         EndpointUse peers;
         int consecutiveFailures = 0;
         double failureRate = 0;
@@ -503,7 +516,11 @@
     Refused overloadedRefusal(const PlacementRequest& request, const Candidate& best, double latest, TimePoint now);
     /// Time in which the engines can compute one more request of this entry.
     Duration returnSpacing(const PlacementRequest& request, const Candidate& best, TimePoint now);
+    std::optional<std::size_t> indexOf(const EndpointId& id) const;
+    /// Removes expired load reports from the sums, and sums up the others again if the endpoints changed.
     void sumPeerLoads(TimePoint now);
+    void addToSums(const PeerLoad& report);
+    void removeFromSums(const PeerLoad& report);
     /// @name Reasons why an endpoint is no candidate
     /// @{
 
@@ -521,7 +538,10 @@
     /// Whether the engine has no memory for a request that is not placed yet.
     bool isFull(const State& state, const PlacementRequest& request, TimePoint now) const;
     bool onlyEjectedRemain(const PlacementRequest& request, TimePoint now) const;
-    bool isEvacuated(const State& state) const { return m_evacuatedZones.count(state.info.zone) > 0; }
+    bool isInEvacuatedZone(const PlacementEndpoint& endpoint) const
+    {
+        return m_evacuatedZones.count(endpoint.zone) > 0;
+    }
     /// Whether another endpoint may be ejected; evacuated ones don't count, since they take no requests either.
     bool mayEject() const;
     /// Whether there are endpoints in the allowed regions, and all of them are evacuated.
@@ -592,6 +612,8 @@
     std::unordered_map<EndpointId, std::size_t> m_index;
     std::uint64_t m_generation = 0;
     std::unordered_map<InstanceId, PeerLoad> m_peerLoads;
+    /// The endpoints changed since the reports were summed up.
+    bool m_peerSumsStale = false;
     PeerFailures m_peerFailures;
     RetrySpread m_retrySpread;
     RetrySpread m_limitedRetrySpread;
--- a/src/libwisteriayard/endpoint_placement_speed.cpp
+++ b/src/libwisteriayard/endpoint_placement_speed.cpp
@@ -27,6 +27,8 @@
 {
     if (request.gapObjective <= Duration(0))
         return 0;
+    if (!m_speed.mayPauseLonger(state.speed, scaled(request.gapObjective, firstCostAt), now))
+        return 0;
     double objective = static_cast<double>(request.gapObjective.count());
     double part = m_speed.pauseTime(state.speed, now) / objective;
     double excess = std::clamp((part - firstCostAt) / (fullCostAt - firstCostAt), 0.0, 1.0);
@@ -88,10 +90,17 @@
 
 void EndpointPlacement::applySpeedReport(
     const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now)
+{
+    addSpeedReport(peer, id, report, now);
+    speedReportsAdded(now);
+}
+
+void EndpointPlacement::addSpeedReport(
+    const InstanceId& peer, const EndpointId& id, const SpeedReport& report, TimePoint now)
 {
     State* state = find(id);
     if (state && state->info.memory.value() > 0)
-        m_speed.applyReport(state->speed, peer, report, now);
+        m_speed.addReport(state->speed, peer, report, now);
 }
 
 } // namespace wisteriayard
