case_competing_callers: wait for reports instead of fixed times

Cause: the case waited 0.3 s for the reports of the load, held the engines busy for 3 s, and slept exactly Retry-After before the retry. With all processes on one processor beside three busy ones, the old case failed in retries_are_served_at_another_gateway: the control request got 200, because g1 had no usable report of g0's load (tokens_ahead 0 at m2; `limit_entries_changed` 0.2 s later, and no other cause seen, suggest that the reports were missing).

Ruled out by reading: a sample is not refused because of one reported backlog. A prompt of one segment goes to any other engine without a queue (`spill` in EndpointPlacement::choose), and sequential samples load one engine at a time.

Now g1 fills the engines itself and knows their load exactly; the engines answer when the test releases them; g0 is asked once `/where` shows the reported load. The report of the refusal is known to have arrived when a later one, which names a lookup, has. An attempt is repeated only if the record's 2 s had passed by the clock, or if the reported load had ended. The log of the late placement is awaited.

--- a/testsuite/platform_deployment.py
+++ b/testsuite/platform_deployment.py
@@ -142,6 +142,12 @@
         connection.request("GET", "/status")
         return json.loads(connection.getresponse().read())["entries"] > 0
 
+    def where(self, route, account):
+        """The endpoints that a request of the account could be sent to, as the gateway sees them."""
+        connection = http.client.HTTPConnection(self.ip, METRICS_PORT, timeout=START_TIMEOUT_S)
+        connection.request("POST", "/where", json.dumps({"route": route, "account": account}))
+        return json.loads(connection.getresponse().read())["targets"][0]["candidates"]
+
     def call(self, path, method="POST", body=b"x", key=KEY, headers=None, timeout=5, request=None):
         """Sends a request over a new connection."""
         request = request or uuid.uuid4().hex[:16]
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -348,6 +348,8 @@
     def __init__(self, name, service, zone, delay_s=0.005, events=0):
         self.name, self.service, self.zone = name, service, zone
         self.delay_s, self.events = delay_s, events
+        # A threading.Event for which the requests that arrive wait before they are answered.
+        self.answers_after = None
         self.started_ms, self.slots = 1780000000000, 16
         self.runs = collections.Counter()
         self.seen_keys = []
@@ -470,6 +472,8 @@
         crashing = bool(segments & endpoint.crashing_segments) or body in endpoint.crashing_bodies
         if crashing:
             endpoint.crashing_arrivals.append((time.monotonic(), request))
+        if endpoint.answers_after:
+            endpoint.answers_after.wait()
         time.sleep(endpoint.delay_s * (Coldness.slowdown if endpoint.cold.left_ms() else 1))
         if crashing and endpoint.events and endpoint.events_before_crash:
             self.stream(endpoint, request, int(headers.get("Last-Event-Id", 0)), endpoint.events_before_crash + 1)
