--- a/testsuite/daemon_crowds/run.py
+++ b/testsuite/daemon_crowds/run.py
@@ -7,6 +7,7 @@
 
 import argparse
 import os
+import signal
 import socket
 import sys
 
@@ -34,10 +35,25 @@
 # times their size.
 SHORT_LINES = b"a:b\r\n" * 3200
 PATH = b"/services/counter/charges"
+CHAT_PATH = b"/v1/chat/completions"
+# Chat requests of the allowed size whose document takes many times their size: a value of two or three bytes becomes a
+# node with memory of its own.
+NESTED_VALUES = {"objects": (b"[", b"{},", b"0]"), "lists": (b"[", b"[],", b"0]"), "numbers": (b"[", b"0,", b"0]")}
+# Waves of callers that leave while their requests are on their way to an agent.
+WAVES = 8
+WAVE_CROWD = 15
 
 
-def head(key, lines=b"", length=0, finished=True):
-    text = (b"POST " + PATH + b" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key.encode()
+def chat_body(start, value, end):
+    """A chat request of the largest allowed size with a field that the entry does not read."""
+    first = b'{"model":"scent","max_tokens":8,"messages":[{"role":"user","content":"length=1 x"}],"metadata":' + start
+    last = end + b"}"
+    body = first + value * ((MAX_BODY_BYTES - len(first) - len(last)) // len(value)) + last
+    return body + b" " * (MAX_BODY_BYTES - len(body))
+
+
+def head(key, lines=b"", length=0, finished=True, path=PATH):
+    text = (b"POST " + path + b" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key.encode()
             + b"\r\nContent-Length: %d\r\n" % length + lines)
     return text + b"\r\n" if finished else text
 
@@ -223,6 +239,86 @@
     case.check_ordinary_request()
 
 
+def start_engine(case):
+    engine = case.deployment.start_fake("scent", "engine", "--model", "scent")
+    case.deployment.start_agent("scent-0", "amman-a", "amman", "scent", "engine", engine)
+    case.deployment.publish_instances()
+    wait_until(lambda: is_chat_served(case), "a chat request to be served", TIMEOUT_S)
+
+
+def is_chat_served(case):
+    body = {"model": "scent", "max_tokens": 8, "messages": [{"role": "user", "content": "length=1 x"}]}
+    reply = call(case.address, "POST", CHAT_PATH.decode(), body, case.key)
+    assert reply.status in (200, 503), (reply.status, reply.body)
+    return reply.status == 200
+
+
+def chat_documents(case, values):
+    """Documents of chat requests while they are checked: they took up to 32 times the size of the body."""
+    start_engine(case)
+    body = chat_body(*values)
+    crowd = [connect(case.address) for _ in range(BODY_CROWD)]
+    for each in crowd:
+        send(each, head(case.key, length=MAX_BODY_BYTES, path=CHAT_PATH) + body)
+    case.wait_until_read()
+    case.check_limits()
+    for each in crowd:
+        response = read_response(each)
+        assert response is None or response[0] in (200, 429, 502, 503, 504), response[:2]
+    case.check_limits()
+    case.check_ordinary_request()
+    wait_until(lambda: is_chat_served(case), "a chat request to be served", TIMEOUT_S)
+
+
+def chat_documents_of_objects(case):
+    chat_documents(case, NESTED_VALUES["objects"])
+
+
+def chat_documents_of_lists(case):
+    chat_documents(case, NESTED_VALUES["lists"])
+
+
+def chat_documents_of_numbers(case):
+    chat_documents(case, NESTED_VALUES["numbers"])
+
+
+def deeply_nested_chat(case):
+    """Writing a document recurses once for each level: an agent ended with an exhausted stack."""
+    start_engine(case)
+    half = MAX_BODY_BYTES // 2 - 200
+    body = chat_body(b"[" * half, b" ", b"]" * half)
+    for _ in range(3):
+        with connect(case.address) as connection:
+            send(connection, head(case.key, length=MAX_BODY_BYTES, path=CHAT_PATH) + body)
+            read_response(connection)
+    case.check_limits()
+    assert case.deployment.processes["scent-0-agent"].poll() is None, "the agent has ended"
+    case.check_ordinary_request()
+    wait_until(lambda: is_chat_served(case), "a chat request to be served", TIMEOUT_S)
+
+
+def chat_bodies_of_gone_callers(case):
+    """Copies of bodies on their way to an agent that reads nothing, whose callers have left: they were not counted."""
+    start_engine(case)
+    body = chat_body(b'"', b"x", b'"')
+    agent = case.deployment.processes["scent-0-agent"]
+    agent.send_signal(signal.SIGSTOP)
+    try:
+        for _ in range(WAVES):
+            crowd = [connect(case.address) for _ in range(WAVE_CROWD)]
+            for each in crowd:
+                send(each, head(case.key, length=MAX_BODY_BYTES, path=CHAT_PATH) + body)
+            case.wait_until_read()
+            for each in crowd:
+                each.close()
+        case.check_limits()
+        case.check_ordinary_request()
+    finally:
+        agent.send_signal(signal.SIGCONT)
+    case.check_limits()
+    wait_until(lambda: is_chat_served(case), "a chat request to be served", TIMEOUT_S)
+
+
 def is_closed(connection):
     connection.setblocking(False)
     try:
@@ -251,7 +347,8 @@
 
 CASES = (heads_of_short_lines, unfinished_heads_of_short_lines, heads_of_one_large_line, endless_line,
          endless_empty_lines, endless_chunk_extension, many_trailer_lines, stalled_bodies, complete_bodies,
-         silent_connections)
+         chat_documents_of_objects, chat_documents_of_lists, chat_documents_of_numbers, deeply_nested_chat,
+         chat_bodies_of_gone_callers, silent_connections)
 ENTRY_ARGUMENTS = ["--head-memory-mb", "4", "--body-memory-mb", "16"]
 
 
