wisteriayardd: count the copy of a body on its way to an agent

Cause: ZeroMQ held the copy uncounted, also after the request had ended.

A body now counts twice from its first byte. The copy takes over its part when it is made, and counts until ZeroMQ has sent or dropped the message.

Ruled out: reserving at the time of the copy (a budget full of complete bodies would refuse all of them); a message part of its own for the body (agents of the previous version ignore it).

New unit tests: memory_is_held_as_long_as_the_message, copies_of_bodies_are_counted. Not counted as before: the text of responses, and documents at agents.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -52,6 +52,24 @@
         text.swap(moved);
     }
 
+    /// A copy of a body, which counts in the total until it is destroyed.
+    class CountedCopy {
+    public:
+        CountedCopy(std::shared_ptr<std::atomic<std::int64_t>> total, std::int64_t size)
+            : m_total(std::move(total))
+            , m_size(size)
+        {
+            *m_total += m_size;
+        }
+        CountedCopy(const CountedCopy&) = delete;
+        CountedCopy& operator=(const CountedCopy&) = delete;
+        ~CountedCopy() { *m_total -= m_size; }
+
+    private:
+        std::shared_ptr<std::atomic<std::int64_t>> m_total;
+        std::int64_t m_size;
+    };
+
     /// The response to a request that does not fit the memory.
     HttpResponse noMemoryResponse()
     {
@@ -103,6 +121,24 @@
 
 awaitable<Status> HttpStreamWriter::end(Duration timeout) { co_return co_await writeRaw("0\r\n\r\n", timeout); }
 
+void HttpStreamWriter::setBodyMemory(
+    ByteReservation& reservation, Bytes size, std::shared_ptr<std::atomic<std::int64_t>> copies)
+{
+    m_bodyReservation = &reservation;
+    m_bodySize = size;
+    m_bodyCopies = std::move(copies);
+}
+
+std::shared_ptr<void> HttpStreamWriter::countBodyCopy()
+{
+    if (!m_bodyCopies)
+        return nullptr;
+    // The first copy takes over what was reserved for it. Each further attempt makes another copy, while the previous
+    // one is on its way to an agent that failed.
+    m_bodyReservation->shrinkTo(m_bodySize);
+    return std::make_shared<CountedCopy>(m_bodyCopies, m_bodySize.value());
+}
+
 void HttpStreamWriter::onPeerClose(std::function<void()> handler)
 {
     using boost::asio::ip::tcp;
@@ -416,7 +452,8 @@
 {
     std::string& body = incoming.request.body();
     std::size_t needed = body.size() + data.size();
-    auto reserved = static_cast<std::size_t>(incoming.bodyReservation.size().value());
+    std::int64_t times = m_limits.copiesBodies ? 2 : 1;
+    auto reserved = static_cast<std::size_t>(incoming.bodyReservation.size().value() / times);
     if (needed > reserved) {
         auto most = static_cast<std::size_t>(m_limits.maxBody.value());
         // Few different sizes, so that freed blocks fit the next bodies.
@@ -426,7 +463,7 @@
         next = std::max(needed, std::min(most, next));
         auto stated = static_cast<std::size_t>(incoming.parser.content_length().value_or(next));
         next = std::min(next, std::max(needed, stated));
-        if (!incoming.bodyReservation.extendTo(Bytes(static_cast<std::int64_t>(next))))
+        if (!incoming.bodyReservation.extendTo(Bytes(static_cast<std::int64_t>(next) * times), Bytes(*m_bodyCopies)))
             return false;
         setCapacity(body, next);
     }
@@ -476,7 +513,7 @@
             co_return result;
     }
     std::string& body = incoming.request.body();
-    Bytes size(static_cast<std::int64_t>(body.size()));
+    Bytes size(static_cast<std::int64_t>(body.size()) * (m_limits.copiesBodies ? 2 : 1));
     if (size < incoming.bodyReservation.size()) {
         setCapacity(body, body.size());
         incoming.bodyReservation.shrinkTo(size);
@@ -538,6 +575,10 @@
         co_return false;
     bool keepAlive = incoming.parser.keep_alive();
     HttpStreamWriter writer(connection.stream);
+    if (m_limits.copiesBodies) {
+        Bytes size(static_cast<std::int64_t>(incoming.request.body().size()));
+        writer.setBodyMemory(incoming.bodyReservation, size, m_bodyCopies);
+    }
     connection.stream.expires_never();
     auto handled = co_await m_handler(std::move(incoming.request), writer);
     if (auto* streamed = std::get_if<StreamedResponse>(&handled))
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -23,6 +23,14 @@
     {
     }
 
+    /// Sets the memory of the request's body.
+    /// @param reservation counts the body and one copy of it; must exist until the response has been sent
+    /// @param copies total size of the copies that were made
+    void setBodyMemory(ByteReservation& reservation, Bytes size, std::shared_ptr<std::atomic<std::int64_t>> copies);
+    /// Counts a copy of the request's body until the returned object is destroyed, which may happen in any thread and
+    /// after the response was sent. Null if the server does not count copies.
+    std::shared_ptr<void> countBodyCopy();
+
     /// Sends the header of a chunked response with status 200. Must be called before write().
     /// @return Unavailable if the connection is broken
     boost::asio::awaitable<Status> begin(
@@ -44,6 +52,9 @@
 
     boost::beast::tcp_stream& m_stream;
     bool m_begun = false;
+    ByteReservation* m_bodyReservation = nullptr;
+    Bytes m_bodySize { 0 };
+    std::shared_ptr<std::atomic<std::int64_t>> m_bodyCopies;
 };
 
 /// Result of a handler that has written its response to the HttpStreamWriter.
@@ -69,6 +80,10 @@
     Bytes headMemory { 16 * 1024 * 1024 };
     /// Memory for the bodies of all requests that are being received or served.
     Bytes bodyMemory { 256 * 1024 * 1024 };
+    /// The handler makes a copy of each body, which may outlive the request, and calls
+    /// HttpStreamWriter::countBodyCopy(). The memory for the copy is reserved together with that for the body, so
+    /// bodyMemory must be at least twice maxBody.
+    bool copiesBodies = false;
     /// Names of the fields that the handler needs. At most two of each name are kept, so that the handler can detect a
     /// repetition. Without names, all fields are kept.
     std::vector<std::string> keptFields;
@@ -110,7 +125,7 @@
     int connections() const { return m_connections; }
     /// Memory reserved for heads and for bodies. Must be called from the thread that serves the connections.
     Bytes heldForHeads() const { return m_heads.reserved(); }
-    Bytes heldForBodies() const { return m_bodies.reserved(); }
+    Bytes heldForBodies() const { return m_bodies.reserved() + Bytes(*m_bodyCopies); }
     /// Sets a function that is called each time a budget of memory is exhausted. Must be called before listen().
     void onShortage(std::function<void(HttpShortage)> handler) { m_onShortage = std::move(handler); }
 
@@ -146,6 +161,9 @@
     std::function<void(HttpShortage)> m_onShortage;
     ByteBudget m_heads;
     ByteBudget m_bodies;
+    /// Total size of the copies of bodies that were made and still exist. Shared with the copies, which may outlive the
+    /// server.
+    std::shared_ptr<std::atomic<std::int64_t>> m_bodyCopies = std::make_shared<std::atomic<std::int64_t>>(0);
     /// Bytes are received into this buffer after a connection has become readable, so that idle connections hold none.
     std::vector<char> m_received;
     /// The parser writes parts of bodies here.
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -288,6 +288,56 @@
     BOOST_TEST((shortages == each.shortages));
 }
 
+// Guards against copies of bodies that are not counted: with the request, and after its end.
+BOOST_AUTO_TEST_CASE(copies_of_bodies_are_counted)
+{
+    boost::asio::io_context io;
+    HttpServerLimits limits;
+    limits.maxBody = Bytes(100);
+    limits.bodyMemory = Bytes(1000);
+    limits.copiesBodies = true;
+    std::vector<std::shared_ptr<void>> copies;
+    std::vector<std::int64_t> held;
+    std::weak_ptr<HttpServer> created;
+    auto handler = [&](HttpRequest, HttpStreamWriter& writer) -> boost::asio::awaitable<HandlerResult> {
+        auto server = created.lock();
+        held.push_back(server->heldForBodies().value());
+        copies.push_back(writer.countBodyCopy());
+        held.push_back(server->heldForBodies().value());
+        co_return makeHttpResponse(boost::beast::http::status::ok, "");
+    };
+    auto server = std::make_shared<HttpServer>(io, limits, handler);
+    created = server;
+    BOOST_REQUIRE(server->listen(parseAddress("127.0.0.1:0").value()));
+    std::vector<int> statuses;
+    std::thread client([&, address = server->localAddress()] {
+        boost::asio::io_context clientIo;
+        for (int i = 0; i < 12; ++i) {
+            boost::asio::ip::tcp::socket socket(clientIo);
+            socket.connect(address);
+            std::string request
+                = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'y');
+            boost::asio::write(socket, boost::asio::buffer(request));
+            std::string received;
+            boost::system::error_code ignored;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+            statuses.push_back(std::stoi(received.substr(sizeof("HTTP/1.1"), 3)));
+        }
+        boost::asio::post(io, [&] { io.stop(); });
+    });
+    io.run();
+    client.join();
+    // The copies of nine requests remain, so that the tenth body and its copy don't fit.
+    BOOST_TEST(copies.size() == 9u);
+    BOOST_TEST(std::count(statuses.begin(), statuses.end(), 200) == 9);
+    BOOST_TEST(std::count(statuses.begin(), statuses.end(), 503) == 3);
+    BOOST_TEST(held.front() == 200);
+    BOOST_TEST(held.back() == 1000);
+    BOOST_TEST(server->heldForBodies().value() == 900);
+    copies.clear();
+    BOOST_TEST(server->heldForBodies().value() == 0);
+}
+
 // Guards against a connection that is closed in favour of an older one with an unfinished head.
 BOOST_AUTO_TEST_CASE(oldest_unfinished_head_is_closed)
 {
--- a/src/libwire/wire_socket.cpp
+++ b/src/libwire/wire_socket.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <vector>
+
 namespace wisteriayard {
 
 namespace {
@@ -16,6 +18,29 @@
     constexpr int reconnectInterval = 50;
     constexpr int reconnectIntervalMax = 500;
 
+    /// Bytes of a message that ZeroMQ holds, and the object that is kept with them.
+    struct HeldMessage {
+        std::vector<std::uint8_t> bytes;
+        std::shared_ptr<void> memory;
+    };
+
+    zmq::message_t messageOf(const wire::Envelope& envelope, std::shared_ptr<void> memory)
+    {
+        std::size_t size = envelope.ByteSizeLong();
+        if (!memory) {
+            zmq::message_t message(size);
+            envelope.SerializeWithCachedSizesToArray(static_cast<std::uint8_t*>(message.data()));
+            return message;
+        }
+        auto held = std::make_unique<HeldMessage>();
+        held->bytes.resize(size);
+        held->memory = std::move(memory);
+        envelope.SerializeWithCachedSizesToArray(held->bytes.data());
+        auto release = [](void*, void* hint) { delete static_cast<HeldMessage*>(hint); };
+        void* data = held->bytes.data();
+        return { data, size, release, held.release() };
+    }
+
 } // namespace
 
 WireSocket::WireSocket(boost::asio::io_context& io, zmq::context_t& context, Kind kind, Handler handler, bool heartbeat)
@@ -73,10 +98,9 @@
     return boost::outcome_v2::success();
 }
 
-bool WireSocket::send(const std::string& peer, const wire::Envelope& envelope)
+bool WireSocket::send(const std::string& peer, const wire::Envelope& envelope, std::shared_ptr<void> memory)
 {
-    zmq::message_t body(envelope.ByteSizeLong());
-    envelope.SerializeWithCachedSizesToArray(static_cast<std::uint8_t*>(body.data()));
+    zmq::message_t body = messageOf(envelope, std::move(memory));
     bool sent = false;
     try {
         if (m_kind == Kind::Router
--- a/src/libwire/wire_socket.h
+++ b/src/libwire/wire_socket.h
@@ -42,8 +42,9 @@
     Status connect(const std::string& address);
     /// Sends an envelope without blocking.
     /// @param peer routing id; empty for a dealer
+    /// @param memory kept until ZeroMQ has sent or dropped the envelope; may be released in any thread
     /// @return false if the peer is not connected or its queue is full; the envelope is then dropped
-    bool send(const std::string& peer, const wire::Envelope& envelope);
+    bool send(const std::string& peer, const wire::Envelope& envelope, std::shared_ptr<void> memory = nullptr);
 
 private:
     void scheduleReceive();
--- a/src/libwire/wire_socket_test.cpp
+++ b/src/libwire/wire_socket_test.cpp
@@ -36,3 +36,24 @@
     io.run_for(std::chrono::seconds(60));
     BOOST_TEST(received == count);
 }
+
+// Guards against memory that is counted as free while ZeroMQ still holds the message, and against memory that is never
+// counted as free.
+BOOST_AUTO_TEST_CASE(memory_is_held_as_long_as_the_message)
+{
+    auto memory = std::make_shared<int>(0);
+    std::weak_ptr<int> held = memory;
+    {
+        zmq::context_t context;
+        boost::asio::io_context io;
+        WireSocket dealer(io, context, WireSocket::Kind::Dealer, [](const std::string&, const wire::Envelope&) {});
+        // A dealer that is not connected rejects the message; one that connects keeps it.
+        BOOST_TEST(!dealer.send("", wire::Envelope(), std::make_shared<int>(0)));
+        BOOST_REQUIRE(dealer.connect("127.0.0.1:1"));
+        wire::Envelope envelope;
+        envelope.mutable_submit()->set_body(std::string(100'000, 'x'));
+        BOOST_TEST(dealer.send("", envelope, std::move(memory)));
+        BOOST_TEST(!held.expired());
+    }
+    BOOST_TEST(held.expired());
+}
--- a/src/wisteriayardd/agent_links.cpp
+++ b/src/wisteriayardd/agent_links.cpp
@@ -51,16 +51,19 @@
         link.unresponsive = true;
 }
 
-bool AgentLinks::submit(const EndpointId& endpoint, const std::string& address, const wire::Submit& submit,
-    std::shared_ptr<RequestMailbox> mailbox)
+bool AgentLinks::submit(const EndpointId& endpoint, const std::string& address, wire::Submit& submit,
+    std::shared_ptr<RequestMailbox> mailbox, std::shared_ptr<void> memory)
 {
     Link& target = link(endpoint, address);
     // An idle link is not pinged, so the time without contact counts from its first attempt.
     if (target.attempts == 0 && !target.watched)
         target.lastContact = bootTimeNow();
     wire::Envelope envelope;
-    *envelope.mutable_submit() = submit;
-    if (!target.socket->send("", envelope))
+    // Swapped, since a copy would need the memory of the body once more.
+    envelope.mutable_submit()->Swap(&submit);
+    bool isSent = target.socket->send("", envelope, std::move(memory));
+    envelope.mutable_submit()->Swap(&submit);
+    if (!isSent)
         return false;
     ++target.attempts;
     m_attempts[submit.request_id()] = { std::move(mailbox), submit.attempt(), endpoint, target.pingSequence };
--- a/src/wisteriayardd/agent_links.h
+++ b/src/wisteriayardd/agent_links.h
@@ -25,9 +25,11 @@
     ~AgentLinks();
 
     /// Sends an attempt to an agent and delivers the replies to the mailbox.
+    /// @param submit unchanged when the function returns
+    /// @param memory kept as long as the message to the agent is queued
     /// @return false if the agent can't be reached
-    bool submit(const EndpointId& endpoint, const std::string& address, const wire::Submit& submit,
-        std::shared_ptr<RequestMailbox> mailbox);
+    bool submit(const EndpointId& endpoint, const std::string& address, wire::Submit& submit,
+        std::shared_ptr<RequestMailbox> mailbox, std::shared_ptr<void> memory = nullptr);
     /// Ends an attempt and drops its later replies. Has no effect on an attempt that has ended.
     /// @param cancelAtAgent whether to send the agent a cancellation
     void endAttempt(const RequestId& request, bool cancelAtAgent);
--- a/src/wisteriayardd/caller_handler.cpp
+++ b/src/wisteriayardd/caller_handler.cpp
@@ -308,7 +308,8 @@
     call.submit.set_resume_text(call.text);
     call.submit.set_resume_tokens(static_cast<std::uint64_t>(call.tokens.value()));
     call.attemptOpen = true;
-    if (!m_links->submit(admitted.endpoint, admitted.agentAddress, call.submit, call.mailbox)) {
+    auto memory = call.writer->countBodyCopy();
+    if (!m_links->submit(admitted.endpoint, admitted.agentAddress, call.submit, call.mailbox, std::move(memory))) {
         wire::Rejected rejected;
         rejected.set_reason("agent can't be reached");
         call.mailbox->push(rejected);
--- a/src/wisteriayardd/entry.cpp
+++ b/src/wisteriayardd/entry.cpp
@@ -137,9 +137,10 @@
             // A thread has memory for a few heads of the largest size at least.
             limits.headMemory
                 = std::max(Bytes(minHeadMemory), Bytes(m_settings.headMemory.value() / m_settings.trafficThreads));
-            // With less than one body, a single request of the largest size would always be refused.
-            limits.bodyMemory
-                = std::max(m_settings.maxBody, Bytes(m_settings.bodyMemory.value() / m_settings.trafficThreads));
+            // With less than one body and its copy, a single request of the largest size would always be refused.
+            limits.copiesBodies = true;
+            limits.bodyMemory = std::max(Bytes(2 * m_settings.maxBody.value()),
+                Bytes(m_settings.bodyMemory.value() / m_settings.trafficThreads));
             limits.keptFields = CallerHandler::requestFields();
             limits.sharePort = true;
             auto handler = [callers = traffic->handler](HttpRequest request, HttpStreamWriter& writer) {
--- a/src/wisteriayardd/settings.cpp
+++ b/src/wisteriayardd/settings.cpp
@@ -51,8 +51,9 @@
             "entry: largest request body, 1024 to 8388608");
         add("head-memory-mb", po::value<std::int64_t>()->default_value(16),
             "entry: memory for the heads of all callers' connections, 1 to 4096");
-        add("body-memory-mb", po::value<std::int64_t>()->default_value(256),
-            "entry: memory for the bodies of all requests, 1 to 65536; at least one body for each traffic thread");
+        add("body-memory-mb", po::value<std::int64_t>()->default_value(512),
+            "entry: memory for the bodies of all requests and their copies, 1 to 65536; at least one body for each "
+            "thread");
         add("read-timeout-ms", po::value<std::int64_t>()->default_value(30000),
             "entry: time for a request to arrive, 10 to 600000");
         add("planner", po::value<bool>()->default_value(true),
--- a/src/wisteriayardd/settings.h
+++ b/src/wisteriayardd/settings.h
@@ -54,7 +54,7 @@
     Bytes maxBody { 8 * 1024 * 1024 };
     /// Memory for the heads, and for the bodies, of all connections of callers.
     Bytes headMemory { 16 * 1024 * 1024 };
-    Bytes bodyMemory { 256 * 1024 * 1024 };
+    Bytes bodyMemory { 512 * 1024 * 1024 };
     /// Longest time to receive a request, and to keep an idle connection open.
     Duration readTimeout = std::chrono::seconds(30);
     OnceSettings once;
