--- a/testsuite/slow_readers/run.py
+++ b/testsuite/slow_readers/run.py
@@ -254,6 +254,13 @@
     check_pausing_caller(deployment, HELD_EVENTS, HELD_EVENTS * EVENT_BYTES - KERNEL_REST_BYTES)
 
 
+def caller_that_pauses_before_a_small_stream(deployment):
+    """The whole stream fits the kernel's buffer, so that no write was partial: the kernel reset the caller after 1.2 s
+    with a closed window.
+    """
+    check_pausing_caller(deployment, KERNEL_REST_BYTES // EVENT_BYTES)
+
+
 def slow_reader_gets_all_events_in_order(deployment):
     """A stream above the limit for one caller: a part is kept, and the rest is read from the endpoint as the caller
     reads. No byte may be lost, repeated or reordered between the two.
@@ -332,6 +339,6 @@
 
 run_cases((uploads_that_send_no_byte, uploads_that_stop, upload_in_progress_outlasts_stalled_ones,
            callers_that_stop_reading, caller_that_pauses, caller_that_pauses_beyond_its_limit,
-           caller_that_pauses_near_the_end, slow_reader_gets_all_events_in_order,
+           caller_that_pauses_near_the_end, caller_that_pauses_before_a_small_stream, slow_reader_gets_all_events_in_order,
            stalled_callers_are_closed_for_others, kernel_buffers_of_endpoint_connections),
           make_deployment, 1)
