Gateway: callers may pause before a response that fits the kernel's buffer

Cause: the kernel counts the time of a closed window with 1.2 s (TCP_USER_TIMEOUT). The time of 10 s was set only after a partial write, but a response of up to 64 KiB fits the kernel's buffer as a whole.

After a write, bytes that the kernel has not sent even once (SIOCOUTQNSD) now set the 10 s. A buffered response is written in two steps, so that this holds while the rest of a large one is written. Connections without unsent bytes keep 1.2 s. Costs one system call for each write to a caller.

Ruled out: 10 s for all connections, since the loss of a caller's machine during a stream would be noticed late.

Only streams are tested; buffered responses have no case. case_gateway, case_response_heads and the gateway's unit tests were not run.

--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace wisteriayard {
 
@@ -17,8 +19,8 @@
     constexpr double usableShareOfIdleLimit = 0.7;
     /// TCP_USER_TIMEOUT: time without acknowledgement of sent data or keep-alive probes until the connection is closed.
     constexpr int tcpUserTimeoutMilliseconds = 1200;
-    /// The same for a caller with unread events. The kernel counts the time in which the window is closed as well: with
-    /// the shorter one, callers that pause are reset after about 1.5 s.
+    /// The same for a caller with an unread response. The kernel counts the time in which the window is closed as well:
+    /// with the shorter one, callers that pause are reset after about 1.5 s.
     constexpr int slowReaderTimeoutMilliseconds = 10'000;
     constexpr int keepAliveSeconds = 1;
     constexpr int keepAliveProbes = 2;
@@ -50,6 +52,12 @@
         socket, IPPROTO_TCP, TCP_USER_TIMEOUT, allowed ? slowReaderTimeoutMilliseconds : tcpUserTimeoutMilliseconds);
 }
 
+bool hasUnsentBytes(boost::asio::ip::tcp::socket& socket)
+{
+    int size = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQNSD, &size) == 0 && size > 0;
+}
+
 void openWithLimitedBuffer(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol)
 {
     boost::system::error_code error;
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -48,6 +48,9 @@
 /// @param allowed the longer time, for callers that pause; otherwise that of setTcpOptions()
 void allowSlowReading(boost::asio::ip::tcp::socket& socket, bool allowed);
 
+/// Whether the kernel holds bytes that it has not sent even once, as the window of the peer is closed or full.
+bool hasUnsentBytes(boost::asio::ip::tcp::socket& socket);
+
 /// Opens the socket of a connection to an endpoint with a limited receive buffer: the kernel would otherwise hold
 /// several MiB of each response whose caller doesn't read.
 void openWithLimitedBuffer(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol);
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -410,18 +410,38 @@
     std::array<boost::asio::const_buffer, 2> buffers;
     buffers[0] = boost::asio::buffer(text);
     buffers[1] = boost::asio::buffer(body);
-    co_await boost::asio::async_write(m_caller, buffers, redirect_error(use_awaitable, error));
+    std::size_t written = co_await m_caller.async_write_some(buffers, redirect_error(use_awaitable, error));
+    if (!error)
+        allowPauseIfUnsent();
+    std::size_t ofText = std::min(written, text.size());
+    buffers[0] += ofText;
+    buffers[1] += written - ofText;
+    if (!error && boost::asio::buffer_size(buffers) > 0) {
+        co_await boost::asio::async_write(m_caller, buffers, redirect_error(use_awaitable, error));
+        if (!error)
+            allowPauseIfUnsent();
+    }
     if (error)
         m_callerDisconnected = true;
     co_return !error;
 }
 
+void RequestHandler::allowPauseIfUnsent()
+{
+    if (isPauseAllowed() || !hasUnsentBytes(m_caller))
+        return;
+    m_isPauseAllowed = true;
+    allowSlowReading(m_caller, true);
+}
+
 std::optional<std::size_t> RequestHandler::writeNow(std::string_view text)
 {
     boost::system::error_code error;
     std::size_t written = m_caller.write_some(boost::asio::buffer(text), error);
-    if (!error || error == boost::asio::error::would_block)
+    if (!error || error == boost::asio::error::would_block) {
+        allowPauseIfUnsent();
         return written;
+    }
     m_callerDisconnected = true;
     return std::nullopt;
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -88,7 +88,7 @@
     /// Ends the request as if its deadline had passed.
     void expire();
     /// Whether the caller's connection has the longer time limit for callers that pause.
-    bool isPauseAllowed() const { return m_backlog && m_backlog->isPauseAllowed(); }
+    bool isPauseAllowed() const { return m_isPauseAllowed || (m_backlog && m_backlog->isPauseAllowed()); }
 
 private:
     /// Limit on requests sent to endpoints for one request of a caller, including those that endpoints refuse.
@@ -146,6 +146,9 @@
     /// memory for that.
     /// @return false if the caller has disconnected
     boost::asio::awaitable<bool> writeStream(std::string text);
+    /// Lets a caller pause whose connection has not taken all that was written: the kernel counts the time in which the
+    /// window is closed also if its buffer holds the whole response.
+    void allowPauseIfUnsent();
     /// Writes what the connection accepts at once.
     /// @return bytes that were written; none if the caller has disconnected
     std::optional<std::size_t> writeNow(std::string_view text);
@@ -245,6 +248,7 @@
     /// Null until the caller does not read a part of a stream at once.
     std::shared_ptr<CallerBacklog> m_backlog;
     bool m_callerDisconnected = false;
+    bool m_isPauseAllowed = false;
     bool m_timedOut = false;
     /// The attempt was ended because the request or a segment of its prompt was put in quarantine.
     bool m_quarantined = false;
