Gateway: look for unsent bytes only from 2 KiB on

Cause: the check of the change before was a system call for each event of a stream. A response below the smallest window can't be left unsent, and later bytes are checked each 512 and at the end of a response.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -41,6 +41,11 @@
     /// Requests that wait for memory at the same time. Each check goes through all engines; further requests are
     /// refused without a wait.
     constexpr int maxMemoryWaits = 32;
+    /// Less than the smallest window of a caller's connection: no bytes of a shorter response are left unsent.
+    constexpr std::size_t smallestWindow = 2048;
+    /// Bytes of a stream after which unsent ones are looked for again. A check of each event would be a system call for
+    /// each.
+    constexpr std::size_t unsentCheckInterval = 512;
     /// Limit of Retry-After as a share of the caller's remaining time.
     constexpr double retryAfterShare = 1.0 / 3;
 
@@ -442,23 +447,28 @@
     buffers[1] = boost::asio::buffer(body);
     std::size_t written = co_await m_caller.async_write_some(buffers, redirect_error(use_awaitable, error));
     if (!error)
-        allowPauseIfUnsent();
+        allowPauseIfUnsent(written, true);
     std::size_t ofText = std::min(written, text.size());
     buffers[0] += ofText;
     buffers[1] += written - ofText;
     if (!error && boost::asio::buffer_size(buffers) > 0) {
-        co_await boost::asio::async_write(m_caller, buffers, redirect_error(use_awaitable, error));
+        written = co_await boost::asio::async_write(m_caller, buffers, redirect_error(use_awaitable, error));
         if (!error)
-            allowPauseIfUnsent();
+            allowPauseIfUnsent(written, true);
     }
     if (error)
         m_callerDisconnected = true;
     co_return !error;
 }
 
-void RequestHandler::allowPauseIfUnsent()
+void RequestHandler::allowPauseIfUnsent(std::size_t written, bool isLast)
 {
-    if (isPauseAllowed() || !hasUnsentBytes(m_caller))
+    m_writtenBytes += written;
+    bool isDue = m_writtenBytes >= smallestWindow && (isLast || m_writtenBytes >= m_nextUnsentCheck);
+    if (!isDue || isPauseAllowed())
+        return;
+    m_nextUnsentCheck = m_writtenBytes + unsentCheckInterval;
+    if (!hasUnsentBytes(m_caller))
         return;
     m_isPauseAllowed = true;
     allowSlowReading(m_caller, true);
@@ -469,7 +479,7 @@
     boost::system::error_code error;
     std::size_t written = m_caller.write_some(boost::asio::buffer(text), error);
     if (!error || error == boost::asio::error::would_block) {
-        allowPauseIfUnsent();
+        allowPauseIfUnsent(written, text == lastChunk);
         return written;
     }
     m_callerDisconnected = true;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -148,7 +148,9 @@
     boost::asio::awaitable<bool> writeStream(std::string text);
     /// Lets a caller pause whose connection has not taken all that was written: the kernel counts the time in which the
     /// window is closed also if its buffer holds the whole response.
-    void allowPauseIfUnsent();
+    /// @param written bytes that were written now
+    /// @param isLast the response is complete
+    void allowPauseIfUnsent(std::size_t written, bool isLast);
     /// Writes what the connection accepts at once.
     /// @return bytes that were written; none if the caller has disconnected
     std::optional<std::size_t> writeNow(std::string_view text);
@@ -251,6 +253,8 @@
     std::shared_ptr<CallerBacklog> m_backlog;
     bool m_callerDisconnected = false;
     bool m_isPauseAllowed = false;
+    std::size_t m_writtenBytes = 0;
+    std::size_t m_nextUnsentCheck = 0;
     bool m_timedOut = false;
     /// The attempt was ended because the request or a segment of its prompt was put in quarantine.
     bool m_quarantined = false;
