QuarantineStore: probations never delete a stored quarantine, and are written after quarantines

With 64 queued probations, a quarantine was dropped or waited for them. Now only a free suspect's write deletes the quarantine, quarantines are written first and are not limited by the queue. Not shown by a test; the cases of crashing prompts and requests run on this code in the whole check.

--- a/src/gateway/quarantine_store.cpp
+++ b/src/gateway/quarantine_store.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace wisteriayard {
@@ -24,7 +25,8 @@
     constexpr Duration probationTimeToLive = std::chrono::minutes(1);
     constexpr Duration writeInterval = std::chrono::milliseconds(200);
     constexpr Duration retryDelay = std::chrono::seconds(1);
-    /// Limit on queued changes; a change beyond it is only known to running entries.
+    /// Limit on queued changes but quarantines, whose number the suspects limit; a change beyond it is only known to
+    /// running entries.
     constexpr std::size_t maxPending = 64;
 
     std::string keyOf(const std::string& start, SuspectTag tag)
@@ -55,7 +57,8 @@
 
 void QuarantineStore::changed(const QuarantineChange& change)
 {
-    if (m_pending.size() < maxPending || m_pending.count(change.tag) > 0)
+    bool isQuarantined = change.state == SuspectState::Quarantined;
+    if (isQuarantined || m_pending.size() < maxPending || m_pending.count(change.tag) > 0)
         m_pending[change.tag] = change.state;
 }
 
@@ -74,7 +77,10 @@
         co_await timer.async_wait(use_awaitable);
         if (m_pending.empty())
             continue;
-        auto [tag, state] = *m_pending.begin();
+        // A crash of several endpoints puts many segments on probation; their writes must not delay a quarantine.
+        auto next = std::find_if(m_pending.begin(), m_pending.end(),
+            [](const auto& each) { return each.second == SuspectState::Quarantined; });
+        auto [tag, state] = next == m_pending.end() ? *m_pending.begin() : *next;
         bool written = co_await write(tag, state);
         // The state may have changed during the call.
         if (written && m_pending.at(tag) == state)
@@ -114,7 +120,8 @@
         transaction.onSuccess.emplace_back(
             PutOperation { isQuarantined ? quarantineKey : probationKey, "1", lease.value() });
     }
-    if (state != SuspectState::Quarantined)
+    // A probation that was queued before another entry stored the quarantine must not delete it.
+    if (state == SuspectState::Free)
         transaction.onSuccess.emplace_back(DeleteOperation { quarantineKey });
     if (state != SuspectState::OnProbation)
         transaction.onSuccess.emplace_back(DeleteOperation { probationKey });
