--- a/review/loopback.py
+++ b/review/loopback.py
@@ -96,8 +96,8 @@
     stays open. Records each request that it runs.
     """
 
-    def __init__(self, record, name, service, answer, receive_buffer=None):
-        self.record, self.name, self.service, self.answer = record, name, service, answer
+    def __init__(self, record, name, service, answer, receive_buffer=None, slots=16):
+        self.record, self.name, self.service, self.answer, self.slots = record, name, service, answer, slots
         self.runs = []
         self.listener = socket.socket()
         if receive_buffer:
@@ -108,7 +108,8 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def entry(self):
-        return json.dumps({"service": self.service, "address": self.address, "zone": "a", "version": "v1", "slots": 16,
+        return json.dumps({"service": self.service, "address": self.address, "zone": "a", "version": "v1",
+                           "slots": self.slots,
                            "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": STARTED_MS})
 
     def run(self, arrival):
@@ -254,9 +255,9 @@
         self.deployment = SmallDeployment()
         self.servers = []
 
-    def add_servers(self, count, service, answer, receive_buffer=None):
+    def add_servers(self, count, service, answer, receive_buffer=None, slots=16):
         for number in range(count):
-            server = Server(self.record, f"i-{service}-{number}", service, answer, receive_buffer)
+            server = Server(self.record, f"i-{service}-{number}", service, answer, receive_buffer, slots)
             self.servers.append(server)
             self.deployment.store.put("servers/" + server.name, server.entry())
 
