--- a/review/loopback.py
+++ b/review/loopback.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import resource
 import socket
 import sys
 import threading
@@ -279,6 +280,15 @@
         self.deployment.temporary.cleanup()
 
 
+def need_descriptors(count):
+    """Raises this process's own limit on descriptors, which the gateway inherits, if it is lower and may be raised."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < count:
+        if hard != resource.RLIM_INFINITY and hard < count:
+            raise RuntimeError(f"the case needs {count} descriptors, the limit is {hard}")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def run(file, function):
     """Runs a case and ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     folder = os.path.dirname(os.path.abspath(file))
