--- a/review/6/case.py
+++ b/review/6/case.py
@@ -53,6 +53,10 @@
         if status and 200 <= status < 300 and complete and body != ANSWER:
             broken.append(f"MIXED: client {client.name} gets a success, complete and with the seal "
                           f"{fields.get('response-seal')}, of {len(body)} of the {len(ANSWER)} bytes of the server's body")
+    if trouble and not crashed:
+        raise RuntimeError("no server got as far as to crash")
+    if not case.runs():
+        raise RuntimeError("no request was run")
     return broken
 
 
--- a/review/loopback.py
+++ b/review/loopback.py
@@ -8,6 +8,7 @@
 import os
 import re
 import resource
+import signal
 import socket
 import sys
 import threading
@@ -15,10 +16,17 @@
 import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-sys.path.insert(0, os.path.join(ROOT, "testsuite"))
-from platform_deployment import HOST, KEY, Deployment, wait_until  # noqa: E402
-
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+try:
+    sys.path.insert(0, os.path.join(ROOT, "testsuite"))
+    from platform_deployment import HOST, KEY, Deployment
+except Exception:  # the interpreter would end with 1, which means that the rule was broken
+    traceback.print_exc()
+    sys.stderr.flush()
+    os._exit(NOT_RUN)
+
+# A script may run for 120 s.
+TIME_LIMIT_S = 110
 # Settings of a machine of kvm-mallverk, as `fleetbench wire` prints them.
 BOUNDS = {"seed_staleness_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "sync_s": 4, "drain_ms": 2500,
           "grace_s": 8, "loss_slack_ms": 200, "apply_ms": 2500, "downgrade_ms": 250, "stretch_ms": 5000,
@@ -251,8 +259,8 @@
 class Case:
     """A deployment with one gateway, and the record of the case."""
 
-    def __init__(self, folder):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record):
+        self.record = record
         self.deployment = SmallDeployment()
         self.servers = []
 
@@ -290,26 +298,46 @@
 
 
 def run(file, function):
-    """Runs a case and ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Runs a case and ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+    A signal and the time limit end the gateways, too; the case has not run then.
+    """
     folder = os.path.dirname(os.path.abspath(file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    case, code = None, NOT_RUN
+    record = Record(os.path.join(folder, "record.txt"))
+    record.add("with the disruption" if trouble else "without the disruption")
+    cases, ending = [], threading.Lock()
+
+    def finish(code):
+        ending.acquire()  # never released: the process ends here
+        try:
+            for case in cases:
+                case.end()
+        except Exception:
+            traceback.print_exc()
+            code = NOT_RUN
+        record.write()
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(code)  # threads of the stand-ins may still be waiting
+
+    def give_up(reason):
+        record.add("the case could not run: " + reason)
+        finish(NOT_RUN)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda received, _: give_up(f"signal {received}"))
+    timer = threading.Timer(TIME_LIMIT_S, give_up, ("time limit",))
+    timer.daemon = True
+    timer.start()
     try:
-        case = Case(folder)
-        case.record.add("with the disruption" if trouble else "without the disruption")
-        broken = function(case, trouble)
-        for sentence in broken:
-            case.record.add("BROKEN: " + sentence)
-        if not broken:
-            case.record.add("the rule held")
-        code = BROKEN if broken else HELD
-    except Exception:  # whatever it is, the case could not run
+        cases.append(Case(record))
+        broken = function(cases[0], trouble)
+    except Exception as error:  # whatever it is, the case could not run
         traceback.print_exc()
-        if case:
-            case.record.add("the case could not run: " + traceback.format_exc().splitlines()[-1])
-    finally:
-        if case:
-            case.end()
-            case.record.write()
-    sys.stdout.flush()
-    os._exit(code)  # threads of the stand-ins may still be waiting
+        give_up(f"{type(error).__name__}: {error}")
+    for sentence in broken:
+        record.add("BROKEN: " + sentence)
+    if not broken:
+        record.add("the rule held")
+    finish(BROKEN if broken else HELD)
