Gateway: a response that a reset or timeout breaks off while the request is written is not whole

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got that part with a Content-Length of its own, or with the last chunk of a stream: a complete answer. The same held for connections that timed out (TCP_USER_TIMEOUT) while the endpoint read slowly.

Cause: the kernel reports the error of a connection once, to the first call on the socket. While a request is still written that is the write; the read after it gets an end of file, which ends a body without a length. readMore() did not look at the result of the write.

Evidence: system calls of the gateway for one such request: epoll_pwait EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP sendmsg(20) ECONNRESET recvfrom(20) 0 sendmsg(19) HTTP/1.1 200 OK, 400 bytes of body Where the endpoint ends its sending side first and its kernel resets the connection afterwards, sendmsg gets EPIPE instead. Ruled out: framing (bodies with a length or chunks that are broken off were refused before, too), kept connections, and responses after the request was read.

Fix: the error of the write is kept with the connection, and an end of file counts only if no write has failed, or failed with a broken pipe, which the kernel reports only after the endpoint's own end of file. A sound endpoint that answers before it reads the request stays whole, whether it reads the rest or not. An error that a write has received but whose handler has not run is waited for.

--- a/src/gateway/endpoint_exchange.cpp
+++ b/src/gateway/endpoint_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "response_head.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -50,8 +51,9 @@
         boost::asio::buffer(pending->headEnd), boost::asio::buffer(*pending->body) };
     boost::asio::async_write(
         m_connection->socket, buffers, [pending](const boost::system::error_code& error, std::size_t) {
-            // On an error the flag stays set, so that the connection is not reused; the read reports the error.
+            // On an error the flag stays set, so that the connection is not reused; readMore() reports the error.
             pending->connection->writing = static_cast<bool>(error);
+            pending->connection->writeError = error;
         });
 }
 
@@ -130,6 +132,8 @@
     } while (error == boost::asio::error::would_block);
     if (!error)
         co_return parseReceived(std::string_view(m_receiveBuffer).substr(0, received));
+    if (error == boost::asio::error::eof)
+        error = co_await endOfInput();
     if (error == boost::asio::error::eof && m_parser->is_header_done()) {
         boost::system::error_code ended;
         m_parser->put_eof(ended);
@@ -139,6 +143,18 @@
     co_return fail(Errc::Unavailable, "the connection broke: " + error.message());
 }
 
+awaitable<boost::system::error_code> EndpointExchange::endOfInput()
+{
+    // The kernel reports a reset or a timeout only to the first call on the socket. If that is a write, the reads after
+    // it find an end of file. The write may have failed although its handler has not run.
+    if (m_connection->writing)
+        co_await boost::asio::post(m_connection->socket.get_executor(), use_awaitable);
+    const boost::system::error_code& writeError = m_connection->writeError;
+    // A write fails with a broken pipe if the endpoint had ended its sending side before the connection broke.
+    bool isBroken = writeError && writeError != boost::asio::error::broken_pipe;
+    co_return isBroken ? writeError : boost::asio::error::eof;
+}
+
 awaitable<Status> EndpointExchange::readHead()
 {
     for (int heads = 0; heads <= maxInformational; ++heads) {
--- a/src/gateway/endpoint_exchange.h
+++ b/src/gateway/endpoint_exchange.h
@@ -62,6 +62,9 @@
 
 private:
     boost::asio::awaitable<Status> readMore();
+    /// Finds out why a read found the end of the connection.
+    /// @return eof if the endpoint has ended its sending side, otherwise the error that broke the connection before
+    boost::asio::awaitable<boost::system::error_code> endOfInput();
     Status parseReceived(std::string_view received);
     /// @param input reduced by the bytes that were parsed
     Status parse(std::string_view& input);
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -34,6 +34,8 @@
     TimePoint idleSince {};
     /// A request write is in progress or has failed; the connection can't be reused.
     bool writing = false;
+    /// Error of the write that failed.
+    boost::system::error_code writeError;
 
 private:
     std::size_t& m_open;
