Gateway: a truncated stream ends with a reset for callers with HTTP/1.0

What callers saw: callers with HTTP/1.0 get streams that end with the connection. Where an endpoint broke a stream off, where the request's time ended, and where the gateway was killed, they got an end of file: a complete stream.

Cause: a reset was meant to show the break, but the session ended its sending side before it closed the connection, so that the caller's kernel got the end of file first and reported that. expire() and the end of the process closed the connection without a reset.

Evidence: testsuite/broken_responses with callers of both versions.

Fix: the connection is set to be reset when it is closed as soon as the head of such a stream is sent, and back to a regular end when the body is complete. Whatever ends it in between resets it, the kernel at the end of the process included. A truncated response closes the connection at once, without ending the sending side first.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -414,6 +414,8 @@
         attempt.answerBegun = true;
         m_headSent = true;
         BodyFraming framing = m_request.acceptsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose;
+        // Until the body is complete, only a reset shows that it is truncated, also if this process is killed.
+        resetOnClose(framing == BodyFraming::UntilClose);
         output = callerResponseHead(exchange.head(), framing, 0, m_request.keepAlive && !m_state.isStopping());
     } else {
         m_state.directory.placement(m_target).firstEvent(attempt.placement, now);
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace wisteriayard {
 
@@ -332,6 +333,7 @@
         co_return false;
     }
     if (isDelivered) {
+        resetOnClose(false);
         logEnd(Event::RequestFinished, "delivered", {});
         co_return m_request.keepAlive && !m_state.isStopping();
     }
@@ -370,14 +372,11 @@
 awaitable<bool> RequestHandler::respondToFailure(const Refused* refused)
 {
     if (m_headSent) {
-        // The response can't be completed, so the caller must be able to tell that it is truncated. Without chunked
-        // encoding only a reset shows that.
+        // The response can't be completed, so the caller must be able to tell that it is truncated.
         (void)co_await writeBacklog(); // the caller gets the events before the break if it reads them
         logEnd(Event::RequestFailed, "broken_stream", {});
-        if (!m_request.acceptsChunked) {
-            boost::system::error_code ignored;
-            m_caller.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        }
+        boost::system::error_code ignored;
+        m_caller.close(ignored);
         co_return false;
     }
     if (m_failure) {
@@ -558,6 +557,14 @@
     m_caller.cancel(ignored);
 }
 
+void RequestHandler::resetOnClose(bool enabled)
+{
+    if (std::exchange(m_resetsOnClose, enabled) == enabled)
+        return;
+    boost::system::error_code ignored; // if the connection is lost, the caller sees that
+    m_caller.set_option(boost::asio::socket_base::linger(enabled, 0), ignored);
+}
+
 void RequestHandler::expire()
 {
     m_timedOut = true;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -151,6 +151,8 @@
     /// @param written bytes that were written now
     /// @param isLast the response is complete
     void allowPauseIfUnsent(std::size_t written, bool isLast);
+    /// Sets whether closing the caller's connection, also by the end of this process, resets it.
+    void resetOnClose(bool enabled);
     /// Writes what the connection accepts at once.
     /// @return bytes that were written; none if the caller has disconnected
     std::optional<std::size_t> writeNow(std::string_view text);
@@ -262,6 +264,7 @@
     bool m_mayHaveExecuted = false;
     bool m_usageRecorded = false;
     bool m_headSent = false;
+    bool m_resetsOnClose = false;
     std::optional<std::int64_t> m_lastEvent;
     TimePoint m_lastEventAt {};
     /// Time from the arrival of the request to the first event; 0 before it.
--- a/testsuite/broken_responses/run.py
+++ b/testsuite/broken_responses/run.py
@@ -29,6 +29,9 @@
 PAUSES_S = (0, 0.05)
 RANDOM_BREAKS, RANDOM_SEED = 40, 1
 RETRY_SLACK = 1000
+VERSIONS = ("1.1", "1.0")
+# Time of streams whose endpoints go on for longer, and time for the gateway to forward what it has received.
+STREAM_TIME_S, STREAM_FORWARDING_S = 1.5, 0.2
 
 
 # Framings: the field of the head and the bytes of a body of which some parts are sent.
@@ -75,7 +78,9 @@
 
 def stops_reading(handler):
     """The kernel of the gateway gives up the connection after some time, as it can't write the request."""
+    handler.server.is_held = True
     handler.server.callers_done.wait(TIMEOUT_S)
+    handler.server.is_held = False
     reset(handler.connection)
 
 
@@ -205,24 +210,24 @@
     return Received(status, whole, False)
 
 
-def call(gateway, path, body):
+def call(gateway, path, body, version="1.1", timeout_s=TIMEOUT_S):
     """Returns the id of a request and its response."""
     request = uuid.uuid4().hex[:16]
-    lines = (f"POST {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request}", "Connection: close",
-             f"Deadline-Ms: {TIMEOUT_S * 1000}", f"Authorization: Bearer {KEY}", f"Content-Length: {len(body)}")
+    lines = (f"POST {path} HTTP/{version}", f"Host: {HOST}", f"Request-Id: {request}", "Connection: close",
+             f"Deadline-Ms: {int(timeout_s * 1000)}", f"Authorization: Bearer {KEY}", f"Content-Length: {len(body)}")
     with socket.create_connection((gateway.ip, gateway.ports[0]), timeout=TIMEOUT_S) as connection:
         connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         return request, receive(connection)
 
 
-def call_scripted(deployment, endpoints, path, script):
-    """Calls while the endpoints answer by the script. Paths have to differ: requests under which endpoints seem to crash
-    are kept from them.
+def call_scripted(deployment, endpoints, path, script, *arguments):
+    """Calls while the endpoints answer by the script. Paths have to differ: requests under which endpoints seem to
+    crash are kept from them.
     """
     for endpoint in endpoints:
         endpoint.script = script
         endpoint.callers_done.clear()
-    request, answer = call(deployment.gateways[0], path, script.request_body())
+    request, answer = call(deployment.gateways[0], path, script.request_body(), *arguments)
     for endpoint in endpoints:
         endpoint.script = None
         endpoint.callers_done.set()
@@ -248,7 +253,7 @@
         endpoint.RequestHandlerClass = ScriptedHandler
         endpoint.parts = EVENTS if endpoint.events else PLAIN_PARTS
         endpoint.script, endpoint.arrivals, endpoint.callers_done = None, arrivals, threading.Event()
-        endpoint.keeps_connections, endpoint.broken_connections = True, set()
+        endpoint.keeps_connections, endpoint.broken_connections, endpoint.is_held = True, set(), False
     for route in deployment.routes:
         route["timeout_ms"] = TIMEOUT_S * 1000
     return deployment
@@ -284,17 +289,45 @@
     check_all(failures)
 
 
-# Guards against a stream that looks complete to its caller after it was broken off.
+# Guards against a stream that looks complete to its caller after it was broken off. Callers with HTTP/1.0 get neither a
+# length nor chunks.
 def broken_streams_do_not_look_complete(deployment):
     model, failures = deployment.endpoints[2:], []
-    for number, script in enumerate(broken_scripts(len(EVENTS))):
-        _, answer = call_scripted(deployment, model, f"/chat/{number}", script)
-        if answer.complete and answer.status != 502:
-            failures.append(f"{script}: {answer}")
-        wait_for_service(deployment, "/chat/sound")
+    for version in VERSIONS:
+        for number, script in enumerate(broken_scripts(len(EVENTS))):
+            _, answer = call_scripted(deployment, model, f"/chat/{version}/{number}", script, version)
+            if answer.complete and answer.status != 502:
+                failures.append(f"HTTP/{version}, {script}: {answer}")
+            wait_for_service(deployment, "/chat/sound")
     check_all(failures)
 
 
+# Guards against a stream that looks complete as its time has ended.
+def timed_out_streams_do_not_look_complete(deployment):
+    model = deployment.endpoints[2:]
+    for version, framing in itertools.product(VERSIONS, (chunks, until_close)):
+        script = Script(framing, 3, False, stops_reading, 0)
+        _, answer = call_scripted(deployment, model, f"/chat/{version}", script, version, STREAM_TIME_S)
+        assert answer == (200, b"".join(EVENTS[:3]), False), f"HTTP/{version}, {script}: {answer}"
+
+
+# Guards against a stream that looks complete as the process that forwards it was killed.
+def streams_of_a_killed_gateway_do_not_look_complete(deployment):
+    gateway, model = deployment.gateways[0], deployment.endpoints[2:]
+    for version, framing in itertools.product(VERSIONS, (chunks, until_close)):
+        script, answers = Script(framing, 3, False, stops_reading, 0), []
+        caller = threading.Thread(target=lambda: answers.append(
+            call_scripted(deployment, model, f"/chat/{version}", script, version)[1]))
+        caller.start()
+        wait_until(lambda: any(endpoint.is_held for endpoint in model), "a stream that has begun")
+        time.sleep(STREAM_FORWARDING_S)
+        gateway.stop()
+        caller.join()
+        assert answers[0].status == 200 and not answers[0].complete, f"HTTP/{version}, {script}: {answers[0]}"
+        gateway.start()
+        wait_until(gateway.ready, "the gateway to be ready again")
+
+
 # Guards against a resumable stream that ends with its first part.
 def broken_streams_are_resumed(deployment):
     wait_until(deployment.gateways[0].knows_entries, "the registrations to be read")
@@ -328,10 +361,10 @@
     failures = []
     for path, endpoints in (("/charge", deployment.endpoints[:2]), ("/chat", deployment.endpoints[2:])):
         parts = endpoints[0].parts
-        for number, script in enumerate(whole_scripts(len(parts))):
-            _, answer = call_scripted(deployment, endpoints, f"{path}/{number}", script)
+        for number, (script, version) in enumerate(itertools.product(whole_scripts(len(parts)), VERSIONS)):
+            _, answer = call_scripted(deployment, endpoints, f"{path}/{number}", script, version)
             if answer != (200, b"".join(parts), True):
-                failures.append(f"{path}, {script}: {answer}")
+                failures.append(f"{path}, HTTP/{version}, {script}: {answer}")
             wait_for_service(deployment, path + "/sound")
     check_all(failures)
 
@@ -357,6 +390,8 @@
 
 
 run_cases((broken_responses_are_no_answers, broken_responses_are_tried_elsewhere, broken_streams_do_not_look_complete,
-           broken_streams_are_resumed, broken_resumed_streams_do_not_look_complete, whole_responses_stay_whole,
+           timed_out_streams_do_not_look_complete, streams_of_a_killed_gateway_do_not_look_complete,
+           broken_streams_are_resumed,
+           broken_resumed_streams_do_not_look_complete, whole_responses_stay_whole,
            timeouts_of_connections_end_no_response, breaks_at_any_moment_are_found),
           make_deployment, 1)
