Tests: status 000 in each kind of response, and broken answers to second attempts

What callers saw elsewhere: a status of 000 as an answer. Here it was handled already: checkResponseHead() refuses a status without a class, and the caller gets 502.

broken_second_answer_is_no_answer covers the second attempt of a hedged request, whose answer without a length is reset while the request is written.

--- a/testsuite/hedged_requests/run.py
+++ b/testsuite/hedged_requests/run.py
@@ -19,7 +19,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from platform_deployment import HOST, KEY, Deployment, Gateway, run_cases, wait_until  # noqa: E402
-from platform_standins import EndpointHandler  # noqa: E402
+from platform_standins import EndpointHandler, reset  # noqa: E402
 
 # Above the samples that HedgePolicy needs.
 WARM_UP_CALLS = 80
@@ -28,6 +28,9 @@
 # Time for which requests are held that no other endpoint may get; far above the delay on an idle machine.
 HOLD_S = 1.0
 DEADLINE_S = 2.0
+# More than the kernel buffers of the gateway and of an endpoint that does not read.
+LONG_BODY = b"x" * 4_190_000
+BREAK_PAUSE_S = 0.05
 # Events of a whole stream of the model service.
 EVENTS = 6
 MAY_HAVE_RUN, TIMED_OUT = 502, 504
@@ -48,6 +51,8 @@
         self.breaks, self.refused = threading.Event(), set()
         # Requests whose held arrivals get the head of a stream, and those whose streams pause after the first event.
         self.head_first, self.paused_streams = set(), set()
+        # Requests whose arrivals after the held ones get a part of a response, which is then reset.
+        self.broken = set()
 
     def hold(self, request, count=1, seconds=TIMEOUT_S):
         self.count[request], self.seconds[request] = count, seconds
@@ -77,12 +82,26 @@
             if not self.wait_in_vain(request):
                 self.close_connection = True
                 return
+        elif request in self.holds.broken:
+            self.break_response(request)
+            return
         elif request in self.holds.refused:
             self.body()
             self.answer(503, None, [("Request-Id", request), ("Not-Executed", "1")])
             return
         self.handle_request()
 
+    def break_response(self, request):
+        """Answers without a length before the request is read, and resets the connection."""
+        self.close_connection = True
+        self.send_response(200)
+        for name, value in self.response_headers(request) + [("Connection", "close")]:
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(b"id: 1\ndata: 1\n\n")
+        time.sleep(BREAK_PAUSE_S)
+        reset(self.connection)
+
     def send_stream_head(self, request):
         self.send_response(200)
         for name, value in self.response_headers(request) + [("Content-Type", "text/event-stream"),
@@ -215,6 +234,20 @@
     assert not repeated, f"{len(repeated)} requests were sent again"
 
 
+def broken_second_answer_is_no_answer(deployment):
+    """Guards against a part of the second endpoint's answer that is taken for a whole one."""
+    gateway, holds = deployment.gateways[0], deployment.holds
+    for path in ["/lookup/a", "/match/a"]:
+        warm_up(deployment, path)
+        request = holds.hold(uuid.uuid4().hex[:16], seconds=HOLD_S)
+        holds.broken.add(request)
+        answer = gateway.call(path, body=LONG_BODY, timeout=TIMEOUT_S, request=request)
+        assert len(holds.arrivals[request]) == 2, f"{path}: sent to {holds.arrivals[request]}"
+        # The first event of the second stream ends the first attempt, so that the stream can't be completed.
+        assert answer.status == (200 if path == "/lookup/a" else None), f"{path}: answered with {answer.status}"
+        assert answer.status is None or request in answer.body.decode()[-40:], f"{path}: {len(answer.body)} bytes"
+
+
 def request_that_may_have_run_is_not_called_refused(deployment):
     """Guards against a 503 where the second endpoint refused, but the first may have executed the request."""
     holds = deployment.holds
@@ -308,7 +341,8 @@
 
 if __name__ == "__main__":
     run_cases([slow_endpoint_does_not_delay_the_answer, resumable_stream_begins_elsewhere,
-               requests_that_may_not_be_repeated_are_sent_once, request_that_may_have_run_is_not_called_refused,
+               requests_that_may_not_be_repeated_are_sent_once, broken_second_answer_is_no_answer,
+               request_that_may_have_run_is_not_called_refused,
                caller_that_leaves_cancels_both_attempts, deadline_cancels_both_attempts,
                planned_stop_does_not_wait_for_the_slow_endpoint, usage_counts_hedged_requests_once,
                nothing_is_hedged_by_default, unusable_ratios_are_refused],
--- a/testsuite/response_heads/run.py
+++ b/testsuite/response_heads/run.py
@@ -73,6 +73,12 @@
     Row("coding instead of chunks", response(fields=b"Transfer-Encoding: gzip\r\n"), 502, closes=True),
     Row("chunks named twice", response(fields=b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
                                        body=b"5\r\nhello\r\n0\r\n\r\n"), 502),
+    Row("status zero without a length", response(b"HTTP/1.1 000 OK", b""), 502, closes=True),
+    Row("status zero in chunks", response(b"HTTP/1.1 000 OK", b"Transfer-Encoding: chunked\r\n",
+                                          b"5\r\nhello\r\n0\r\n\r\n"), 502),
+    Row("status zero after an informational response",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + response(b"HTTP/1.1 000 OK"), 502),
+    Row("status zero for HEAD", response(b"HTTP/1.1 000 OK", body=b""), 502, method="HEAD"),
 ]
 
 
