ResponseParser: an empty body in chunks can arrive in small parts

What callers saw: nothing; an endpoint whose response has an empty body in chunks, received as "0\r\n", "\r" and "\n" in three reads, ended the gateway, and with it all requests in it.

Cause: an assertion of the library's parser, which is part of our builds, fails if it gets four bytes of the last chunk after three of them and no chunk came before. Of all ways to divide such bodies in three, that is the only one.

Fix: the first bytes of a body in chunks are passed on when there are as many as the shortest such body has.

Tests: the new rows of response_parser_test, which passes texts in parts of 1 to 100,000 bytes, aborted before (SIGABRT).

--- a/src/libnet/response_parser.h
+++ b/src/libnet/response_parser.h
@@ -78,6 +78,7 @@
     boost::beast::http::response_parser<PartialBody> m_parser;
     /// Number of bytes without the end of the head.
     std::size_t m_searched = 0;
+    bool m_isBodyBegun = false;
     bool m_isInvalid = false;
 };
 
--- a/src/libnet/response_parser_test.cpp
+++ b/src/libnet/response_parser_test.cpp
@@ -32,6 +32,8 @@
     { "without_body", "HTTP/1.1 204 No Content\r\n\r\n", "", true },
     { "chunks", chunked + "2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n", "hello", true },
     { "chunk_with_line_that_begins_with_blank", chunked + "6\r\na\r\n b\n\r\n0\r\n\r\n", "a\r\n b\n", true },
+    { "no_chunks", chunked + "0\r\n\r\n", "", true },
+    { "trailer_without_chunks", chunked + "0\r\nX-A: 1\r\n\r\n", "", true },
     { "chunks_without_last", chunked + "5\r\nhello\r\n", {} },
     { "trailer", chunked + "5\r\nhello\r\n0\r\nX-A: 1\r\nX-B:  2 \r\n\r\n", "hello", true },
     { "trailer_without_end", chunked + "5\r\nhello\r\n0\r\nX-A: 1\r\n", {} },
