--- a/testsuite/broken_responses/run.py
+++ b/testsuite/broken_responses/run.py
@@ -198,8 +198,9 @@
 
 
 def receive(connection, begun):
-    """Reads a response as a caller does that trusts its framing and the end of the connection. Sets the event `begun` with the
-    first bytes.
+    """Reads a response as a caller does that trusts its framing and the end of the connection.
+
+    Sets the event `begun`, if there is one, with the first bytes.
     """
     data, is_reset = b"", False
     try:
@@ -409,7 +410,6 @@
 
 run_cases((broken_responses_are_no_answers, broken_responses_are_tried_elsewhere, broken_streams_do_not_look_complete,
            timed_out_streams_do_not_look_complete, streams_of_a_killed_gateway_do_not_look_complete,
-           broken_streams_are_resumed,
-           broken_resumed_streams_do_not_look_complete, whole_responses_stay_whole,
+           broken_streams_are_resumed, broken_resumed_streams_do_not_look_complete, whole_responses_stay_whole,
            timeouts_of_connections_end_no_response, breaks_at_any_moment_are_found),
           make_deployment, 1)
