--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -106,7 +106,8 @@
     { "control_byte_in_name_of_trailer", withTrailer("X\x01-A: 1"), End::CloseAfterReading, {} },
 };
 
-/// Responds once by hand to each of `connections` connections, and with a sound response first on the kept one.
+/// Accepts one connection and responds to its request by hand. On a kept connection, a sound response to another
+/// request comes first.
 class RawServer {
 public:
     RawServer(const ResponseCase& response, bool isKept)
--- a/src/libnet/response_parser.h
+++ b/src/libnet/response_parser.h
@@ -73,6 +73,9 @@
 private:
     /// Checks the size of an unfinished head, and its first line as soon as it is known.
     Status checkUnfinishedHead(std::string_view input);
+    /// Passes bytes to the library's parser.
+    /// @param input reduced by the bytes that were parsed
+    /// @param size upper limit on the bytes passed
     Status put(std::string_view& input, std::size_t size);
 
     boost::beast::http::response_parser<PartialBody> m_parser;
