Requests with an empty body in chunks can arrive byte by byte

What callers saw: a request whose body in chunks is empty and arrives as "0\r\n", "\r" and "\n" ended the gateway, and each request under way there was lost.

Cause: the library's chunk parser marks the last chunk as seen when it gets its line, which it does not consume, and asserts in the next call that there are at least five bytes. With one byte more there are four.

Evidence: the case chunked_bodies_arrive_in_any_parts of testsuite/gateway fails on the code before at its first row ("the body 0, 1 byte first": no response, the process is gone). The new unit test of HttpServer aborts with SIGABRT at its first two rows, so that wisteriayardd, its agents and the metrics port were affected as well. Bodies with data before the last chunk pass however they are divided.

Fix: isPartOfEmptyChunkedBody() tells which first bytes have to wait. The three readers of bodies ask it; ResponseParser had a rule of its own, which also held back malformed sizes. A sound body has five bytes or more, so none waits in vain.

Both tests pass now, and so do response_parser_test, http_client_test and testsuite/http_abuse.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.h"
 
+#include "chunked_body.h"
 #include "clock.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -207,6 +208,8 @@
     if (!reserveBody(reading, input.size()))
         return ReadResult::NoMemory;
     while (!input.empty() && !parser.is_done()) {
+        if (parser.chunked() && parser.get().body().empty() && isPartOfEmptyChunkedBody(input))
+            break;
         boost::system::error_code error;
         std::size_t used = parser.put(boost::asio::buffer(input), error);
         input.remove_prefix(used);
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include "address.h"
+#include "chunked_body.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -476,7 +477,9 @@
     auto& parser = incoming.parser;
     parser.eager(true);
     while (!parser.is_done()) {
-        if (!connection.unparsed.empty()) {
+        bool mustWait
+            = parser.chunked() && incoming.request.body().empty() && isPartOfEmptyChunkedBody(connection.unparsed);
+        if (!connection.unparsed.empty() && !mustWait) {
             auto& part = parser.get().body();
             part.data = m_bodyPart.data();
             part.size = m_bodyPart.size();
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -13,6 +13,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <thread>
 
 using namespace wisteriayard;
@@ -288,6 +289,65 @@
     BOOST_TEST((shortages == each.shortages));
 }
 
+namespace {
+
+struct ChunkedBodyCase {
+    const char* name;
+    std::string text;
+    /// Absent if the request is malformed.
+    std::optional<std::string> body;
+};
+std::ostream& operator<<(std::ostream& out, const ChunkedBodyCase& each) { return out << each.name; }
+
+const ChunkedBodyCase chunkedBodyCases[] = {
+    { "empty", "0\r\n\r\n", "" },
+    { "empty_with_two_digits", "00\r\n\r\n", "" },
+    { "empty_with_extension", "0;a=b\r\n\r\n", "" },
+    { "empty_with_trailer", "0\r\nX-A: 1\r\n\r\n", "" },
+    { "text_that_looks_like_the_end", "5\r\n0\r\n\r\n\r\n0\r\n\r\n", "0\r\n\r\n" },
+    { "zero_alone", "1\r\n0\r\n0\r\n\r\n", "0" },
+    { "no_size", "zz\r\n", {} },
+    { "no_size_after_zero", "0zz\r\n\r\n", {} },
+};
+
+const std::size_t firstPartSizes[] = { 1, 2, 3, 4 };
+
+/// Runs all handlers that can run without further input.
+void runReady(boost::asio::io_context& io)
+{
+    while (io.poll() > 0) { }
+}
+
+} // namespace
+
+// Guards against an empty body in chunks that ends the process, as its bytes arrive one by one.
+BOOST_DATA_TEST_CASE(chunked_bodies_may_arrive_in_any_parts,
+    boost::unit_test::data::make(chunkedBodyCases) * boost::unit_test::data::make(firstPartSizes), each, firstPart)
+{
+    boost::asio::io_context io;
+    auto echo = [](HttpRequest request, HttpStreamWriter&) -> boost::asio::awaitable<HandlerResult> {
+        co_return makeHttpResponse(http::status::ok, "<" + request.body() + ">");
+    };
+    auto server = std::make_shared<HttpServer>(io, HttpServerLimits {}, echo);
+    BOOST_REQUIRE(server->listen(parseAddress("127.0.0.1:0").value()));
+    boost::asio::ip::tcp::socket client(io);
+    client.connect(server->localAddress());
+    std::string_view rest = each.text;
+    std::string part = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t size = firstPart; !part.empty(); size = 1) {
+        boost::asio::write(client, boost::asio::buffer(part));
+        runReady(io);
+        part = rest.substr(0, size);
+        rest.remove_prefix(part.size());
+    }
+    std::string received(1000, '\0');
+    client.non_blocking(true);
+    boost::system::error_code ignored;
+    received.resize(client.read_some(boost::asio::buffer(received), ignored));
+    std::string expected = each.body ? "<" + *each.body + ">" : "malformed request";
+    BOOST_TEST(received.find(expected) != std::string::npos, received);
+}
+
 // Guards against copies of bodies that are not counted: with the request, and after its end.
 BOOST_AUTO_TEST_CASE(copies_of_bodies_are_counted)
 {
--- a/src/libnet/response_parser.cpp
+++ b/src/libnet/response_parser.cpp
@@ -1,5 +1,6 @@
 #include "response_parser.h"
 
+#include "chunked_body.h"
 #include "response_head.h"
 
 #include <algorithm>
@@ -17,9 +18,6 @@
     /// Limit on bytes that the parser has not consumed. The parser limits the header, but neither the length
     /// of a chunk-size line nor the trailer fields after the last chunk.
     constexpr std::size_t maxUnparsedBytes = 32 * 1024;
-    /// Least size of a body in chunks. The library's parser aborts the process if it gets the first line of an empty
-    /// one and then a fourth byte.
-    constexpr std::size_t minChunkedBytes = std::string_view("0\r\n\r\n").size();
 
     Error parseError(const boost::system::error_code& error)
     {
@@ -79,7 +77,7 @@
                 return checkUnfinishedHead(input);
             given = end + headEnd.size();
             m_searched = 0;
-        } else if (!m_isBodyBegun && m_parser.chunked() && size < minChunkedBytes) {
+        } else if (!m_isBodyBegun && m_parser.chunked() && isPartOfEmptyChunkedBody(input)) {
             break;
         } else {
             m_isBodyBegun = true;
