--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -477,9 +477,9 @@
     auto& parser = incoming.parser;
     parser.eager(true);
     while (!parser.is_done()) {
-        bool mustWait
+        bool awaitsMore
             = parser.chunked() && incoming.request.body().empty() && isPartOfEmptyChunkedBody(connection.unparsed);
-        if (!connection.unparsed.empty() && !mustWait) {
+        if (!connection.unparsed.empty() && !awaitsMore) {
             auto& part = parser.get().body();
             part.data = m_bodyPart.data();
             part.size = m_bodyPart.size();
