--- a/review/gateways.py
+++ b/review/gateways.py
@@ -19,7 +19,6 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BUILD = os.path.join(ROOT, "target", "bin")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-CONTACT_S = 3
 BOUNDS = {"seed_staleness_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "sync_s": 4, "drain_ms": 2500,
           "grace_s": 8, "loss_slack_ms": 200, "apply_ms": 2500, "downgrade_ms": 250, "stretch_ms": 5000,
           "strict_revoke": False, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 58,
