--- a/review/gateways.py
+++ b/review/gateways.py
@@ -19,6 +19,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BUILD = os.path.join(ROOT, "target", "bin")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A script may run for 120 s; ending the gateways takes a part of that.
+LIMIT_S = 105
 BOUNDS = {"seed_staleness_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "sync_s": 4, "drain_ms": 2500,
           "grace_s": 8, "loss_slack_ms": 200, "apply_ms": 2500, "downgrade_ms": 250, "stretch_ms": 5000,
           "strict_revoke": False, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 58,
@@ -119,11 +121,25 @@
     return socket.create_connection((gateway.ip, gateway.ports[0]), timeout)
 
 
+def require(condition, what):
+    """Ends the case as one that could not run, unless the condition holds."""
+    if not condition:
+        raise RuntimeError(what)
+
+
 def run(case):
     """Runs a case, which gets a Record and returns whether the rule held, and exits with the result."""
     result = NOT_RUN
-    for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, lambda *_: sys.exit(NOT_RUN))  # the deployment then ends its gateways
+    endings = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGALRM)
+
+    def end(*_):
+        for number in endings:
+            signal.signal(number, signal.SIG_IGN)
+        sys.exit(NOT_RUN)  # the deployment then ends its gateways
+
+    for number in endings:
+        signal.signal(number, end)
+    signal.alarm(LIMIT_S)
     try:
         if not os.path.exists(os.path.join(BUILD, "wisteriayard-gateway")):
             raise FileNotFoundError("the gateway isn't built")
